--- /dev/null
+++ b/config/versions/src/configuration-effect.ts
@@ -0,0 +1,12 @@
+import type { AcceptedConfiguration, Decision } from "@marigoldstall/core.types";
+
+/** Effects of the configuration slice. */
+export type ConfigurationEffect =
+    | {
+        /** A newer version is in force at this daemon. */
+        readonly type: "apply-configuration";
+        readonly configuration: AcceptedConfiguration;
+    }
+    | { readonly type: "fetch-configuration"; readonly peerAddress: string; }
+    | { readonly type: "append-configuration-snapshot"; readonly value: unknown; }
+    | { readonly type: "log-decision"; readonly decision: Decision; };
--- /dev/null
+++ b/config/versions/src/index.ts
@@ -0,0 +1,2 @@
+export type { ConfigurationEffect } from "./configuration-effect.js";
+export type { ConfigurationEvent } from "./configuration-event.js";
--- /dev/null
+++ b/core/error/src/index.ts
@@ -0,0 +1,3 @@
+export { formatError } from "./format-error.js";
+export type { MarigoldstallErrorOptions } from "./marigoldstall-error-options.js";
+export { MarigoldstallError } from "./marigoldstall-error.js";
--- /dev/null
+++ b/core/error/test/marigoldstall-error.test.ts
@@ -0,0 +1,26 @@
+import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
+import { expect } from "chai";
+
+describe("MarigoldstallError", () => {
+    describe("formatError", () => {
+        it("prints code, step, peer and hint, so that an operator can act on the message alone", () => {
+            const error = new MarigoldstallError({
+                code: "LOG_UNAVAILABLE",
+                message: "the log service did not answer",
+                step: "append record",
+                peer: "127.0.0.1:9000",
+                hint: "check that the log service is running",
+            });
+            expect(formatError(error)).to.equal(
+                "ERR_MARIGOLDSTALL_LOG_UNAVAILABLE the log service did not answer\n"
+                    + "  while: append record (127.0.0.1:9000)\n"
+                    + "  hint: check that the log service is running",
+            );
+        });
+
+        it("leaves out peer and hint when there are none", () => {
+            const error = new MarigoldstallError({ code: "STOPPED", message: "stopped", step: "serve" });
+            expect(formatError(error)).to.equal("ERR_MARIGOLDSTALL_STOPPED stopped\n  while: serve");
+        });
+    });
+});
--- /dev/null
+++ b/core/types/src/evidence-kind.ts
@@ -0,0 +1,2 @@
+/** What a piece of evidence says about a backend server. */
+export type EvidenceKind = "leaving" | "silent";
--- /dev/null
+++ b/core/types/src/transition.ts
@@ -0,0 +1,5 @@
+/** Result of reducing one event: the new state and the effects that the shell has to run. */
+export interface Transition<State, Effect> {
+    readonly state: State;
+    readonly effects: readonly Effect[];
+}
--- /dev/null
+++ b/requests/ledger/src/claim-request.ts
@@ -0,0 +1,10 @@
+import type { DaemonId } from "@marigoldstall/core.types";
+
+/** An entry daemon's request to the owner of a key to let it run the request. */
+export interface ClaimRequest {
+    readonly service: string;
+    readonly key: string;
+    readonly fingerprint: string;
+    readonly requestId: string;
+    readonly runner: DaemonId;
+}
--- /dev/null
+++ b/requests/ledger/src/settle-request.ts
@@ -0,0 +1,12 @@
+import type { DaemonId, Outcome } from "@marigoldstall/core.types";
+import type { StoredResponse } from "./stored-response.js";
+
+/** A runner's report about the request that it was granted. */
+export interface SettleRequest {
+    readonly service: string;
+    readonly key: string;
+    readonly requestId: string;
+    readonly runner: DaemonId;
+    readonly outcome: Outcome;
+    readonly response: StoredResponse | undefined;
+}
--- /dev/null
+++ b/routing/measuring/src/index.ts
@@ -0,0 +1,2 @@
+export type { MeasuringEffect } from "./measuring-effect.js";
+export type { MeasuringEvent } from "./measuring-event.js";
