feat(ownership): add the public API of the ownership and ledger slices

Cause: the daemon is written at the same time and needs names and types to code against. Conclusion: the API is stable enough to be used; behaviour follows.

--- a/fleet/ownership/src/index.ts
+++ b/fleet/ownership/src/index.ts
@@ -1,6 +1,17 @@
+export { createOwnershipState } from "./create-ownership-state.js";
+export { createShareHasher } from "./create-share-hasher.js";
 export type { OwnershipEffect } from "./ownership-effect.js";
 export type { OwnershipEvent } from "./ownership-event.js";
+export type { OwnershipHealth } from "./ownership-health.js";
 export type { OwnershipMember } from "./ownership-member.js";
+export type { OwnershipStateOptions } from "./ownership-state-options.js";
+export type { OwnershipState } from "./ownership-state.js";
 export type { PromiseReply } from "./promise-reply.js";
 export type { PromiseRequest } from "./promise-request.js";
+export { reduceOwnership } from "./reduce-ownership.js";
+export { selectNextOffset } from "./select-next-offset.js";
+export { selectOwnBounds } from "./select-own-bounds.js";
+export { selectOwnershipHealth } from "./select-ownership-health.js";
+export { selectTerms } from "./select-terms.js";
+export { SHARE_COUNT } from "./share-count.js";
 export type { ShareTerm } from "./share-term.js";
--- a/fleet/ownership/src/ownership-event.ts
+++ b/fleet/ownership/src/ownership-event.ts
@@ -18,10 +18,18 @@
         readonly type: "append-settled";
         readonly atMs: number;
         readonly recordId: string;
-        /** `unknown` when the answer was lost: the append may have taken effect. */
+        /**
+         * `unknown` when the answer was lost: the append may have taken effect. The rights of this daemon never
+         * depend on this event, only the time of the next attempt does.
+         */
         readonly result: "appended" | "failed" | "unknown";
     }
-    | { readonly type: "members-changed"; readonly atMs: number; readonly members: readonly OwnershipMember[]; }
+    | {
+        /** The live daemons, without those that are stopping. This daemon need not be among them. */
+        readonly type: "members-changed";
+        readonly atMs: number;
+        readonly members: readonly OwnershipMember[];
+    }
     | { readonly type: "configuration-changed"; readonly atMs: number; readonly version: number; }
     | {
         readonly type: "promise-requested";
--- a/requests/ledger/src/claim-request.ts
+++ b/requests/ledger/src/claim-request.ts
@@ -7,4 +7,6 @@
     readonly fingerprint: string;
     readonly requestId: string;
     readonly runner: DaemonId;
+    /** Time until the request's deadline. Later the owner reports a key that was not settled as `unknown`. */
+    readonly remainingMs: number;
 }
--- a/requests/ledger/src/index.ts
+++ b/requests/ledger/src/index.ts
@@ -1,6 +1,12 @@
 export type { ClaimReply } from "./claim-reply.js";
 export type { ClaimRequest } from "./claim-request.js";
+export { createLedgerState } from "./create-ledger-state.js";
+export type { LedgerCounts } from "./ledger-counts.js";
 export type { LedgerEffect } from "./ledger-effect.js";
 export type { LedgerEvent } from "./ledger-event.js";
+export type { LedgerStateOptions } from "./ledger-state-options.js";
+export type { LedgerState } from "./ledger-state.js";
+export { reduceLedger } from "./reduce-ledger.js";
+export { selectLedgerCounts } from "./select-ledger-counts.js";
 export type { SettleRequest } from "./settle-request.js";
 export type { StoredResponse } from "./stored-response.js";
--- a/requests/ledger/src/ledger-event.ts
+++ b/requests/ledger/src/ledger-event.ts
@@ -36,7 +36,10 @@
         readonly reply: ClaimReply | undefined;
     }
     | {
-        /** Routing is over for a request whose claim was granted to this daemon. */
+        /**
+         * Routing is over for a request whose claim was granted to this daemon. With `not-run` it also ends a
+         * request that still waits for its grant, such as when the caller has gone.
+         */
         readonly type: "request-finished";
         readonly atMs: number;
         readonly wallMs: number;
