feat(ownership): fold terms of shares and give bounds through the log and guardians

Cause: a key may be granted by one daemon only, whatever is paused, lost or repeated. An assign names the right it is based on.

--- /dev/null
+++ b/fleet/ownership/src/choose-guardian.ts
@@ -0,0 +1,14 @@
+import { eligibleMembers } from "./eligible-members.js";
+import type { OwnershipMember } from "./ownership-member.js";
+import type { OwnershipState } from "./ownership-state.js";
+import { rendezvousOrder } from "./rendezvous-order.js";
+
+/** Guardian for a share: another daemon than the owner, in another availability zone when there is one. */
+export const chooseGuardian = (
+    state: OwnershipState,
+    opts: { readonly share: number; readonly owner: OwnershipMember; readonly atMs: number; },
+): OwnershipMember | undefined => {
+    const others = eligibleMembers(state, opts.atMs).filter(member => member.daemon.vmId !== opts.owner.daemon.vmId);
+    const ordered = rendezvousOrder(opts.share, others);
+    return ordered.find(member => member.availabilityZone !== opts.owner.availabilityZone) ?? ordered[0];
+};
--- a/fleet/ownership/src/create-ownership-state.ts
+++ b/fleet/ownership/src/create-ownership-state.ts
@@ -1,3 +1,4 @@
+import { emptyOwnershipFold } from "./empty-ownership-fold.js";
 import type { OwnershipStateOptions } from "./ownership-state-options.js";
 import type { OwnershipState } from "./ownership-state.js";
 
@@ -5,7 +6,32 @@
 export const createOwnershipState = (opts: OwnershipStateOptions): OwnershipState => ({
     self: opts.self,
     logRetentionMs: opts.logRetentionMs,
-    nextOffset: 0,
+    members: [opts.self],
+    membersKnown: false,
+    membersChangedAtMs: 0,
+    addresses: new Map(),
+    configurationVersion: 0,
+    log: {
+        nextOffset: 0,
+        mode: "following",
+        firstOffset: 0,
+        available: false,
+        caughtUp: false,
+        lastReadAtMs: undefined,
+        emptyAtOffset: undefined,
+        caughtUpSinceMs: undefined,
+        snapshotSeenAtMs: 0,
+    },
+    fold: emptyOwnershipFold,
+    owned: new Map(),
+    guarded: new Map(),
+    pendingAssigns: [],
+    suspectedUntilMs: new Map(),
+    recordCount: 0,
+    nextExtendAtMs: 0,
+    nextPromiseAtMs: 0,
+    lastTick: undefined,
+    isStopping: false,
     terms: [],
     ownBoundsMs: new Map(),
 });
--- /dev/null
+++ b/fleet/ownership/src/eligible-members.ts
@@ -0,0 +1,7 @@
+import { daemonKey } from "./daemon-key.js";
+import type { OwnershipMember } from "./ownership-member.js";
+import type { OwnershipState } from "./ownership-state.js";
+
+/** Members that have not failed lately as owner or guardian. */
+export const eligibleMembers = (state: OwnershipState, atMs: number): readonly OwnershipMember[] =>
+    state.members.filter(member => (state.suspectedUntilMs.get(daemonKey(member.daemon)) ?? -Infinity) <= atMs);
--- a/fleet/ownership/src/ownership-state.ts
+++ b/fleet/ownership/src/ownership-state.ts
@@ -1,11 +1,34 @@
+import type { GuardedShare } from "./guarded-share.js";
+import type { LogPosition } from "./log-position.js";
+import type { OwnedShare } from "./owned-share.js";
+import type { OwnershipFold } from "./ownership-fold.js";
 import type { OwnershipMember } from "./ownership-member.js";
+import type { PendingAssign } from "./pending-assign.js";
 import type { ShareTerm } from "./share-term.js";
 
 /** State of the ownership slice. Read it through the selectors only. */
 export interface OwnershipState {
     readonly self: OwnershipMember;
     readonly logRetentionMs: number;
-    readonly nextOffset: number;
+    /** Live members, with this daemon unless it is stopping. Ascending by VM id. */
+    readonly members: readonly OwnershipMember[];
+    readonly membersKnown: boolean;
+    readonly membersChangedAtMs: number;
+    /** Addresses of members and of guardians that are no longer members, by daemon. */
+    readonly addresses: ReadonlyMap<string, OwnershipMember>;
+    readonly configurationVersion: number;
+    readonly log: LogPosition;
+    readonly fold: OwnershipFold;
+    readonly owned: ReadonlyMap<number, OwnedShare>;
+    readonly guarded: ReadonlyMap<number, GuardedShare>;
+    readonly pendingAssigns: readonly PendingAssign[];
+    /** Time until which a daemon that failed is not chosen, by daemon. */
+    readonly suspectedUntilMs: ReadonlyMap<string, number>;
+    readonly recordCount: number;
+    readonly nextExtendAtMs: number;
+    readonly nextPromiseAtMs: number;
+    readonly lastTick: { readonly atMs: number; readonly wallMs: number; } | undefined;
+    readonly isStopping: boolean;
     readonly terms: readonly ShareTerm[];
     readonly ownBoundsMs: ReadonlyMap<number, number>;
 }
--- /dev/null
+++ b/fleet/ownership/test/reduce-ownership.test.ts
@@ -0,0 +1,394 @@
+import {
+    createOwnershipState,
+    type OwnershipEffect,
+    type OwnershipEvent,
+    type OwnershipState,
+    reduceOwnership,
+    selectNextOffset,
+    selectOwnBounds,
+    selectOwnershipHealth,
+    selectTerms,
+} from "@marigoldstall/fleet.ownership";
+import { expect } from "chai";
+
+const START_MS = 1_800_000_000_000;
+
+const member = (vmId: string, incarnation = "1", zone = vmId) => ({
+    daemon: { vmId, incarnation },
+    address: `127.0.0.1:${vmId}`,
+    availabilityZone: zone,
+});
+const alpha = member("alpha");
+const beta = member("beta");
+
+/** One daemon under test, with the log records that it has been shown. */
+class OwnershipDriver {
+    state: OwnershipState;
+    effects: OwnershipEffect[] = [];
+    atMs = 0;
+    readonly records: unknown[] = [];
+    firstOffset = 0;
+
+    constructor(self = alpha) {
+        this.state = createOwnershipState({ self, logRetentionMs: 3_600_000 });
+    }
+
+    send(event: OwnershipEvent): readonly OwnershipEffect[] {
+        const { state, effects } = reduceOwnership(this.state, event);
+        this.state = state;
+        this.effects.push(...effects);
+        return effects;
+    }
+
+    read(): readonly OwnershipEffect[] {
+        const from = Math.max(selectNextOffset(this.state), this.firstOffset);
+        return this.send({
+            type: "log-read",
+            atMs: this.atMs,
+            wallMs: START_MS + this.atMs,
+            firstOffset: this.firstOffset,
+            nextOffset: this.records.length,
+            records: this.records.slice(from).map((value, index) => ({ offset: from + index, value })),
+        });
+    }
+
+    append(value: unknown): void {
+        this.records.push(value);
+        this.read();
+    }
+
+    tick(forMs: number): readonly OwnershipEffect[] {
+        this.atMs += forMs;
+        return this.send({ type: "tick", atMs: this.atMs, wallMs: START_MS + this.atMs, random: 0.5 });
+    }
+
+    term(share = 0) {
+        return selectTerms(this.state).filter(term => term.share === share).at(-1);
+    }
+}
+
+const appended = (effects: readonly OwnershipEffect[], type: string): Record<string, unknown>[] =>
+    effects.flatMap(effect =>
+        effect.type === "append-ownership-record" ? [effect.value as Record<string, unknown>] : []
+    ).filter(value => value["type"] === type);
+
+const assign = (opts: Record<string, unknown> & { entry?: Record<string, unknown>; }) => ({
+    type: "assign",
+    recordId: "record",
+    writer: alpha.daemon,
+    basis: "bootstrap",
+    ...opts,
+    entries: [{
+        share: 0,
+        term: 1,
+        owner: alpha.daemon,
+        guardian: beta.daemon,
+        fromMs: START_MS,
+        capMs: START_MS + 60_000,
+        ...opts.entry,
+    }],
+});
+
+const extend = (opts: Record<string, unknown> & { entry?: Record<string, unknown>; }) => ({
+    type: "extend",
+    recordId: "record",
+    writer: alpha.daemon,
+    ...opts,
+    entries: [{ share: 0, term: 1, boundMs: START_MS + 6_000, capMs: START_MS + 60_000, ...opts.entry }],
+});
+
+const promise = (boundMs: number, term = 1) => ({
+    type: "promise-answered" as const,
+    atMs: 0,
+    reply: { guardian: beta.daemon, configurationVersion: 0, promises: [{ share: 0, term, boundMs }] },
+});
+
+const request = (wantedBoundMs: number, configurationVersion = 0) => ({
+    type: "promise-requested" as const,
+    atMs: 0,
+    rpcId: "rpc",
+    request: { owner: alpha.daemon, configurationVersion, wantedBoundMs, shares: [{ share: 0, term: 1 }] },
+});
+
+describe("reduceOwnership", () => {
+    describe("validity of records at their place in the log", () => {
+        const next = (entry: Record<string, unknown>, opts: Record<string, unknown>) =>
+            assign({ ...opts, entry: { term: 2, owner: beta.daemon, guardian: alpha.daemon, ...entry } });
+        const cases = [
+            { name: "takes the owner's assignment", record: next({}, { basis: "owner" }), valid: true },
+            {
+                name: "takes the guardian's assignment",
+                record: next({}, { basis: "guardian", writer: beta.daemon }),
+                valid: true,
+            },
+            {
+                name: "ignores an assignment that claims the owner's right for another daemon",
+                record: next({}, { basis: "owner", writer: beta.daemon }),
+                valid: false,
+            },
+            {
+                name: "ignores the owner's right of an earlier incarnation",
+                record: next({}, { basis: "owner", writer: { vmId: "alpha", incarnation: "0" } }),
+                valid: false,
+            },
+            {
+                name: "ignores an assignment below the cap by a third daemon",
+                record: next({ fromMs: START_MS + 59_999 }, { basis: "expired", writer: member("gamma").daemon }),
+                valid: false,
+            },
+            {
+                name: "takes an assignment at the cap by a third daemon",
+                record: next({ fromMs: START_MS + 60_000 }, { basis: "expired", writer: member("gamma").daemon }),
+                valid: true,
+            },
+            {
+                name: "ignores an assignment that skips a term",
+                record: next({ term: 3 }, { basis: "owner" }),
+                valid: false,
+            },
+            { name: "ignores a second first term", record: assign({}), valid: false },
+            {
+                name: "ignores a record for a restart of the stream at another offset",
+                record: next({}, { basis: "owner", restartAtOffset: 7 }),
+                valid: false,
+            },
+            {
+                name: "ignores a share that does not exist",
+                record: next({ share: 64 }, { basis: "owner" }),
+                valid: false,
+            },
+            {
+                name: "ignores a key time that is no whole number",
+                record: next({ fromMs: 0.5 }, { basis: "owner" }),
+                valid: false,
+            },
+        ];
+        for (const { name, record, valid } of cases) {
+            it(name, () => {
+                const driver = new OwnershipDriver();
+                driver.append(assign({}));
+                driver.append(record);
+                expect(driver.term()?.owner).to.deep.equal(valid ? beta.daemon : alpha.daemon);
+            });
+        }
+
+        it("compares a take-over at the cap with the cap as raised before it", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.append(extend({ entry: { capMs: START_MS + 90_000 } }));
+            driver.append(next({ fromMs: START_MS + 60_000 }, { basis: "expired", writer: member("gamma").daemon }));
+            expect(driver.term()?.term).to.equal(1);
+        });
+
+        it("starts a term above an extension that was ordered before it", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.append(extend({}));
+            driver.append(next({ fromMs: START_MS + 1_000 }, { basis: "guardian", writer: beta.daemon }));
+            expect(driver.term()?.fromMs).to.equal(START_MS + 6_000);
+        });
+
+        it("ignores an extension that was ordered after the end of its term", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.append(next({ fromMs: START_MS + 1_000 }, { basis: "guardian", writer: beta.daemon }));
+            driver.append(extend({}));
+            expect(selectTerms(driver.state).map(term => term.boundMs)).to.deep.equal([START_MS, START_MS + 1_000]);
+        });
+
+        it("never lowers a bound or a cap", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.append(extend({}));
+            driver.append(extend({ entry: { boundMs: START_MS + 10, capMs: START_MS + 10 } }));
+            expect(driver.term()).to.include({ boundMs: START_MS + 6_000, capMs: START_MS + 60_000 });
+        });
+
+        it("ignores and counts records of unknown format", () => {
+            const driver = new OwnershipDriver();
+            for (const value of [17, undefined, { type: "vote" }, { type: "extend", recordId: "x", entries: [] }]) {
+                driver.append(value);
+            }
+            expect(selectOwnershipHealth(driver.state, 0)).to.include({ malformedRecords: 4, sharesOwned: 0 });
+        });
+    });
+
+    describe("bounds of an owner", () => {
+        it("does not use an extension before it has read it back", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            const [record] = appended(driver.tick(10), "extend");
+            driver.send({
+                type: "append-settled",
+                atMs: 20,
+                recordId: String(record?.["recordId"]),
+                result: "appended",
+            });
+            expect(selectOwnBounds(driver.state).get(0)).to.equal(START_MS);
+            driver.append(record);
+            expect(selectOwnBounds(driver.state).get(0)).to.equal(START_MS + 6_010);
+        });
+
+        it("uses no promise above the start of a term that it tried to hand over, even if the append failed", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.send({ type: "members-changed", atMs: 0, members: [beta] });
+            driver.tick(10);
+            driver.send(promise(START_MS + 4_000));
+            const [record] = appended(
+                driver.send({ type: "stop-started", atMs: 20, wallMs: START_MS + 20 }),
+                "assign",
+            );
+            expect(record).to.have.nested.property("entries[0].fromMs", START_MS + 4_000);
+            driver.send({ type: "append-settled", atMs: 30, recordId: String(record?.["recordId"]), result: "failed" });
+            driver.send(promise(START_MS + 5_000));
+            expect(selectOwnBounds(driver.state).get(0)).to.equal(START_MS + 4_000);
+        });
+
+        it("ignores a promise for an earlier term of a share that came back", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.append(assign({ basis: "owner", entry: { term: 2, owner: beta.daemon, guardian: alpha.daemon } }));
+            driver.append(assign({
+                basis: "owner",
+                writer: beta.daemon,
+                entry: { term: 3, guardian: beta.daemon, fromMs: START_MS + 1_000 },
+            }));
+            driver.send(promise(START_MS + 5_000, 1));
+            expect(selectOwnBounds(driver.state).get(0)).to.equal(START_MS + 1_000);
+        });
+
+        it("has no rights of an earlier incarnation", () => {
+            const driver = new OwnershipDriver(member("alpha", "2"));
+            driver.append(assign({}));
+            driver.append(extend({}));
+            expect(selectOwnBounds(driver.state).size).to.equal(0);
+        });
+    });
+
+    describe("promises of a guardian", () => {
+        const promisedBounds = (driver: OwnershipDriver, event: OwnershipEvent) =>
+            driver.send(event).flatMap(effect =>
+                effect.type === "answer-promise" ? effect.reply.promises.map(entry => entry.boundMs) : []
+            );
+        const guarding = () => {
+            const driver = new OwnershipDriver(beta);
+            driver.append(assign({}));
+            driver.tick(10);
+            return driver;
+        };
+
+        it("promises what is wanted, and never above the cap or its own clock", () => {
+            const driver = guarding();
+            expect(promisedBounds(driver, request(START_MS + 5_000))).to.deep.equal([START_MS + 5_000]);
+            expect(promisedBounds(driver, request(START_MS + 3_600_000))).to.deep.equal([START_MS + 8_000]);
+            const capped = new OwnershipDriver(beta);
+            capped.append(assign({ entry: { capMs: START_MS + 2_000 } }));
+            capped.tick(10);
+            expect(promisedBounds(capped, request(START_MS + 5_000))).to.deep.equal([START_MS + 2_000]);
+        });
+
+        it("refuses an owner with an older configuration", () => {
+            const driver = guarding();
+            driver.send({ type: "configuration-changed", atMs: 0, version: 3 });
+            expect(promisedBounds(driver, request(START_MS + 5_000, 2))).to.deep.equal([]);
+            expect(promisedBounds(driver, request(START_MS + 5_000, 3))).to.deep.equal([START_MS + 5_000]);
+        });
+
+        it("takes over at its highest promise and never promises again, even if the append failed", () => {
+            const driver = guarding();
+            promisedBounds(driver, request(START_MS + 5_000));
+            const records = [1_000, 1_000, 1_100].flatMap(forMs => {
+                driver.tick(forMs);
+                driver.read();
+                return appended(driver.effects.splice(0), "assign");
+            });
+            expect(records).to.have.length(1);
+            expect(records[0]).to.have.nested.property("entries[0].fromMs", START_MS + 5_000);
+            driver.send({ type: "append-settled", atMs: driver.atMs, recordId: "x", result: "failed" });
+            expect(promisedBounds(driver, request(START_MS + 5_000))).to.deep.equal([]);
+        });
+
+        it("does not take over while the log is unavailable, as the owner could not continue without it", () => {
+            const driver = guarding();
+            driver.send({ type: "log-unavailable", atMs: 10 });
+            driver.tick(1_400);
+            driver.tick(1_400);
+            driver.tick(1_400);
+            expect(appended(driver.effects, "assign")).to.deep.equal([]);
+            expect(promisedBounds(driver, request(START_MS + 5_000))).to.deep.equal([START_MS + 5_000]);
+        });
+
+        it("does not take over because it was paused itself", () => {
+            const driver = guarding();
+            driver.tick(20_000);
+            driver.read();
+            driver.tick(100);
+            expect(appended(driver.effects, "assign")).to.deep.equal([]);
+        });
+    });
+
+    describe("truncation of the log", () => {
+        it("owns nothing without a snapshot, and adopts one that covers the lost records", () => {
+            const driver = new OwnershipDriver();
+            driver.records.push(assign({}), extend({}), extend({}));
+            driver.firstOffset = 2;
+            driver.read();
+            expect(selectOwnershipHealth(driver.state, 0)).to.include({ synchronized: false, sharesOwned: 0 });
+            const terms = [{ ...assign({}).entries[0], boundMs: START_MS }];
+            driver.append({ type: "snapshot", recordId: "old", throughOffset: 0, terms });
+            expect(selectOwnBounds(driver.state).size).to.equal(0);
+            driver.append({ type: "snapshot", recordId: "new", throughOffset: 1, terms });
+            driver.read();
+            expect(selectOwnBounds(driver.state).get(0)).to.equal(START_MS + 6_000);
+        });
+
+        it("restarts a stream that is truncated and empty, above all lost caps and term numbers", () => {
+            const driver = new OwnershipDriver();
+            driver.records.push(assign({}), extend({}), extend({}));
+            driver.firstOffset = 3;
+            driver.send({ type: "members-changed", atMs: 0, members: [beta] });
+            driver.read();
+            driver.tick(600);
+            const [record] = appended(driver.effects, "assign");
+            expect(record).to.include({ restartAtOffset: 3 });
+            driver.append(record);
+            expect(driver.term()).to.include({ term: 4, fromMs: START_MS + 60_600 });
+            expect(selectOwnershipHealth(driver.state, 0)).to.include({ synchronized: true, sharesWithoutTerm: 0 });
+        });
+
+        it("ignores a restart that did not land at its offset", () => {
+            const driver = new OwnershipDriver();
+            driver.records.push(assign({}), extend({}), extend({}));
+            driver.firstOffset = 3;
+            driver.send({ type: "members-changed", atMs: 0, members: [beta] });
+            driver.read();
+            driver.tick(600);
+            const [record] = appended(driver.effects, "assign");
+            driver.append(extend({}));
+            driver.append(record);
+            expect(selectTerms(driver.state)).to.deep.equal([]);
+        });
+
+        it("never restarts a stream with records that it cannot read completely", () => {
+            const driver = new OwnershipDriver();
+            driver.records.push(assign({}), extend({}), extend({}));
+            driver.firstOffset = 2;
+            driver.send({ type: "members-changed", atMs: 0, members: [beta] });
+            driver.read();
+            driver.tick(10_000);
+            expect(appended(driver.effects, "assign")).to.deep.equal([]);
+        });
+
+        it("writes a snapshot each quarter of the retention time", () => {
+            const driver = new OwnershipDriver();
+            driver.append(assign({}));
+            driver.send({ type: "members-changed", atMs: 0, members: [beta] });
+            driver.tick(899_000);
+            driver.read();
+            expect(appended(driver.tick(500), "snapshot")).to.deep.equal([]);
+            expect(appended(driver.tick(1_000), "snapshot")).to.have.length(1);
+            expect(appended(driver.tick(1_000), "snapshot")).to.deep.equal([]);
+        });
+    });
+});
