feat(ledger): decide about keys at their owner and claim them at the entry daemon

Cause: non-repeatable requests need one decision per key, whatever is lost, late or repeated. Change: the owner's table with generations by key time, floor, waiting for the bound, tombstones of runners that gave up; the entry daemon's claims, answers and settlements. A model of several daemons over one log and one network drives both slices in property tests. The answer events name the owner that answered. Usable bounds are recomputed without the fold when only a promise or a tick came.

--- a/fleet/ownership/src/accept-promise.ts
+++ b/fleet/ownership/src/accept-promise.ts
@@ -2,7 +2,7 @@
 import type { OwnedShare } from "./owned-share.js";
 import type { OwnershipEvent } from "./ownership-event.js";
 import type { OwnershipState } from "./ownership-state.js";
-import { refreshRights } from "./refresh-rights.js";
+import { refreshBounds } from "./refresh-bounds.js";
 import { sameDaemon } from "./same-daemon.js";
 
 /** Notes the bounds that a guardian promised for the current terms of this daemon. */
@@ -26,5 +26,5 @@
             lastPromiseAtMs: promise !== undefined || isBehind ? atMs : known.lastPromiseAtMs,
         });
     }
-    return refreshRights({ ...state, owned }, atMs);
+    return refreshBounds({ ...state, owned });
 };
--- a/fleet/ownership/src/act-on-tick.ts
+++ b/fleet/ownership/src/act-on-tick.ts
@@ -7,7 +7,7 @@
 import type { OwnershipMoment } from "./ownership-moment.js";
 import type { OwnershipState } from "./ownership-state.js";
 import type { OwnershipTransition } from "./ownership-transition.js";
-import { refreshRights } from "./refresh-rights.js";
+import { refreshBounds } from "./refresh-bounds.js";
 import { repeatAppends } from "./repeat-appends.js";
 import { replaceGuardians } from "./replace-guardians.js";
 import { requestPromises } from "./request-promises.js";
@@ -34,5 +34,5 @@
         next = transition.state;
         effects.push(...transition.effects);
     }
-    return { state: refreshRights(next, moment.atMs), effects };
+    return { state: refreshBounds(next), effects };
 };
--- a/fleet/ownership/src/choose-guardian.ts
+++ b/fleet/ownership/src/choose-guardian.ts
@@ -8,7 +8,7 @@
     state: OwnershipState,
     opts: { readonly share: number; readonly owner: OwnershipMember; readonly atMs: number; },
 ): OwnershipMember | undefined => {
-    const others = eligibleMembers(state, opts.atMs).filter(member => member.daemon.vmId !== opts.owner.daemon.vmId);
-    const ordered = rendezvousOrder(opts.share, others);
+    const ordered = rendezvousOrder(opts.share, eligibleMembers(state, opts.atMs))
+        .filter(member => member.daemon.vmId !== opts.owner.daemon.vmId);
     return ordered.find(member => member.availabilityZone !== opts.owner.availabilityZone) ?? ordered[0];
 };
--- a/fleet/ownership/src/eligible-members.ts
+++ b/fleet/ownership/src/eligible-members.ts
@@ -4,4 +4,6 @@
 
 /** Members that have not failed lately as owner or guardian. */
 export const eligibleMembers = (state: OwnershipState, atMs: number): readonly OwnershipMember[] =>
-    state.members.filter(member => (state.suspectedUntilMs.get(daemonKey(member.daemon)) ?? -Infinity) <= atMs);
+    state.suspectedUntilMs.size === 0
+        ? state.members
+        : state.members.filter(member => (state.suspectedUntilMs.get(daemonKey(member.daemon)) ?? -Infinity) <= atMs);
--- a/fleet/ownership/src/hand-over-shares.ts
+++ b/fleet/ownership/src/hand-over-shares.ts
@@ -3,7 +3,6 @@
 import { endOwnTerms } from "./end-own-terms.js";
 import { isAssignPending } from "./is-assign-pending.js";
 import { isLogUsable } from "./is-log-usable.js";
-import type { OwnedShare } from "./owned-share.js";
 import type { OwnershipMember } from "./ownership-member.js";
 import type { OwnershipMoment } from "./ownership-moment.js";
 import type { OwnershipState } from "./ownership-state.js";
@@ -15,14 +14,16 @@
 export const handOverShares = (state: OwnershipState, moment: OwnershipMoment): OwnershipTransition => {
     const { atMs } = moment;
     const eligible = eligibleMembers(state, atMs);
-    const owned = new Map<number, OwnedShare>();
+    let { owned } = state;
     const successors: { share: number; owner: OwnershipMember; guardian: OwnershipMember | undefined; }[] = [];
     const isUsable = isLogUsable(state, atMs);
     for (const [share, known] of state.owned) {
         const owner = rendezvousOrder(share, eligible)[0];
         const isOther = owner !== undefined && owner.daemon.vmId !== state.self.daemon.vmId;
         const sinceMs = isOther ? known.otherWinnerSinceMs ?? atMs : undefined;
-        owned.set(share, { ...known, otherWinnerSinceMs: sinceMs });
+        if (sinceMs !== known.otherWinnerSinceMs) {
+            owned = new Map([...owned, [share, { ...known, otherWinnerSinceMs: sinceMs }]]);
+        }
         const isDue = sinceMs !== undefined
             && (state.isStopping || atMs - sinceMs >= ownershipTiming.rebalanceAfterMs);
         if (isOther && isDue && isUsable && !isAssignPending(state, share)) {
--- a/fleet/ownership/src/note-tick.ts
+++ b/fleet/ownership/src/note-tick.ts
@@ -5,7 +5,11 @@
 /** Records the time. After a pause of this daemon, the silence of others starts to count anew. */
 export const noteTick = (state: OwnershipState, moment: OwnershipMoment): OwnershipState => {
     const { atMs, wallMs } = moment;
-    const noted = { ...state, lastTick: { atMs, wallMs } };
+    const isSuspicionOver = [...state.suspectedUntilMs.values()].some(untilMs => untilMs <= atMs);
+    const suspectedUntilMs = isSuspicionOver
+        ? new Map([...state.suspectedUntilMs].filter(([, untilMs]) => untilMs > atMs))
+        : state.suspectedUntilMs;
+    const noted = { ...state, suspectedUntilMs, lastTick: { atMs, wallMs } };
     if (state.lastTick === undefined || atMs - state.lastTick.atMs < ownershipTiming.pauseMs) {
         return noted;
     }
--- a/fleet/ownership/src/ownership-health.ts
+++ b/fleet/ownership/src/ownership-health.ts
@@ -8,6 +8,8 @@
     readonly sharesOwned: number;
     readonly sharesGuarded: number;
     readonly sharesWithoutTerm: number;
+    /** End of the key times that this daemon governs. A stopping daemon should stay until they are over. */
+    readonly ownKeyTimesEndMs: number | undefined;
     /** Shares of this daemon for which a hand-over was written but not yet read back. */
     readonly handOversPending: number;
     /** Records that are not of a known format. */
--- a/fleet/ownership/src/read-log.ts
+++ b/fleet/ownership/src/read-log.ts
@@ -16,6 +16,9 @@
     readonly fold: OwnershipFold;
 }
 
+/** A response with so many records may be a full page, and not the end of the log. */
+const PAGE_RECORDS = 100;
+
 const readRecord = (reading: Reading, offset: number, value: unknown, atMs: number): Reading => {
     const log = { ...reading.log, nextOffset: offset + 1 };
     const record = decodeOwnershipRecord(value);
@@ -71,7 +74,7 @@
             reading = readRecord(reading, offset, value, atMs);
         }
     }
-    const caughtUp = reading.log.nextOffset === event.nextOffset;
+    const caughtUp = reading.log.nextOffset === event.nextOffset && event.records.length < PAGE_RECORDS;
     const isEmpty = caughtUp && firstOffset === event.nextOffset && event.records.length === 0;
     const log: LogPosition = {
         ...reading.log,
@@ -82,5 +85,7 @@
         emptyAtOffset: isEmpty && reading.log.mode === "seeking" && firstOffset > 0 ? firstOffset : undefined,
         snapshotSeenAtMs: state.log.lastReadAtMs === undefined ? atMs : reading.log.snapshotSeenAtMs,
     };
-    return refreshRights({ ...markOwnersSeen(state, reading.fold, atMs), log, fold: reading.fold }, atMs);
+    return reading.fold === state.fold
+        ? { ...state, log }
+        : refreshRights({ ...markOwnersSeen(state, reading.fold, atMs), log, fold: reading.fold }, atMs);
 };
--- a/fleet/ownership/src/refresh-rights.ts
+++ b/fleet/ownership/src/refresh-rights.ts
@@ -1,17 +1,13 @@
 import type { GuardedShare } from "./guarded-share.js";
 import type { OwnedShare } from "./owned-share.js";
 import type { OwnershipState } from "./ownership-state.js";
+import { refreshBounds } from "./refresh-bounds.js";
 import { sameDaemon } from "./same-daemon.js";
-import { usableBound } from "./usable-bound.js";
 
-const isSameMap = (left: ReadonlyMap<number, number>, right: ReadonlyMap<number, number>): boolean =>
-    left.size === right.size && [...left].every(([share, boundMs]) => right.get(share) === boundMs);
-
-/** Brings this daemon's own records of its shares, and what the selectors return, in line with the fold. */
+/** Brings this daemon's own records of its shares, and what the selectors return, in line with a changed fold. */
 export const refreshRights = (state: OwnershipState, atMs: number): OwnershipState => {
     const owned = new Map<number, OwnedShare>();
     const guarded = new Map<number, GuardedShare>();
-    const ownBoundsMs = new Map<number, number>();
     let hasNewTerm = false;
     for (const [share, terms] of state.fold.termsByShare.entries()) {
         const current = terms.at(-1);
@@ -30,7 +26,6 @@
                 otherWinnerSinceMs: undefined,
             };
             owned.set(share, ownedShare);
-            ownBoundsMs.set(share, usableBound(current, ownedShare));
         }
         else if (sameDaemon(current.guardian, state.self.daemon)) {
             const known = state.guarded.get(share);
@@ -42,16 +37,13 @@
             );
         }
     }
-    const terms = state.fold.termsByShare.flat();
-    const isSameTerms = terms.length === state.terms.length && terms.every((term, at) => term === state.terms[at]);
-    return {
+    return refreshBounds({
         ...state,
         // A new term starts without usable key times, so its bound is raised at the next tick.
         nextExtendAtMs: hasNewTerm ? atMs : state.nextExtendAtMs,
         nextPromiseAtMs: hasNewTerm ? atMs : state.nextPromiseAtMs,
         owned,
         guarded,
-        terms: isSameTerms ? state.terms : terms,
-        ownBoundsMs: isSameMap(state.ownBoundsMs, ownBoundsMs) ? state.ownBoundsMs : ownBoundsMs,
-    };
+        terms: state.fold.termsByShare.flat(),
+    });
 };
--- a/fleet/ownership/src/rendezvous-order.ts
+++ b/fleet/ownership/src/rendezvous-order.ts
@@ -11,14 +11,25 @@
     return (hash ^ (hash >>> 16)) >>> 0;
 };
 
+/** Orders already computed for a list of members. Each tick asks for the same ones. */
+const orders = new WeakMap<readonly OwnershipMember[], Map<number, readonly OwnershipMember[]>>();
+
 /**
  * Orders members by rendezvous hashing for one share; the first is the winner. The incarnation is left out, so
  * that a restarted VM wins the same shares again.
  */
-export const rendezvousOrder = (share: number, members: readonly OwnershipMember[]): readonly OwnershipMember[] =>
-    members
+export const rendezvousOrder = (share: number, members: readonly OwnershipMember[]): readonly OwnershipMember[] => {
+    const known = orders.get(members)?.get(share);
+    if (known !== undefined) {
+        return known;
+    }
+    const order = members
         .map(member => ({ member, score: score(`${share}/${member.daemon.vmId}`) }))
         .toSorted((left, right) =>
             right.score - left.score || (left.member.daemon.vmId < right.member.daemon.vmId ? -1 : 1)
         )
         .map(entry => entry.member);
+    const byShare = orders.get(members) ?? new Map<number, readonly OwnershipMember[]>();
+    orders.set(members, byShare.set(share, order));
+    return order;
+};
--- a/fleet/ownership/src/replace-guardians.ts
+++ b/fleet/ownership/src/replace-guardians.ts
@@ -35,12 +35,12 @@
         if (key !== undefined && isMember && isSilent) {
             suspectedUntilMs.set(key, atMs + ownershipTiming.suspectForMs);
         }
+        const isZoneShared = areMembersStable && guardian?.availabilityZone === state.self.availabilityZone;
+        if (isMember && !isSilent && !isZoneShared) {
+            return [];
+        }
         const candidate = chooseGuardian(next, { share, owner: state.self, atMs });
-        const isZoneBetter = areMembersStable
-            && guardian?.availabilityZone === state.self.availabilityZone
-            && candidate !== undefined
-            && candidate.availabilityZone !== state.self.availabilityZone;
-        if (isMember && !isSilent && !isZoneBetter) {
+        if (isMember && !isSilent && candidate?.availabilityZone === state.self.availabilityZone) {
             return [];
         }
         const replacement = candidate ?? (isMember && silentMs >= SAME_GUARDIAN_AFTER_MS ? guardian : undefined);
--- a/fleet/ownership/src/select-ownership-health.ts
+++ b/fleet/ownership/src/select-ownership-health.ts
@@ -1,6 +1,19 @@
 import { isAssignPending } from "./is-assign-pending.js";
 import type { OwnershipHealth } from "./ownership-health.js";
 import type { OwnershipState } from "./ownership-state.js";
+import { sameDaemon } from "./same-daemon.js";
+
+const ownKeyTimesEnd = (state: OwnershipState): number | undefined => {
+    const ends = state.terms.flatMap((term, index) => {
+        if (!sameDaemon(term.owner, state.self.daemon)) {
+            return [];
+        }
+        const next = state.terms[index + 1];
+        const endMs = next?.share === term.share ? next.fromMs : state.ownBoundsMs.get(term.share);
+        return endMs === undefined ? [] : [endMs];
+    });
+    return ends.length === 0 ? undefined : Math.max(...ends);
+};
 
 /** Health of the ownership slice at a monotonic time. */
 export const selectOwnershipHealth = (state: OwnershipState, atMs: number): OwnershipHealth => ({
@@ -11,6 +24,7 @@
     sharesOwned: state.owned.size,
     sharesGuarded: state.guarded.size,
     sharesWithoutTerm: state.fold.termsByShare.filter(terms => terms.length === 0).length,
+    ownKeyTimesEndMs: ownKeyTimesEnd(state),
     handOversPending: [...state.owned.keys()].filter(share => isAssignPending(state, share)).length,
     malformedRecords: state.fold.malformedRecords,
     invalidEntries: state.fold.invalidEntries,
--- /dev/null
+++ b/requests/ledger/src/advance-requests.ts
@@ -0,0 +1,29 @@
+import * as HashMap from "effect/HashMap";
+import { advanceRequest } from "./advance-request.js";
+import { governingTerm } from "./governing-term.js";
+import type { KeyedRequest } from "./keyed-request.js";
+import type { LedgerEffect } from "./ledger-effect.js";
+import type { LedgerState } from "./ledger-state.js";
+import type { LedgerTransition } from "./ledger-transition.js";
+import { sameRun } from "./same-run.js";
+
+const isOwnerNew = (state: LedgerState, request: KeyedRequest): boolean => {
+    const governing = governingTerm(state, request);
+    return governing !== undefined && governing !== "too-old"
+        && (request.owner === undefined || !sameRun(governing.term.owner, request.owner));
+};
+
+/** Moves all requests on that are due, have reached their deadline, or have another owner than before. */
+export const advanceRequests = (state: LedgerState, atMs: number): LedgerTransition => {
+    let next = state;
+    const effects: LedgerEffect[] = [];
+    for (const request of HashMap.values(state.requests)) {
+        const isDue = atMs >= Math.min(request.nextSendAtMs, request.deadlineAtMs) || isOwnerNew(state, request);
+        if (request.phase === "claiming" && isDue) {
+            const transition = advanceRequest(next, request, atMs);
+            next = transition.state;
+            effects.push(...transition.effects);
+        }
+    }
+    return { state: next, effects };
+};
--- /dev/null
+++ b/requests/ledger/src/caller-answers.ts
@@ -0,0 +1,31 @@
+import type { CallerAnswer } from "./caller-answer.js";
+import { ledgerReason } from "./ledger-reason.js";
+import { ledgerTiming } from "./ledger-timing.js";
+
+const answer = (
+    statusCode: number,
+    outcome: CallerAnswer["outcome"],
+    reasonCode: string,
+    retryAfterMs?: number,
+): CallerAnswer => ({ statusCode, outcome, reasonCode, retryAfterMs, response: undefined });
+
+const { retryAfterMs } = ledgerTiming;
+
+/**
+ * Fixed answers. `not-run` says that this request is never sent. Where an earlier request with the same key may
+ * have run, and a repetition will not tell either, the outcome is `unknown`.
+ */
+export const callerAnswers = {
+    keyInvalid: answer(400, "not-run", ledgerReason.keyInvalid),
+    keyMismatch: answer(422, "not-run", ledgerReason.keyMismatch),
+    keyInProgress: answer(409, "unknown", ledgerReason.keyInProgress, retryAfterMs),
+    keyOutcomeUnknown: answer(409, "unknown", ledgerReason.keyOutcomeUnknown),
+    keyOwnerGone: answer(409, "unknown", ledgerReason.keyOwnerGone),
+    keyTooOld: answer(409, "unknown", ledgerReason.keyTooOld),
+    keyTimeAhead: answer(400, "not-run", ledgerReason.keyTimeAhead),
+    responseNotKept: answer(409, "completed", ledgerReason.responseNotKept),
+    shareUnavailable: answer(503, "not-run", ledgerReason.shareUnavailable, retryAfterMs),
+    ownerUnreachable: answer(503, "not-run", ledgerReason.ownerUnreachable, retryAfterMs),
+    ledgerFull: answer(503, "not-run", ledgerReason.ledgerFull, retryAfterMs),
+    deadlinePassed: answer(503, "not-run", ledgerReason.deadlinePassed, retryAfterMs),
+} as const;
--- a/requests/ledger/src/index.ts
+++ b/requests/ledger/src/index.ts
@@ -4,6 +4,7 @@
 export type { LedgerCounts } from "./ledger-counts.js";
 export type { LedgerEffect } from "./ledger-effect.js";
 export type { LedgerEvent } from "./ledger-event.js";
+export { ledgerReason } from "./ledger-reason.js";
 export type { LedgerStateOptions } from "./ledger-state-options.js";
 export type { LedgerState } from "./ledger-state.js";
 export { reduceLedger } from "./reduce-ledger.js";
--- a/requests/ledger/src/ledger-event.ts
+++ b/requests/ledger/src/ledger-event.ts
@@ -1,3 +1,4 @@
+import type { DaemonId } from "@marigoldstall/core.types";
 import type { ShareTerm } from "@marigoldstall/fleet.ownership";
 import type { ClaimReply } from "./claim-reply.js";
 import type { ClaimRequest } from "./claim-request.js";
@@ -28,11 +29,12 @@
         readonly deadlineAtMs: number;
     }
     | {
-        /** The owner answered, or the call failed (`reply` undefined). */
+        /** The daemon that `send-claim` named answered, or the call failed (`reply` undefined). */
         readonly type: "claim-answered";
         readonly atMs: number;
         readonly wallMs: number;
         readonly requestId: string;
+        readonly owner: DaemonId;
         readonly reply: ClaimReply | undefined;
     }
     | {
@@ -48,9 +50,11 @@
         readonly response: StoredResponse | undefined;
     }
     | {
+        /** The daemon that `send-settle` named confirmed the settlement, or the call failed. */
         readonly type: "settle-answered";
         readonly atMs: number;
         readonly requestId: string;
+        readonly owner: DaemonId;
         readonly received: boolean;
     }
     | {
--- /dev/null
+++ b/requests/ledger/src/ledger-reason.ts
@@ -0,0 +1,21 @@
+const PREFIX = "ERR_MARIGOLDSTALL_";
+
+/** Reason codes of refused claims and of answers to callers. `docs/decisions/at-most-once.md` explains them. */
+export const ledgerReason = {
+    keyInvalid: `${PREFIX}KEY_INVALID`,
+    keyMismatch: `${PREFIX}KEY_MISMATCH`,
+    keyInProgress: `${PREFIX}KEY_IN_PROGRESS`,
+    keyOutcomeUnknown: `${PREFIX}KEY_OUTCOME_UNKNOWN`,
+    keyOwnerGone: `${PREFIX}KEY_OWNER_GONE`,
+    keyTooOld: `${PREFIX}KEY_TOO_OLD`,
+    keyTimeAhead: `${PREFIX}KEY_TIME_AHEAD`,
+    responseNotKept: `${PREFIX}RESPONSE_NOT_KEPT`,
+    shareUnavailable: `${PREFIX}SHARE_UNAVAILABLE`,
+    ownerUnreachable: `${PREFIX}OWNER_UNREACHABLE`,
+    ledgerFull: `${PREFIX}LEDGER_FULL`,
+    deadlinePassed: `${PREFIX}DEADLINE_PASSED`,
+    /** Only between daemons: another daemon decides about the key. */
+    wrongOwner: `${PREFIX}WRONG_OWNER`,
+    /** Only between daemons: a late copy of a claim whose runner has already given up. */
+    requestEnded: `${PREFIX}REQUEST_ENDED`,
+} as const;
--- a/requests/ledger/src/ledger-state.ts
+++ b/requests/ledger/src/ledger-state.ts
@@ -1,6 +1,26 @@
-import type { LedgerStateOptions } from "./ledger-state-options.js";
+import type { DaemonId } from "@marigoldstall/core.types";
+import type { ShareTerm } from "@marigoldstall/fleet.ownership";
+import type * as HashMap from "effect/HashMap";
+import type { KeyTable } from "./key-table.js";
+import type { KeyedRequest } from "./keyed-request.js";
+import type { PendingSettlement } from "./pending-settlement.js";
+import type { WaitingClaim } from "./waiting-claim.js";
 
 /** State of the ledger slice. Read it through the selectors only. */
 export interface LedgerState {
-    readonly opts: LedgerStateOptions;
+    readonly self: DaemonId;
+    readonly shareOf: (service: string, key: string) => number;
+    readonly keyCountLimit: number;
+    readonly storedBytesLimit: number;
+    readonly waitingLimit: number;
+    readonly terms: readonly ShareTerm[];
+    readonly termsByShare: ReadonlyMap<number, readonly ShareTerm[]>;
+    readonly ownBoundsMs: ReadonlyMap<number, number>;
+    /** Owner: the keys, and the claims that wait for a bound, by RPC id. */
+    readonly table: KeyTable;
+    readonly waiting: HashMap.HashMap<string, WaitingClaim>;
+    /** Entry daemon: requests and settlements by request id. */
+    readonly requests: HashMap.HashMap<string, KeyedRequest>;
+    readonly settlements: HashMap.HashMap<string, PendingSettlement>;
+    readonly settlementBytes: number;
 }
--- /dev/null
+++ b/requests/ledger/src/pending-settlement.ts
@@ -0,0 +1,11 @@
+import type { DaemonId } from "@marigoldstall/core.types";
+import type { SettleRequest } from "./settle-request.js";
+
+/** A settlement that is repeated until each of the owners has received it. */
+export interface PendingSettlement {
+    readonly request: SettleRequest;
+    readonly owners: readonly DaemonId[];
+    readonly storedBytes: number;
+    readonly nextSendAtMs: number;
+    readonly giveUpAtMs: number;
+}
--- a/requests/ledger/src/select-ledger-counts.ts
+++ b/requests/ledger/src/select-ledger-counts.ts
@@ -1,16 +1,20 @@
+import * as HashMap from "effect/HashMap";
 import type { LedgerCounts } from "./ledger-counts.js";
 import type { LedgerState } from "./ledger-state.js";
 
 /** Counts of the ledger slice. */
-export const selectLedgerCounts = (state: LedgerState): LedgerCounts => ({
-    keys: state.opts.self.vmId === "" ? 1 : 0,
-    granted: 0,
-    completed: 0,
-    unknown: 0,
-    released: 0,
-    storedBytes: 0,
-    claimsWaiting: 0,
-    requestsClaiming: 0,
-    requestsGranted: 0,
-    settlementsPending: 0,
-});
+export const selectLedgerCounts = (state: LedgerState): LedgerCounts => {
+    const { counts } = state.table;
+    let requestsGranted = 0;
+    for (const request of HashMap.values(state.requests)) {
+        requestsGranted += request.phase === "granted" ? 1 : 0;
+    }
+    return {
+        ...counts,
+        keys: counts.granted + counts.completed + counts.unknown + counts.released,
+        claimsWaiting: HashMap.size(state.waiting),
+        requestsClaiming: HashMap.size(state.requests) - requestsGranted,
+        requestsGranted,
+        settlementsPending: HashMap.size(state.settlements),
+    };
+};
--- /dev/null
+++ b/requests/ledger/test/model-log.ts
@@ -0,0 +1,26 @@
+/** The log service, reduced to one stream. It drops records by age. */
+export class ModelLog {
+    firstOffset = 0;
+    /** Records that landed where they restart a lost stream. */
+    restarts = 0;
+    private records: { readonly value: unknown; readonly atMs: number; }[] = [];
+
+    append(value: unknown, atMs: number): void {
+        const nextOffset = this.firstOffset + this.records.length;
+        this.restarts += (value as { restartAtOffset?: number; }).restartAtOffset === nextOffset ? 1 : 0;
+        this.records.push({ value: JSON.parse(JSON.stringify(value)), atMs });
+    }
+
+    truncate(beforeMs: number): void {
+        const kept = this.records.filter(record => record.atMs >= beforeMs);
+        this.firstOffset += this.records.length - kept.length;
+        this.records = kept;
+    }
+
+    read(fromOffset: number) {
+        const from = Math.max(fromOffset, this.firstOffset);
+        const records = this.records.slice(from - this.firstOffset, from - this.firstOffset + 100)
+            .map(({ value }, index) => ({ offset: from + index, value }));
+        return { firstOffset: this.firstOffset, nextOffset: from + records.length, records };
+    }
+}
