test(ledger): race take-overs with returning owners, and check recovery

Change: scenarios with owners silent for a few seconds and a log that delivers late; scenarios of a lost stream with restarts at different times; liveness after the crash of owner and guardian, after a restart of one daemon and of each in turn; a late record of a lost stream.

--- a/fleet/ownership/test/reduce-ownership.test.ts
+++ b/fleet/ownership/test/reduce-ownership.test.ts
@@ -1,15 +1,12 @@
 import {
-    createOwnershipState,
     type OwnershipEffect,
     type OwnershipEvent,
-    type OwnershipState,
-    reduceOwnership,
-    selectNextOffset,
     selectOwnBounds,
     selectOwnershipHealth,
     selectTerms,
 } from "@marigoldstall/fleet.ownership";
 import { expect } from "chai";
+import { OwnershipDriver } from "./ownership-driver.js";
 
 const START_MS = 1_800_000_000_000;
 
@@ -21,52 +18,6 @@
 const alpha = member("alpha");
 const beta = member("beta");
 
-/** One daemon under test, with the log records that it has been shown. */
-class OwnershipDriver {
-    state: OwnershipState;
-    effects: OwnershipEffect[] = [];
-    atMs = 0;
-    readonly records: unknown[] = [];
-    firstOffset = 0;
-
-    constructor(self = alpha) {
-        this.state = createOwnershipState({ self, logRetentionMs: 3_600_000 });
-    }
-
-    send(event: OwnershipEvent): readonly OwnershipEffect[] {
-        const { state, effects } = reduceOwnership(this.state, event);
-        this.state = state;
-        this.effects.push(...effects);
-        return effects;
-    }
-
-    read(): readonly OwnershipEffect[] {
-        const from = Math.max(selectNextOffset(this.state), this.firstOffset);
-        return this.send({
-            type: "log-read",
-            atMs: this.atMs,
-            wallMs: START_MS + this.atMs,
-            firstOffset: this.firstOffset,
-            nextOffset: this.records.length,
-            records: this.records.slice(from).map((value, index) => ({ offset: from + index, value })),
-        });
-    }
-
-    append(value: unknown): void {
-        this.records.push(value);
-        this.read();
-    }
-
-    tick(forMs: number): readonly OwnershipEffect[] {
-        this.atMs += forMs;
-        return this.send({ type: "tick", atMs: this.atMs, wallMs: START_MS + this.atMs, random: 0.5 });
-    }
-
-    term(share = 0) {
-        return selectTerms(this.state).filter(term => term.share === share).at(-1);
-    }
-}
-
 const appended = (effects: readonly OwnershipEffect[], type: string): Record<string, unknown>[] =>
     effects.flatMap(effect =>
         effect.type === "append-ownership-record" ? [effect.value as Record<string, unknown>] : []
@@ -165,7 +116,7 @@
         ];
         for (const { name, record, valid } of cases) {
             it(name, () => {
-                const driver = new OwnershipDriver();
+                const driver = new OwnershipDriver(alpha);
                 driver.append(assign({}));
                 driver.append(record);
                 expect(driver.term()?.owner).to.deep.equal(valid ? beta.daemon : alpha.daemon);
@@ -173,7 +124,7 @@
         }
 
         it("compares a take-over at the cap with the cap as raised before it", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.append(extend({ entry: { capMs: START_MS + 90_000 } }));
             driver.append(next({ fromMs: START_MS + 60_000 }, { basis: "expired", writer: member("gamma").daemon }));
@@ -181,7 +132,7 @@
         });
 
         it("starts a term above an extension that was ordered before it", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.append(extend({}));
             driver.append(next({ fromMs: START_MS + 1_000 }, { basis: "guardian", writer: beta.daemon }));
@@ -189,7 +140,7 @@
         });
 
         it("ignores an extension that was ordered after the end of its term", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.append(next({ fromMs: START_MS + 1_000 }, { basis: "guardian", writer: beta.daemon }));
             driver.append(extend({}));
@@ -197,7 +148,7 @@
         });
 
         it("never lowers a bound or a cap", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.append(extend({}));
             driver.append(extend({ entry: { boundMs: START_MS + 10, capMs: START_MS + 10 } }));
@@ -205,7 +156,7 @@
         });
 
         it("ignores and counts records of unknown format", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             for (const value of [17, undefined, { type: "vote" }, { type: "extend", recordId: "x", entries: [] }]) {
                 driver.append(value);
             }
@@ -215,7 +166,7 @@
 
     describe("bounds of an owner", () => {
         it("does not use an extension before it has read it back", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             const [record] = appended(driver.tick(10), "extend");
             driver.send({
@@ -230,7 +181,7 @@
         });
 
         it("uses no promise above the start of a term that it tried to hand over, even if the append failed", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.send({ type: "members-changed", atMs: 0, members: [beta] });
             driver.tick(10);
@@ -246,7 +197,7 @@
         });
 
         it("ignores a promise for an earlier term of a share that came back", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.append(assign({ basis: "owner", entry: { term: 2, owner: beta.daemon, guardian: alpha.daemon } }));
             driver.append(assign({
@@ -330,7 +281,7 @@
 
     describe("truncation of the log", () => {
         it("owns nothing without a snapshot, and adopts one that covers the lost records", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.records.push(assign({}), extend({}), extend({}));
             driver.firstOffset = 2;
             driver.read();
@@ -344,7 +295,7 @@
         });
 
         it("restarts a stream that is truncated and empty, above all lost caps and term numbers", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.records.push(assign({}), extend({}), extend({}));
             driver.firstOffset = 3;
             driver.send({ type: "members-changed", atMs: 0, members: [beta] });
@@ -358,7 +309,7 @@
         });
 
         it("ignores a restart that did not land at its offset", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.records.push(assign({}), extend({}), extend({}));
             driver.firstOffset = 3;
             driver.send({ type: "members-changed", atMs: 0, members: [beta] });
@@ -370,8 +321,26 @@
             expect(selectTerms(driver.state)).to.deep.equal([]);
         });
 
+        it("ignores a late record of the lost stream after a restart", () => {
+            const driver = new OwnershipDriver(alpha);
+            driver.records.push(assign({}), extend({}), extend({}));
+            driver.firstOffset = 3;
+            driver.send({ type: "members-changed", atMs: 0, members: [beta] });
+            driver.read();
+            driver.tick(600);
+            driver.append(appended(driver.effects, "assign")[0]);
+            const current = driver.term();
+            for (const writer of [alpha, beta]) {
+                for (const basis of ["owner", "guardian"]) {
+                    driver.append(assign({ basis, writer: writer.daemon, entry: { term: 2 } }));
+                }
+            }
+            driver.append(extend({}));
+            expect(driver.term()).to.equal(current);
+        });
+
         it("never restarts a stream with records that it cannot read completely", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.records.push(assign({}), extend({}), extend({}));
             driver.firstOffset = 2;
             driver.send({ type: "members-changed", atMs: 0, members: [beta] });
@@ -381,7 +350,7 @@
         });
 
         it("writes a snapshot each quarter of the retention time", () => {
-            const driver = new OwnershipDriver();
+            const driver = new OwnershipDriver(alpha);
             driver.append(assign({}));
             driver.send({ type: "members-changed", atMs: 0, members: [beta] });
             driver.tick(899_000);
--- a/requests/ledger/test/fleet-properties.test.ts
+++ b/requests/ledger/test/fleet-properties.test.ts
@@ -1,3 +1,4 @@
+import { selectOwnershipHealth } from "@marigoldstall/fleet.ownership";
 import { expect } from "chai";
 import fc from "fast-check";
 import type { FleetFault } from "./fleet-fault.js";
@@ -5,8 +6,8 @@
 import type { FleetScenario } from "./fleet-scenario.js";
 
 /** Runs and keys per run; together at least 100,000 keys. */
-const RUNS = 50;
-const KEYS_PER_RUN = 2_000;
+const RUNS = 40;
+const KEYS_PER_RUN = 2_500;
 
 const calm: FleetScenario = {
     seed: 1,
@@ -67,9 +68,10 @@
     paused: fc.nat(2),
     pausedFromMs: fc.integer({ min: 6_000, max: 9_000 }),
     pausedForMs: fc.integer({ min: 10_000, max: 60_000 }),
+    downForMs: fc.tuple(...[0, 1, 2].map(() => fc.integer({ min: 12_000, max: 25_000 }))),
     messageLoss: fc.constantFrom(0, 0.05),
     clockSkewMs: fc.constantFrom(0, 4_000),
-}).map(({ seed, paused, pausedFromMs, pausedForMs, messageLoss, clockSkewMs }) => ({
+}).map(({ seed, paused, pausedFromMs, pausedForMs, downForMs, messageLoss, clockSkewMs }) => ({
     ...calm,
     seed,
     keyCount: 500,
@@ -80,16 +82,45 @@
     callerFaults: true,
     faults: [
         { kind: "pause", fromMs: pausedFromMs, forMs: pausedForMs, target: paused, other: 0 } as const,
+        { kind: "log-lossy", fromMs: 15_000, forMs: 40_000, target: 0, other: 0 } as const,
         ...[0, 1, 2].filter(target => target !== paused).map(target => ({
             kind: "kill" as const,
             fromMs: 9_500,
-            forMs: 15_000,
+            forMs: downForMs[target]!,
             target,
             other: 0,
         })),
     ],
 }));
 
+/** Owners are silent just long enough for a take-over, and the log delivers late and loses answers. */
+const racing: fc.Arbitrary<FleetScenario> = fc.record({
+    seed: fc.integer(),
+    clockSkewMs: fc.constantFrom(0, 2_000),
+    silences: fc.array(
+        fc.record({
+            target: fc.nat(2),
+            fromMs: fc.integer({ min: 6_000, max: 40_000 }),
+            pausedForMs: fc.integer({ min: 2_500, max: 6_000 }),
+            withoutLogForMs: fc.integer({ min: 3_000, max: 15_000 }),
+        }),
+        { minLength: 2, maxLength: 5 },
+    ),
+}).map(({ seed, clockSkewMs, silences }) => ({
+    ...calm,
+    seed,
+    clockSkewMs,
+    callerFaults: true,
+    keysFromMs: 4_000,
+    faults: [
+        { kind: "log-lossy" as const, fromMs: 5_000, forMs: 60_000, target: 0, other: 0 },
+        ...silences.flatMap(({ target, fromMs, pausedForMs, withoutLogForMs }) => [
+            { kind: "pause" as const, fromMs, forMs: pausedForMs, target, other: 0 },
+            { kind: "log-partition" as const, fromMs, forMs: withoutLogForMs, target, other: 0 },
+        ]),
+    ],
+}));
+
 /** Runs scenarios until one breaks an invariant, and sums up what else happened in them. */
 const checkSafety = (scenarios: fc.Arbitrary<FleetScenario>, opts: { seed: number; numRuns: number; }) => {
     let keyCount = 0;
@@ -117,6 +148,12 @@
             expect(result.grantedPart).to.be.above(0.6);
         });
 
+        it("holds when take-overs race with owners that come back", function() {
+            this.timeout(60_000);
+            const result = checkSafety(racing, { seed: 20_261_204, numRuns: 25 });
+            expect(result.grantedPart).to.be.above(0.6);
+        });
+
         it("holds when the stream is lost while a daemon is paused", function() {
             this.timeout(60_000);
             const result = checkSafety(lostStream, { seed: 20_261_204, numRuns: 12 });
@@ -148,6 +185,43 @@
             expect(grantedPart(model, 32_000)).to.equal(1);
         });
 
+        it("serves shares whose owner and guardian both crashed once their caps have passed", () => {
+            const faults = [0, 1].map(target => ({
+                kind: "kill" as const,
+                fromMs: 20_000,
+                forMs: 1_000_000,
+                target,
+                other: 0,
+            }));
+            const model = new FleetModel({ ...calm, keyCount: 2_000, retentionMs: 15_000, faults }).run();
+            expect(model.checker.violations).to.deep.equal([]);
+            expect(grantedPart(model, 20_000, 35_000)).to.be.above(0.5);
+            expect(grantedPart(model, 45_000)).to.equal(1);
+        });
+
+        it("gives a restarted daemon its shares back without refusing a key", () => {
+            const faults = [{ kind: "kill" as const, fromMs: 12_000, forMs: 10_000, target: 1, other: 0 }];
+            const model = new FleetModel({ ...calm, keyCount: 2_000, keysFromMs: 24_000, faults }).run();
+            expect(model.checker.violations).to.deep.equal([]);
+            expect(grantedPart(model)).to.equal(1);
+            const owned = model.daemons.map(daemon => selectOwnershipHealth(daemon.ownership, 60_000).sharesOwned);
+            expect(Math.min(...owned)).to.be.above(10);
+            expect(owned.reduce((sum, count) => sum + count)).to.equal(64);
+        });
+
+        it("keeps granting through a restart of each daemon in turn", () => {
+            const faults = [0, 1, 2].map(target => ({
+                kind: "stop" as const,
+                fromMs: 12_000 + target * 15_000,
+                forMs: 2_000,
+                target,
+                other: 0,
+            }));
+            const model = new FleetModel({ ...calm, keyCount: 2_000, durationMs: 75_000, faults }).run();
+            expect(model.checker.violations).to.deep.equal([]);
+            expect(grantedPart(model)).to.equal(1);
+        });
+
         it("serves every key through a planned stop", () => {
             const faults = [{ kind: "stop" as const, fromMs: 20_000, forMs: 10_000, target: 1, other: 0 }];
             const model = new FleetModel({ ...calm, keyCount: 2_000, faults }).run();
