feat(settings): read and check the YAML settings of daemon and tool

Cause: the daemon and the tool need typed settings, and an operator needs every fault of a file in one run. Change: readDaemonSettings and readToolSettings check with effect/Schema. checkYaml adds file, line and key to each problem, and rejects unknown and duplicate keys, wrong types, addresses without IP and port, and numbers out of range. The control key is never shown.

--- /dev/null
+++ b/config/settings/src/default-request-limits.ts
@@ -0,0 +1,12 @@
+import type { RequestLimits } from "./request-limits.js";
+
+/** Limits that apply where the settings state none. */
+export const DEFAULT_REQUEST_LIMITS: RequestLimits = {
+    headerBytes: 16_384,
+    bufferedBodyBytes: 65_536,
+    bodyTimeoutMs: 30_000,
+    connectionsPerCallerAddress: 1000,
+    connectionsPerBackendServer: 12,
+    requestsInFlight: 5000,
+    defaultDeadlineMs: 30_000,
+};
--- /dev/null
+++ b/config/settings/src/invalid-file-error-options.ts
@@ -0,0 +1,11 @@
+import type { FileProblem } from "./file-problem.js";
+
+/** Options of {@link InvalidFileError}. */
+export interface InvalidFileErrorOptions {
+    /** Stable code without the `ERR_MARIGOLDSTALL_` prefix. */
+    readonly code: string;
+    readonly file: string;
+    readonly step: string;
+    readonly hint?: string | undefined;
+    readonly problems: readonly FileProblem[];
+}
--- /dev/null
+++ b/config/settings/src/read-daemon-settings.ts
@@ -0,0 +1,70 @@
+import * as Schema from "effect/Schema";
+import type { Result } from "neverthrow";
+import { checkYaml } from "./check-yaml.js";
+import { controlKeyField } from "./control-key-field.js";
+import type { DaemonSettings } from "./daemon-settings.js";
+import { DEFAULT_REQUEST_LIMITS } from "./default-request-limits.js";
+import { DEFAULT_STOP_NOTICE_MS } from "./default-stop-notice-ms.js";
+import { field } from "./field.js";
+import type { InvalidFileError } from "./invalid-file-error.js";
+import type { ReadSettingsOptions } from "./read-settings-options.js";
+import type { ValueProblem } from "./value-problem.js";
+
+const HOUR_MS = 3_600_000;
+const DAY_MS = 24 * HOUR_MS;
+
+const limit = (minimum: number, maximum: number, unit?: string) =>
+    Schema.optionalKey(field.integer(unit === undefined ? { minimum, maximum } : { minimum, maximum, unit }));
+
+const daemonSettingsSchema = field.struct({
+    vm: field.struct({ id: field.name, region: field.name, availabilityZone: field.name }),
+    listen: field.struct({ caller: field.address, control: field.address, operator: field.address }),
+    platform: field.struct({
+        log: field.address,
+        vmList: field.address,
+        logRetentionMs: field.integer({ minimum: 1000, maximum: 366 * DAY_MS, unit: "ms" }),
+    }),
+    security: field.struct({ controlKey: controlKeyField }),
+    limits: Schema.optionalKey(field.struct({
+        headerBytes: limit(1024, 1_048_576, "bytes"),
+        bufferedBodyBytes: limit(0, 16_777_216, "bytes"),
+        bodyTimeoutMs: limit(100, HOUR_MS, "ms"),
+        connectionsPerCallerAddress: limit(1, 100_000),
+        // A backend server accepts about 200 connections over all daemons.
+        connectionsPerBackendServer: limit(1, 200),
+        requestsInFlight: limit(1, 1_000_000),
+        defaultDeadlineMs: limit(1, HOUR_MS, "ms"),
+    })),
+    stop: Schema.optionalKey(field.struct({ noticeMs: limit(0, HOUR_MS, "ms") })),
+});
+
+const findSharedAddresses = (
+    settings: { readonly listen: DaemonSettings["listen"]; },
+): readonly ValueProblem[] => {
+    const entries = Object.entries(settings.listen);
+    return entries.flatMap(([key, address], index) => {
+        const other = entries.slice(0, index).find(([, earlier]) => earlier === address);
+        return other === undefined
+            ? []
+            : [{ path: ["listen", key], message: `expected another address than listen.${other[0]}` }];
+    });
+};
+
+/** Reads the settings of `marigoldstalld`. The error lists every problem with file, line, key and expectation. */
+export const readDaemonSettings = (
+    text: string,
+    opts: ReadSettingsOptions,
+): Result<DaemonSettings, InvalidFileError> =>
+    checkYaml(text, {
+        file: opts.file,
+        code: "SETTINGS_INVALID",
+        step: "read daemon settings",
+        hint: "correct the file; docs/operators.md lists every key",
+        schema: daemonSettingsSchema,
+        crossCheck: findSharedAddresses,
+        secretKeys: ["controlKey"],
+    }).map(settings => ({
+        ...settings,
+        limits: { ...DEFAULT_REQUEST_LIMITS, ...settings.limits },
+        stop: { noticeMs: DEFAULT_STOP_NOTICE_MS, ...settings.stop },
+    }));
