--- a/config/settings/src/check-value.ts
+++ b/config/settings/src/check-value.ts
@@ -14,9 +14,6 @@
     return typeof expected === "string" ? expected : undefined;
 };
 
-const describeDefault = (issue: SchemaIssue.Leaf): string =>
-    SchemaIssue.defaultLeafHook(issue).replace(/^Expected/, "expected");
-
 const describeLeaf = (issue: SchemaIssue.Leaf): string => {
     switch (issue._tag) {
         case "UnexpectedKey":
@@ -25,10 +22,10 @@
             return `missing, expected ${issue.annotations?.messageMissingKey ?? "a value"}`;
         case "InvalidType": {
             const expected = findExpectation(issue.ast);
-            return expected === undefined ? describeDefault(issue) : `expected ${expected}`;
+            return expected === undefined ? SchemaIssue.defaultLeafHook(issue) : `expected ${expected}`;
         }
         default:
-            return describeDefault(issue);
+            return SchemaIssue.defaultLeafHook(issue);
     }
 };
 
@@ -53,7 +50,7 @@
     }
     const problems = formatIssue(decoded.failure.issue).issues.map(issue => ({
         path: (issue.path ?? []).map(toPathKey),
-        message: issue.message,
+        message: issue.message.replace(/^Expected/, "expected"),
     }));
     return err(problems);
 };
