feat(stand-ins): add the log service with faults

Cause: clients of the log need something to run against that keeps the published protocol. Change: in-memory log with offsets, retention, append rate, long poll and faults set at run time, its contract page, and contract tests with the fault cases in tables. Conclusion: nextOffset is the end of the stream, not the place to read on from; the contract page says so.

--- /dev/null
+++ b/stand-ins/log/src/log-record.ts
@@ -0,0 +1,5 @@
+/** One record of a stream. */
+export interface LogRecord {
+    readonly offset: number;
+    readonly value: unknown;
+}
--- /dev/null
+++ b/stand-ins/log/src/log-stream.ts
@@ -0,0 +1,66 @@
+import type { LogPage } from "./log-page.js";
+import type { LogRecord } from "./log-record.js";
+
+interface StoredRecord extends LogRecord {
+    readonly appendedAtMs: number;
+}
+
+/** One append-only stream in memory, with retention by age. */
+export class LogStream {
+    private records: StoredRecord[] = [];
+    private nextOffset = 0;
+    private readonly listeners = new Set<() => void>();
+
+    append(value: unknown, opts: { readonly atMs: number; }): number {
+        const offset = this.nextOffset;
+        this.nextOffset += 1;
+        this.records.push({ offset, value, appendedAtMs: opts.atMs });
+        for (const listener of [...this.listeners]) {
+            listener();
+        }
+        return offset;
+    }
+
+    page(from: number, opts: { readonly limit: number; readonly repeatRecords?: number | undefined; }): LogPage {
+        const firstOffset = this.records[0]?.offset ?? this.nextOffset;
+        const start = Math.max(from - (opts.repeatRecords ?? 0), firstOffset) - firstOffset;
+        const records = this.records.slice(start, start + opts.limit);
+        return {
+            firstOffset,
+            nextOffset: this.nextOffset,
+            records: records.map(record => ({ offset: record.offset, value: record.value })),
+        };
+    }
+
+    /** Resolves when the offset exists, or after `waitMs`, or when `signal` aborts. */
+    async waitFor(offset: number, opts: { readonly waitMs: number; readonly signal: AbortSignal; }): Promise<void> {
+        if (this.nextOffset > offset || opts.waitMs <= 0 || opts.signal.aborted) {
+            return;
+        }
+        await new Promise<void>(resolve => {
+            const finish = () => {
+                clearTimeout(timer);
+                this.listeners.delete(onAppend);
+                opts.signal.removeEventListener("abort", finish);
+                resolve();
+            };
+            const onAppend = () => {
+                if (this.nextOffset > offset) {
+                    finish();
+                }
+            };
+            const timer = setTimeout(finish, opts.waitMs);
+            this.listeners.add(onAppend);
+            opts.signal.addEventListener("abort", finish);
+        });
+    }
+
+    removeOlderThan(atMs: number): void {
+        const kept = this.records.findIndex(record => record.appendedAtMs >= atMs);
+        this.records = kept === -1 ? [] : this.records.slice(kept);
+    }
+
+    removeBelow(offset: number): void {
+        this.records = this.records.filter(record => record.offset >= offset);
+    }
+}
--- /dev/null
+++ b/stand-ins/log/test/log-stand-in.test.ts
@@ -0,0 +1,161 @@
+import { LogStandIn } from "@marigoldstall-private/log";
+import type { LogFaultSettings, LogPage } from "@marigoldstall-private/log";
+import { expect } from "chai";
+
+describe("LogStandIn", () => {
+    let log: LogStandIn;
+    const url = (stream: string) => `http://${log.address}/streams/${stream}/records`;
+    const append = (value: unknown, stream = "a") =>
+        fetch(url(stream), { method: "POST", body: JSON.stringify(value) });
+    const appendStatus = (value: unknown, stream = "a") =>
+        append(value, stream).then(response => response.status, () => "connection closed");
+    const read = async (query: string, stream = "a") =>
+        await (await fetch(`${url(stream)}?${query}`)).json() as LogPage;
+    const postFaults = (faults: LogFaultSettings & { readonly stream?: string; }) =>
+        fetch(`http://${log.address}/_faults`, { method: "POST", body: JSON.stringify(faults) });
+
+    beforeEach(async () => {
+        log = await LogStandIn.start();
+    });
+    afterEach(async () => {
+        await log.close();
+    });
+
+    describe("the protocol", () => {
+        it("gives each stream offsets of its own from 0, so that readers can fold in one order", async () => {
+            expect(await (await append("x")).json()).to.deep.equal({ offset: 0 });
+            expect((await append({ y: 1 })).status).to.equal(201);
+            await append("z", "b");
+            expect(await read("from=0")).to.deep.equal({
+                firstOffset: 0,
+                nextOffset: 2,
+                records: [{ offset: 0, value: "x" }, { offset: 1, value: { y: 1 } }],
+            });
+            expect(await read("from=1&limit=1")).to.have.nested.property("records[0].offset", 1);
+            expect((await read("from=0", "b")).nextOffset).to.equal(1);
+        });
+
+        it("answers a long poll when a record arrives, and with an empty page when none does", async () => {
+            const waiting = read("from=0&waitMs=5000");
+            await append("x");
+            expect((await waiting).records).to.have.length(1);
+            expect((await read("from=1&waitMs=20")).records).to.deep.equal([]);
+        });
+
+        it("starts at the oldest record when the offset asked for is past its retention time", async () => {
+            await log.close();
+            log = await LogStandIn.start({ retentionMs: 50 });
+            await append("old");
+            await new Promise(resolve => setTimeout(resolve, 80));
+            await append("new");
+            expect(await read("from=0")).to.deep.equal({
+                firstOffset: 1,
+                nextOffset: 2,
+                records: [{ offset: 1, value: "new" }],
+            });
+        });
+
+        it("answers 429 above the append rate without taking the record", async () => {
+            await log.close();
+            log = await LogStandIn.start({ appendsPerSecond: 3 });
+            const statuses = [];
+            for (let index = 0; index < 5; index += 1) {
+                statuses.push(await appendStatus(index));
+            }
+            expect(statuses).to.deep.equal([201, 201, 201, 429, 429]);
+            expect(log.records("a")).to.have.length(3);
+        });
+
+        for (
+            const { title, path, body, status } of [
+                { title: "a body that is not JSON", path: "/streams/a/records", body: "{", status: 400 },
+                { title: "an unknown path", path: "/streams", body: "1", status: 404 },
+                { title: "an unknown fault", path: "/_faults", body: "{\"outgae\":\"drop\"}", status: 400 },
+            ]
+        ) {
+            it(`answers ${status} to ${title}`, async () => {
+                const response = await fetch(`http://${log.address}${path}`, { method: "POST", body });
+                expect(response.status).to.equal(status);
+            });
+        }
+
+        it("answers 400 to an offset that is not a number", async () => {
+            expect((await fetch(`${url("a")}?from=x`)).status).to.equal(400);
+        });
+    });
+
+    describe("faults", () => {
+        const cases: readonly {
+            readonly title: string;
+            readonly faults: LogFaultSettings;
+            readonly answers: readonly (number | string)[];
+            readonly stored: readonly string[];
+        }[] = [
+            { title: "refuses in an outage", faults: { outage: "refuse" }, answers: [503, 503], stored: [] },
+            {
+                title: "closes connections in an outage",
+                faults: { outage: "drop" },
+                answers: ["connection closed", "connection closed"],
+                stored: [],
+            },
+            {
+                title: "loses the answer of one append that took effect",
+                faults: { loseAppendAnswers: 1 },
+                answers: ["connection closed", 201],
+                stored: ["first", "second"],
+            },
+            {
+                title: "refuses one append before it takes effect",
+                faults: { refuseAppends: 1 },
+                answers: [503, 201],
+                stored: ["second"],
+            },
+            {
+                title: "drops one append before it takes effect",
+                faults: { dropAppends: 1 },
+                answers: ["connection closed", 201],
+                stored: ["second"],
+            },
+        ];
+        for (const { title, faults, answers, stored } of cases) {
+            for (const stream of ["a", undefined]) {
+                it(`${title}, set for ${stream === undefined ? "all streams" : "one stream"}`, async () => {
+                    await postFaults({ ...faults, ...(stream === undefined ? {} : { stream }) });
+                    expect([await appendStatus("first"), await appendStatus("second")]).to.deep.equal(answers);
+                    expect(log.records("a").map(record => record.value)).to.deep.equal(stored);
+                });
+            }
+        }
+
+        it("leaves other streams alone, and ends when the faults are replaced", async () => {
+            await postFaults({ stream: "a", outage: "refuse" });
+            expect([await appendStatus(1), await appendStatus(1, "b")]).to.deep.equal([503, 201]);
+            await postFaults({ stream: "a" });
+            expect(await appendStatus(1)).to.equal(201);
+        });
+
+        it("hands out records again that lie before the offset asked for", async () => {
+            await append("x");
+            await append("y");
+            await postFaults({ repeatRecords: 1 });
+            expect((await read("from=1")).records.map(record => record.offset)).to.deep.equal([0, 1]);
+        });
+
+        it("cuts the retention at an offset", async () => {
+            await append("x");
+            await append("y");
+            await postFaults({ stream: "a", cutBelowOffset: 2 });
+            expect(await read("from=0")).to.deep.equal({ firstOffset: 2, nextOffset: 2, records: [] });
+        });
+
+        it("answers slowly, after the append took effect", async () => {
+            await postFaults({ slowMs: 80 });
+            const startedAtMs = performance.now();
+            const answer = append("x");
+            await new Promise(resolve => setTimeout(resolve, 40));
+            expect(log.records("a")).to.have.length(1);
+            await answer;
+            expect(performance.now() - startedAtMs).to.be.at.least(75);
+        });
+    });
+});
