--- /dev/null
+++ b/stand-ins/vm-list/src/main.ts
@@ -0,0 +1,17 @@
+import { Command } from "commander";
+import { VmListStandIn } from "./vm-list-stand-in.js";
+
+const command = new Command("vm-list-stand-in")
+    .description("Runs the stand-in of the VM list on 127.0.0.1 and prints its address as a line of JSON.")
+    .option("--port <number>", "port; 0 picks a free one", Number, 0)
+    .option("--until-stdin-ends", "stop when standard input ends, which it does when the parent process dies")
+    .action(async (opts: { port: number; untilStdinEnds?: true; }) => {
+        const vmList = await VmListStandIn.start(opts);
+        const stop = () => void vmList.close().then(() => process.exit(0));
+        process.once("SIGTERM", stop).once("SIGINT", stop);
+        if (opts.untilStdinEnds) {
+            process.stdin.once("close", stop).resume();
+        }
+        console.log(JSON.stringify({ address: vmList.address }));
+    });
+await command.parseAsync();
