feat(versions): add the configuration slice and publishing

Cause: every daemon has to agree on the version in force through log outages, retention, lost answers and races.

Conclusion: the daemon can tail the log with these reducers.

--- a/config/versions/src/configuration-effect.ts
+++ b/config/versions/src/configuration-effect.ts
@@ -9,4 +9,8 @@
     }
     | { readonly type: "fetch-configuration"; readonly peerAddress: string; }
     | { readonly type: "append-configuration-snapshot"; readonly value: unknown; }
+    | {
+        /** The version is in doubt after a pause: cancel the long poll and read at once, without waiting. */
+        readonly type: "confirm-configuration";
+    }
     | { readonly type: "log-decision"; readonly decision: Decision; };
--- a/config/versions/src/configuration-event.ts
+++ b/config/versions/src/configuration-event.ts
@@ -6,6 +6,10 @@
         /** A read of the `configuration` stream; `value` of each record is unchecked JSON. */
         readonly type: "log-read";
         readonly atMs: number;
+        /** When the read was sent. A read sent before a pause does not confirm the version after it. */
+        readonly startedAtMs: number;
+        /** Offset that the read asked for. */
+        readonly from: number;
         readonly firstOffset: number;
         readonly nextOffset: number;
         readonly records: readonly { readonly offset: number; readonly value: unknown; }[];
@@ -28,6 +32,8 @@
     | {
         readonly type: "tick";
         readonly atMs: number;
+        /** The wall clock shows a pause that the monotonic clock does not count, such as a suspended VM. */
+        readonly wallMs: number;
         /** Whether this daemon has the lowest VM id among live members, and so writes snapshots. */
         readonly writesSnapshots: boolean;
         /** Retention time of the log, from the settings. */
--- /dev/null
+++ b/config/versions/src/reduce-publish.ts
@@ -0,0 +1,175 @@
+import { MarigoldstallError } from "@marigoldstall/core.error";
+import type { AcceptedConfiguration, Transition } from "@marigoldstall/core.types";
+import type { AppendResult } from "@marigoldstall/platform.log-client";
+import { foldRead } from "./fold-read.js";
+import type { PublishEffect } from "./publish-effect.js";
+import type { PublishEvent } from "./publish-event.js";
+import { publishId } from "./publish-id.js";
+import type { PublishOutcome } from "./publish-outcome.js";
+import type { PublishRecord } from "./publish-record.js";
+import type { PublishState } from "./publish-state.js";
+import type { StreamRead } from "./stream-read.js";
+
+type PublishTransition = Transition<PublishState, PublishEffect>;
+
+const MAX_APPENDS = 3;
+// Reads that fail or make no progress; with the delays below they span about 8 s.
+const MAX_FAILURES = 5;
+const RETRY_DELAY_MS = 250;
+
+const finish = (state: PublishState, outcome: PublishOutcome): PublishTransition => ({
+    state,
+    effects: [{ type: "finish", outcome }],
+});
+
+const readOn = (state: PublishState, delayMs = 0): PublishTransition => ({
+    state,
+    effects: [{ type: "read-log", from: state.fold.nextOffset, delayMs }],
+});
+
+const append = (state: PublishState, record: PublishRecord): PublishTransition => ({
+    state: { ...state, record, appendCount: state.appendCount + 1 },
+    effects: [{
+        type: "append-record",
+        value: record,
+        delayMs: state.appendCount === 0 ? 0 : RETRY_DELAY_MS * 2 ** state.appendCount,
+    }],
+});
+
+const giveUp = (state: PublishState, supersededBy?: AcceptedConfiguration): PublishTransition => {
+    const { record, lastError } = state;
+    if (record !== undefined && state.mayBeWritten) {
+        const outcome = { type: "unknown", publishId: record.publishId, error: lastError, supersededBy } as const;
+        return finish(state, outcome);
+    }
+    const error = lastError ?? new MarigoldstallError({
+        code: "PUBLISH_FAILED",
+        message: "the log gave no usable answer",
+        step: "publish targets",
+        hint: "try again",
+    });
+    return finish(state, { type: "failed", error });
+};
+
+/** Reads again after a failed read, or after one without progress. */
+const retryRead = (state: PublishState): PublishTransition => {
+    const next = { ...state, failureCount: state.failureCount + 1 };
+    return next.failureCount >= MAX_FAILURES
+        ? giveUp(next)
+        : readOn(next, RETRY_DELAY_MS * 2 ** state.failureCount);
+};
+
+const createRecord = (state: PublishState): PublishRecord => {
+    const { author, targets, uniqueId } = state.opts;
+    const { accepted, isComplete, nextOffset } = state.fold;
+    const parentVersion = isComplete ? accepted?.version ?? 0 : 0;
+    const version = isComplete ? parentVersion + 1 : nextOffset + 1;
+    const record = {
+        publishId: publishId.format({ version, isRestart: !isComplete, uniqueId }),
+        version,
+        parentVersion,
+        author,
+        targets,
+    };
+    return isComplete ? record : { ...record, restartAtOffset: nextOffset };
+};
+
+const start = (state: PublishState): PublishTransition => {
+    const { accepted, isComplete } = state.fold;
+    const { ifVersion, isDryRun } = state.opts;
+    const isOtherVersion = ifVersion !== undefined && (!isComplete || ifVersion !== (accepted?.version ?? 0));
+    if (isOtherVersion) {
+        return finish(state, { type: "conflict", winner: accepted, publishId: undefined });
+    }
+    const record = createRecord(state);
+    return isDryRun === true
+        ? finish(state, { type: "planned", record, parent: accepted })
+        : append(state, record);
+};
+
+/** Whether the record can no longer become valid, because its version or its offset is taken. */
+const isClosed = (state: PublishState, record: PublishRecord): boolean =>
+    record.restartAtOffset === undefined
+        ? (state.fold.accepted?.version ?? 0) >= record.version
+        : state.fold.nextOffset > record.restartAtOffset;
+
+const settle = (state: PublishState, record: PublishRecord): PublishTransition => {
+    const { fold, winner, appendedAtOffset } = state;
+    if (state.published !== undefined) {
+        const newest = fold.accepted ?? state.published;
+        return finish(state, { type: "accepted", configuration: state.published, newest });
+    }
+    if (appendedAtOffset !== undefined && fold.nextOffset <= appendedAtOffset) {
+        return retryRead(state);
+    }
+    if (isClosed(state, record)) {
+        // Without the record that took the version, the removed part of the log may have held this one.
+        const isDecided = winner !== undefined || state.isRestartOffsetTaken;
+        return isDecided
+            ? finish(state, { type: "conflict", winner: winner ?? fold.accepted, publishId: record.publishId })
+            : giveUp(state, fold.accepted);
+    }
+    if (!fold.isComplete && record.restartAtOffset === undefined || state.appendCount >= MAX_APPENDS) {
+        return giveUp(state);
+    }
+    return append({ ...state, appendedAtOffset: undefined }, record);
+};
+
+const track = (state: PublishState, accepted: AcceptedConfiguration): PublishState => {
+    const { record } = state;
+    if (record === undefined) {
+        return state;
+    }
+    if (accepted.publishId === record.publishId) {
+        return { ...state, published: accepted };
+    }
+    const isWinner = accepted.version === record.version;
+    return isWinner ? { ...state, winner: state.winner ?? accepted } : state;
+};
+
+const reduceRead = (state: PublishState, read: StreamRead): PublishTransition => {
+    const result = foldRead(state.fold, read);
+    const accepted = result.verdicts.flatMap(verdict =>
+        verdict.type === "accepted" || verdict.type === "snapshot-adopted" ? [verdict.configuration] : []
+    );
+    const hasProgress = result.fold.nextOffset !== state.fold.nextOffset || result.isCaughtUp;
+    const restartAtOffset = state.record?.restartAtOffset;
+    const isRestartOffsetTaken = state.isRestartOffsetTaken
+        || result.verdicts.some(verdict => verdict.offset === restartAtOffset);
+    const next = accepted.reduce(track, { ...state, fold: result.fold, isRestartOffsetTaken });
+    if (!hasProgress) {
+        return retryRead(next);
+    }
+    if (!result.isCaughtUp) {
+        return readOn(next);
+    }
+    return next.record === undefined ? start(next) : settle(next, next.record);
+};
+
+const reduceAppend = (state: PublishState, result: AppendResult): PublishTransition => {
+    switch (result.type) {
+        case "appended":
+            return readOn({ ...state, appendedAtOffset: result.offset, mayBeWritten: true, failureCount: 0 });
+        case "unknown":
+            return readOn({ ...state, mayBeWritten: true, failureCount: 0, lastError: result.error }, RETRY_DELAY_MS);
+        case "refused": {
+            const next = { ...state, lastError: result.error };
+            if (state.record === undefined || state.appendCount >= MAX_APPENDS) {
+                return next.mayBeWritten ? readOn(next) : giveUp(next);
+            }
+            return append(next, state.record);
+        }
+    }
+};
+
+/** Reducer of publishing. It appends one and the same record until the log shows what became of it. */
+export const reducePublish = (state: PublishState, event: PublishEvent): PublishTransition => {
+    switch (event.type) {
+        case "log-read":
+            return reduceRead(state, event.read);
+        case "log-failed":
+            return retryRead({ ...state, lastError: event.error });
+        case "append-finished":
+            return reduceAppend(state, event.result);
+    }
+};
