feat(stand-ins): add the backend server with faults and a record of what ran

Cause: statements about what ran can only be checked against servers that record it. Change: backend server with slots, queue, slow accept, seeded service times, load reports, cancellation, deadlines, draining, cold start and run-time faults on the level of answers and of connections; a host for several servers in one process; contract page; contract tests with the fault cases in tables. A silence fault set over the server's own port at first silenced its own answer; the connection that carries it is now left out. Conclusion: the record outlives crashes and restarts of a server, its memory of requests does not.

--- /dev/null
+++ b/stand-ins/backend-server/src/draw-service-time.ts
@@ -0,0 +1,20 @@
+import type { RandomSource } from "./random-source.js";
+import type { ServiceTimeSettings } from "./service-time-settings.js";
+
+const DEFAULT_SIGMA = 0.5;
+
+/** Draws one service time in milliseconds. */
+export const drawServiceTime = (
+    random: RandomSource,
+    opts: { readonly serviceTime: ServiceTimeSettings; },
+): number => {
+    const { distribution, meanMs, sigma = DEFAULT_SIGMA } = opts.serviceTime;
+    switch (distribution) {
+        case "constant":
+            return meanMs;
+        case "exponential":
+            return meanMs * random.exponential();
+        case "lognormal":
+            return meanMs * Math.exp(sigma * random.normal() - sigma * sigma / 2);
+    }
+};
--- a/stand-ins/backend-server/src/index.ts
+++ b/stand-ins/backend-server/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export type { AnswerBody } from "./answer-body.js";
+export type { BackendFaultSettings } from "./backend-fault-settings.js";
+export { BackendFaults } from "./backend-faults.js";
+export { BackendHost } from "./backend-host.js";
+export { BackendOptions } from "./backend-options.js";
+export type { BackendRecord } from "./backend-record.js";
+export { BackendServer } from "./backend-server.js";
+export type { BackendSettings } from "./backend-settings.js";
+export type { CancelState } from "./cancel-state.js";
+export type { RefusalReason } from "./refusal-reason.js";
+export type { RefusalRecord } from "./refusal-record.js";
+export type { RunRecord } from "./run-record.js";
+export type { ServiceTimeSettings } from "./service-time-settings.js";
--- /dev/null
+++ b/stand-ins/backend-server/src/refusal-record.ts
@@ -0,0 +1,10 @@
+import type { RefusalReason } from "./refusal-reason.js";
+
+/** One request that a backend server received and did not run. */
+export interface RefusalRecord {
+    readonly requestId: string;
+    readonly idempotencyKey: string | undefined;
+    readonly instanceId: string;
+    readonly atMs: number;
+    readonly reason: RefusalReason;
+}
--- /dev/null
+++ b/stand-ins/backend-server/src/run-record.ts
@@ -0,0 +1,17 @@
+/** One request that a backend server started to run. Times are Unix milliseconds. */
+export interface RunRecord {
+    readonly requestId: string;
+    readonly idempotencyKey: string | undefined;
+    readonly attempt: number | undefined;
+    readonly service: string;
+    readonly vmId: string;
+    readonly instanceId: string;
+    readonly method: string;
+    readonly path: string;
+    readonly bodyDigest: string;
+    readonly receivedAtMs: number;
+    readonly startedAtMs: number;
+    readonly finishedAtMs: number | undefined;
+    /** How the run ended; `stopped` ends it early, at a cancellation or a crash. */
+    readonly ending: "finished" | "stopped" | undefined;
+}
--- /dev/null
+++ b/stand-ins/backend-server/src/service-time-settings.ts
@@ -0,0 +1,4 @@
+import type { ServiceTime } from "./service-time.js";
+
+/** Decoded form of {@link ServiceTime}. */
+export type ServiceTimeSettings = typeof ServiceTime.Type;
