feat(stand-ins): add an open-loop caller

Cause: latency has to be counted from the time at which a call was due, and each answer compared with its call. Change: caller with seeded arrivals per class, random choice of the entry, duplicates of one idempotency key through two entries, content check and histograms per class. Conclusion: a refused connection goes to another entry; any later error counts as no answer.

--- /dev/null
+++ b/stand-ins/caller/src/call-class-settings.ts
@@ -0,0 +1,4 @@
+import type { CallClass } from "./call-class.js";
+
+/** Decoded form of {@link CallClass}. */
+export type CallClassSettings = typeof CallClass.Type;
--- /dev/null
+++ b/stand-ins/caller/src/caller-report.ts
@@ -0,0 +1,9 @@
+import type { CallRecord } from "./call-record.js";
+import type { ClassReport } from "./class-report.js";
+
+/** What a caller saw. */
+export interface CallerReport {
+    readonly seed: number;
+    readonly classes: readonly ClassReport[];
+    readonly calls: readonly CallRecord[];
+}
--- a/stand-ins/caller/src/index.ts
+++ b/stand-ins/caller/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export type { AnswerCheck } from "./answer-check.js";
+export type { CallClassSettings } from "./call-class-settings.js";
+export { CallClass } from "./call-class.js";
+export type { CallOutcome } from "./call-outcome.js";
+export type { CallRecord } from "./call-record.js";
+export { CallerOptions } from "./caller-options.js";
+export type { CallerReport } from "./caller-report.js";
+export type { CallerSettings } from "./caller-settings.js";
+export { Caller } from "./caller.js";
+export { checkAnswer } from "./check-answer.js";
+export type { ClassReport } from "./class-report.js";
+export { RandomSource } from "./random-source.js";
+export { summarizeClass } from "./summarize-class.js";
--- /dev/null
+++ b/stand-ins/caller/src/main.ts
@@ -0,0 +1,25 @@
+import { Command } from "commander";
+import * as Schema from "effect/Schema";
+import { readFileSync } from "node:fs";
+import { CallerOptions } from "./caller-options.js";
+import { Caller } from "./caller.js";
+
+const decodeOptions = Schema.decodeUnknownSync(CallerOptions, { onExcessProperty: "error" });
+
+const command = new Command("caller-stand-in")
+    .description("Sends calls at given rates, and prints what came of them as a line of JSON.")
+    .requiredOption("--plan <file>", "options of the caller as JSON")
+    .option("--without-calls", "print the figures of the classes only")
+    .option("--until-stdin-ends", "stop when standard input ends, which it does when the parent process dies")
+    .action(async (opts: { plan: string; withoutCalls?: true; untilStdinEnds?: true; }) => {
+        const caller = new Caller(decodeOptions(JSON.parse(readFileSync(opts.plan, "utf8"))));
+        const stop = () => caller.stop();
+        process.once("SIGTERM", stop).once("SIGINT", stop);
+        if (opts.untilStdinEnds) {
+            process.stdin.once("close", () => process.exit(1)).resume();
+        }
+        const report = await caller.run();
+        console.log(JSON.stringify(opts.withoutCalls ? { ...report, calls: [] } : report));
+        process.stdin.destroy();
+    });
+await command.parseAsync();
--- /dev/null
+++ b/stand-ins/caller/src/send-call-options.ts
@@ -0,0 +1,11 @@
+import type { Agent } from "node:http";
+
+/** Options of sending one call. */
+export interface SendCallOptions {
+    readonly agent: Agent;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Buffer;
+    readonly signal: AbortSignal;
+}
