feat(core.logger): write decisions as escaped lines and keep the recent ones

explain needs the recent decisions of a daemon, and logs must not take a caller's bytes as they are. Adds DecisionLog: one ASCII JSON line per decision through debug, formatted only when the namespace is enabled, and a ring of 8192 decisions that is scanned by request id.

--- /dev/null
+++ b/core/logger/src/decision-log.ts
@@ -0,0 +1,47 @@
+import type { Decision } from "@marigoldstall/core.types";
+import createDebug from "debug";
+import type { DecisionLogOptions } from "./decision-log-options.js";
+import { formatDecision } from "./format-decision.js";
+import type { LoggedDecision } from "./logged-decision.js";
+
+const DEFAULT_CAPACITY = 8192;
+
+/** Writes decisions through `debug`, one line each, and keeps the most recent ones. */
+export class DecisionLog {
+    private readonly capacity: number;
+    private readonly write: ((concern: string, line: string) => void) | undefined;
+    private readonly ring: LoggedDecision[] = [];
+    private readonly debuggers = new Map<string, createDebug.Debugger>();
+    private nextIndex = 0;
+
+    constructor(opts: DecisionLogOptions = {}) {
+        this.capacity = Math.max(1, opts.capacity ?? DEFAULT_CAPACITY);
+        this.write = opts.write;
+    }
+
+    record(concern: string, decision: Decision, wallMs: number): void {
+        const logged: LoggedDecision = { concern, wallMs, decision };
+        this.ring[this.nextIndex] = logged;
+        this.nextIndex = (this.nextIndex + 1) % this.capacity;
+        if (this.write !== undefined) {
+            this.write(concern, formatDecision(logged));
+            return;
+        }
+        let debug = this.debuggers.get(concern);
+        if (debug === undefined) {
+            debug = createDebug(`marigoldstall:${concern}`);
+            this.debuggers.set(concern, debug);
+        }
+        // Formatting costs microseconds a line, so it is skipped unless the namespace is enabled.
+        if (debug.enabled) {
+            debug("%s", formatDecision(logged));
+        }
+    }
+
+    /** The kept decisions about a request, oldest first. Scans the ring: `explain` is rare, recording is not. */
+    findByRequestId(requestId: string): readonly LoggedDecision[] {
+        const older = this.ring.slice(this.nextIndex);
+        const newer = this.ring.slice(0, this.nextIndex);
+        return [...older, ...newer].filter(logged => logged.decision.requestId === requestId);
+    }
+}
