feat(fleet.rpc): add authenticated JSON-RPC between daemons and from the tool

Daemons need calls that a stranger can neither send nor replay. HMAC-SHA256 covers direction, timestamp, nonce, target address and body; answers are bound to the nonce of their call. The target address was added because a captured call could otherwise be replayed to another daemon, which has not seen its nonce. Conclusion: refused calls are counted by reason and run nothing.

--- /dev/null
+++ b/fleet/rpc/src/rpc-server.ts
@@ -0,0 +1,166 @@
+import { MarigoldstallError } from "@marigoldstall/core.error";
+import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { matchesSignature } from "./matches-signature.js";
+import { NonceCache } from "./nonce-cache.js";
+import { RPC } from "./rpc-constants.js";
+import type { RpcRefusal } from "./rpc-refusal.js";
+import type { RpcServerOptions } from "./rpc-server-options.js";
+import { signMessage } from "./sign-message.js";
+
+// Peers send a few calls a second each; this leaves room for thousands of calls a second.
+const NONCE_CAPACITY = 500_000;
+const BODY_TIMEOUT_MS = 10_000;
+
+const STATUS_CODES: Readonly<Record<RpcRefusal, number>> = {
+    "oversized": 413,
+    "unsigned": 401,
+    "too-old": 401,
+    "wrong-target": 401,
+    "wrong-signature": 401,
+    "replayed": 401,
+    "malformed": 400,
+};
+
+/** Control port of a daemon: authenticated JSON-RPC 2.0 over HTTP. */
+export class RpcServer {
+    private readonly opts: RpcServerOptions;
+    private readonly rpc = new JSONRPCServer({ errorListener: () => undefined });
+    private readonly nonces = new NonceCache({ windowMs: 2 * RPC.maxSkewMs + 1_000, capacity: NONCE_CAPACITY });
+    private readonly now: () => number;
+    private readonly monotonicNow: () => number;
+    private readonly server: Server;
+    private address = "";
+
+    constructor(opts: RpcServerOptions) {
+        this.opts = opts;
+        this.now = opts.now ?? Date.now;
+        this.monotonicNow = opts.monotonicNow ?? (() => performance.now());
+        for (const [name, method] of Object.entries(opts.methods)) {
+            this.rpc.addMethod(name, method);
+        }
+        this.rpc.mapErrorToJSONRPCErrorResponse = (id, error) => ({
+            jsonrpc: "2.0",
+            id,
+            error: error instanceof MarigoldstallError
+                ? { code: -32000, message: error.message, data: { code: error.code, step: error.step } }
+                : error instanceof JSONRPCErrorException
+                ? error.toObject()
+                : { code: -32603, message: "internal error" },
+        });
+        this.server = createServer({ requestTimeout: BODY_TIMEOUT_MS, maxHeaderSize: 8_192 }, (request, response) => {
+            this.handle(request, response);
+        });
+        this.server.keepAliveTimeout = 60_000;
+    }
+
+    /** Opens the port and returns the address, which differs from the requested one for port 0. */
+    async listen(address: string): Promise<string> {
+        const colon = address.lastIndexOf(":");
+        const host = address.slice(0, colon);
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(Number(address.slice(colon + 1)), host.replace(/^\[|\]$/g, ""), () => {
+                this.server.off("error", reject);
+                resolve();
+            });
+        });
+        this.address = `${host}:${(this.server.address() as AddressInfo).port}`;
+        return this.address;
+    }
+
+    async close(): Promise<void> {
+        await new Promise<void>(resolve => {
+            this.server.close(() => {
+                resolve();
+            });
+            this.server.closeAllConnections();
+        });
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse): void {
+        const chunks: Buffer[] = [];
+        let bodyBytes = 0;
+        if (Number(request.headers["content-length"] ?? 0) > RPC.maxBodyBytes) {
+            this.refuse(response, "oversized");
+            return;
+        }
+        request.on("data", (chunk: Buffer) => {
+            bodyBytes += chunk.length;
+            if (bodyBytes > RPC.maxBodyBytes) {
+                request.removeAllListeners("data");
+                this.refuse(response, "oversized");
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.on("error", () => undefined);
+        request.on("end", () => {
+            if (!response.writableEnded) {
+                this.answer(request, response, Buffer.concat(chunks));
+            }
+        });
+    }
+
+    private answer(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+        const timestamp = request.headers[RPC.timestampHeader];
+        const nonce = request.headers[RPC.nonceHeader];
+        const target = request.headers[RPC.targetHeader];
+        if (
+            typeof timestamp !== "string" || typeof nonce !== "string" || typeof target !== "string"
+            || nonce.length < 16 || nonce.length > 64
+        ) {
+            this.refuse(response, "unsigned");
+            return;
+        }
+        const opts = { key: this.opts.key, timestampMs: timestamp, nonce, target };
+        if (
+            !matchesSignature(
+                request.headers[RPC.signatureHeader],
+                signMessage(body, { ...opts, direction: "request" }),
+            )
+        ) {
+            this.refuse(response, "wrong-signature");
+            return;
+        }
+        const skewMs = Math.abs(this.now() - Number(timestamp));
+        if (!(skewMs <= RPC.maxSkewMs)) {
+            this.refuse(response, "too-old");
+            return;
+        }
+        if (target !== this.address) {
+            this.refuse(response, "wrong-target");
+            return;
+        }
+        if (!this.nonces.add(nonce, this.monotonicNow())) {
+            this.refuse(response, "replayed");
+            return;
+        }
+        let call: unknown;
+        try {
+            call = JSON.parse(body.toString("utf8"));
+        }
+        catch {
+            this.refuse(response, "malformed");
+            return;
+        }
+        this.rpc.receive(call as Parameters<JSONRPCServer["receive"]>[0]).then(result => {
+            const answer = Buffer.from(JSON.stringify(result ?? {}));
+            response.writeHead(200, {
+                "Content-Type": "application/json",
+                "Content-Length": answer.length,
+                [RPC.signatureHeader]: signMessage(answer, { ...opts, direction: "answer" }).toString("hex"),
+            });
+            response.end(answer);
+        }, () => {
+            response.destroy();
+        });
+    }
+
+    private refuse(response: ServerResponse, refusal: RpcRefusal): void {
+        this.opts.onRefused?.(refusal);
+        response.writeHead(STATUS_CODES[refusal], { "Connection": "close", "Content-Type": "text/plain" });
+        response.end(`ERR_MARIGOLDSTALL_RPC_REFUSED ${refusal}\n`);
+    }
+}
--- /dev/null
+++ b/fleet/rpc/test/rpc.test.ts
@@ -0,0 +1,154 @@
+import { RPC, RpcClient, type RpcRefusal, RpcServer, signMessage } from "@marigoldstall/fleet.rpc";
+import { expect } from "chai";
+import { createServer, request as httpRequest } from "node:http";
+import type { AddressInfo } from "node:net";
+
+const KEY = "a control key of at least 32 characters";
+const WALL_MS = 1_800_000_000_000;
+
+interface RawCall {
+    readonly timestampMs?: number;
+    readonly nonce?: string;
+    readonly key?: string;
+    readonly target?: string;
+    readonly body?: string;
+    readonly sentBody?: string;
+    readonly unsigned?: boolean;
+}
+
+const sendRaw = (address: string, call: RawCall): Promise<number> =>
+    new Promise((resolve, reject) => {
+        const body = call.body ?? JSON.stringify({ jsonrpc: "2.0", id: 1, method: "echo", params: {} });
+        const timestampMs = String(call.timestampMs ?? WALL_MS);
+        const nonce = call.nonce ?? "0123456789abcdef";
+        const target = call.target ?? address;
+        const signature = signMessage(Buffer.from(body), {
+            key: call.key ?? KEY,
+            direction: "request",
+            timestampMs,
+            nonce,
+            target,
+        });
+        const [host, port] = address.split(":");
+        const request = httpRequest({
+            host,
+            port: Number(port),
+            method: "POST",
+            headers: call.unsigned === true ? {} : {
+                [RPC.timestampHeader]: timestampMs,
+                [RPC.nonceHeader]: nonce,
+                [RPC.targetHeader]: target,
+                [RPC.signatureHeader]: signature.toString("hex"),
+            },
+        }, response => {
+            response.resume();
+            resolve(response.statusCode ?? 0);
+        });
+        request.on("error", reject);
+        request.end(call.sentBody ?? body);
+    });
+
+describe("fleet.rpc", () => {
+    const refusals: RpcRefusal[] = [];
+    let runs = 0;
+    let server: RpcServer;
+    let address: string;
+
+    beforeEach(async () => {
+        refusals.length = 0;
+        runs = 0;
+        server = new RpcServer({
+            key: KEY,
+            now: () => WALL_MS,
+            onRefused: refusal => refusals.push(refusal),
+            methods: {
+                "echo": params => {
+                    runs += 1;
+                    return params;
+                },
+                "fail": () => {
+                    throw new Error("secret detail");
+                },
+                "hang": () => new Promise(() => undefined),
+            },
+        });
+        address = await server.listen("127.0.0.1:0");
+    });
+
+    afterEach(() => server.close());
+
+    describe("RpcServer", () => {
+        const cases: readonly (readonly [string, RawCall, RpcRefusal, number])[] = [
+            ["a call without signature", { unsigned: true }, "unsigned", 401],
+            ["a call signed with another key", { key: "x".repeat(32) }, "wrong-signature", 401],
+            ["a call whose body was changed on the way", { sentBody: "{}" }, "wrong-signature", 401],
+            ["a call that is too old", { timestampMs: WALL_MS - 30_001 }, "too-old", 401],
+            ["a call from too far in the future", { timestampMs: WALL_MS + 30_001 }, "too-old", 401],
+            ["a call captured on its way to another daemon", { target: "127.0.0.1:1" }, "wrong-target", 401],
+            ["a signed call that is no JSON", { body: "{" }, "malformed", 400],
+            ["a call above 256 KiB", { body: "x".repeat(RPC.maxBodyBytes + 1) }, "oversized", 413],
+        ];
+        for (const [name, call, refusal, statusCode] of cases) {
+            it(`refuses and counts ${name}, and runs nothing`, async () => {
+                expect(await sendRaw(address, call)).to.equal(statusCode);
+                expect(refusals).to.deep.equal([refusal]);
+                expect(runs).to.equal(0);
+            });
+        }
+
+        it("runs a call once when it is replayed", async () => {
+            expect(await sendRaw(address, {})).to.equal(200);
+            expect(await sendRaw(address, {})).to.equal(401);
+            expect(refusals).to.deep.equal(["replayed"]);
+            expect(runs).to.equal(1);
+        });
+    });
+
+    describe("RpcClient", () => {
+        const client = new RpcClient({ key: KEY, now: () => WALL_MS });
+        after(() => {
+            client.close();
+        });
+
+        it("returns the result of the method", async () => {
+            const result = await client.call(address, { method: "echo", params: { text: "grüezi" } });
+            expect(result._unsafeUnwrap()).to.deep.equal({ text: "grüezi" });
+        });
+
+        const errors: readonly (readonly [string, string, string])[] = [
+            ["a method that throws, without its detail", "fail", "ERR_MARIGOLDSTALL_RPC_FAILED"],
+            ["an unknown method", "absent", "ERR_MARIGOLDSTALL_RPC_FAILED"],
+            ["a peer that does not answer", "hang", "ERR_MARIGOLDSTALL_RPC_TIMEOUT"],
+        ];
+        for (const [name, method, code] of errors) {
+            it(`reports ${name} with step and peer`, async () => {
+                const result = await client.call(address, { method, params: {}, timeoutMs: 200 });
+                const error = result._unsafeUnwrapErr();
+                expect(error).to.include({ code, step: method, peer: address });
+                expect(error.message).not.to.contain("secret");
+            });
+        }
+
+        it("reports a peer that refuses the connection", async () => {
+            const result = await client.call("127.0.0.1:1", { method: "echo", params: {} });
+            expect(result._unsafeUnwrapErr().code).to.equal("ERR_MARIGOLDSTALL_RPC_UNREACHABLE");
+        });
+
+        it("does not believe an answer that is not signed with the key", async () => {
+            const forger = createServer((request, response) => {
+                request.resume();
+                response.end(JSON.stringify({ jsonrpc: "2.0", id: 1, result: {} }));
+            });
+            await new Promise<void>(resolve => forger.listen(0, "127.0.0.1", resolve));
+            try {
+                const peer = `127.0.0.1:${(forger.address() as AddressInfo).port}`;
+                const result = await client.call(peer, { method: "echo", params: {} });
+                expect(result._unsafeUnwrapErr().code).to.equal("ERR_MARIGOLDSTALL_RPC_FORGED_ANSWER");
+            }
+            finally {
+                forger.closeAllConnections();
+                forger.close();
+            }
+        });
+    });
+});
