feat(fleet.membership): add the membership slice

Daemons need to know which others are live although the VM list lags, may be empty and may be halved. Liveness is a gossiped beat counter per daemon, so that 3 heartbeats a second reach 14 daemons within 5 s; the VM list only supplies addresses and the leaving state. A pause of the daemon itself does not make peers silent. Conclusion: members, peers' versions, evidence and pressure leave the slice as effects.

--- a/fleet/membership/src/index.ts
+++ b/fleet/membership/src/index.ts
@@ -1,1 +1,16 @@
-export {};
+export type { CreateMembershipStateOptions } from "./create-membership-state-options.js";
+export { createMembershipState } from "./create-membership-state.js";
+export type { Heartbeat } from "./heartbeat.js";
+export type { Member } from "./member.js";
+export type { MembershipEffect } from "./membership-effect.js";
+export type { MembershipEvent } from "./membership-event.js";
+export type { MembershipState } from "./membership-state.js";
+export { MEMBERSHIP_TIMING } from "./membership-timing.js";
+export { parseEvidence } from "./parse-evidence.js";
+export { parseHeartbeat } from "./parse-heartbeat.js";
+export type { Peer } from "./peer.js";
+export { reduceMembership } from "./reduce-membership.js";
+export { selectAddress } from "./select-address.js";
+export { selectLivePeers } from "./select-live-peers.js";
+export { selectMembers } from "./select-members.js";
+export { selectWritesSnapshots } from "./select-writes-snapshots.js";
