feat(routing): add the public API of the routing slices

Cause: the daemon is coded against the routing and measuring slices while they are being written. Change: the selection policies, the state types, createRoutingState, reduceRouting, the selectors and their result types, createMeasuringState and reduceMeasuring. The reducers return the state without effects for now.

--- /dev/null
+++ b/routing/measuring/src/probe-unit-state.ts
@@ -0,0 +1,6 @@
+/** Permission for at most one probe in any one second. */
+export interface ProbeUnitState {
+    readonly unit: number;
+    readonly lastProbeAtMs: number;
+    readonly lastProbeWallMs: number;
+}
--- a/routing/policy/src/index.ts
+++ b/routing/policy/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export type { Candidate } from "./candidate.js";
+export { createSelectionPolicy } from "./create-selection-policy.js";
+export { LeastOutstanding } from "./least-outstanding.js";
+export { PowerOfTwoChoices } from "./power-of-two-choices.js";
+export { Random } from "./random.js";
+export { RoundRobin } from "./round-robin.js";
+export type { SelectionInput } from "./selection-input.js";
+export type { SelectionPolicyName } from "./selection-policy-name.js";
+export { SelectionPolicy } from "./selection-policy.js";
+export { SlotAware } from "./slot-aware.js";
--- /dev/null
+++ b/routing/policy/src/least-outstanding.ts
@@ -0,0 +1,12 @@
+import type { Candidate } from "./candidate.js";
+import type { SelectionInput } from "./selection-input.js";
+import { SelectionPolicy } from "./selection-policy.js";
+
+/** Takes the candidate with the fewest requests of this daemon in flight, at random among equals. */
+export class LeastOutstanding extends SelectionPolicy {
+    protected override choose(available: readonly Candidate[], input: SelectionInput): Candidate | undefined {
+        const fewest = Math.min(...available.map(candidate => candidate.ownInFlight));
+        const equals = available.filter(candidate => candidate.ownInFlight === fewest);
+        return equals[Math.floor(input.random * equals.length)];
+    }
+}
--- a/routing/state/src/index.ts
+++ b/routing/state/src/index.ts
@@ -1,3 +1,15 @@
 export type { AttemptFailure } from "./attempt-failure.js";
+export type { BackendServerStatus } from "./backend-server-status.js";
+export type { ClassStatus } from "./class-status.js";
+export type { CreateRoutingStateOptions } from "./create-routing-state-options.js";
+export { createRoutingState } from "./create-routing-state.js";
+export { reduceRouting } from "./reduce-routing.js";
 export type { RoutingEffect } from "./routing-effect.js";
 export type { RoutingEvent } from "./routing-event.js";
+export type { RoutingState } from "./routing-state.js";
+export { selectBackendServers } from "./select-backend-servers.js";
+export { selectClassStatus } from "./select-class-status.js";
+export { selectEvidence } from "./select-evidence.js";
+export { selectNextWakeAtMs } from "./select-next-wake-at-ms.js";
+export { selectPressure } from "./select-pressure.js";
+export { selectProbeCandidates } from "./select-probe-candidates.js";
--- /dev/null
+++ b/routing/state/src/queue-entry.ts
@@ -0,0 +1,6 @@
+/** Place of a request in the queue of its service. */
+export interface QueueEntry {
+    readonly requestId: string;
+    readonly deadlineAtMs: number;
+    readonly sequence: number;
+}
