feat(routing): decide about requests in the routing reducer

Cause: the reducer returned its state unchanged. Change: queues by urgency and deadline with late binding, attempts, retries and hedges with budgets, deadlines and cancellation, admission limits, ejection, slow start, leaving and silent evidence per instance, VM lists that lose servers, and the selectors for probes, pressure, evidence and status. Properties and cost are not measured yet. Conclusion: a first working version that the daemon can run against.

--- a/routing/state/src/backend-server-state.ts
+++ b/routing/state/src/backend-server-state.ts
@@ -7,12 +7,16 @@
     /** Instances seen earlier under this address, so that a late response of one is not taken for a new instance. */
     readonly formerInstanceIds: readonly string[];
     readonly listedLeaving: boolean;
+    /** A new instance was seen while the VM list still said leaving, so the list speaks of the former one. */
+    readonly listedLeavingOutdated: boolean;
     /** Missing from the newest VM list. Counts only together with failed connections. */
     readonly absent: boolean;
     /** Instances known to be leaving. */
     readonly leavingInstanceIds: readonly string[];
     /** `asOfMs` of the VM list that was in force when the newest of this evidence arrived. */
-    readonly leavingListAsOfMs: number;
+    readonly leavingListAsOfMs: number | undefined;
+    /** The VM list contradicts the evidence for long enough: one repeatable request at a time may find out. */
+    readonly leavingDoubted: boolean;
     readonly ownInFlight: number;
     readonly slots: number;
     /** Requests of others in the newest load report. */
--- a/routing/state/src/class-state.ts
+++ b/routing/state/src/class-state.ts
@@ -6,11 +6,9 @@
     readonly targets: ClassTargets;
     /** The last seconds that had an event, oldest first. */
     readonly seconds: readonly ClassSecond[];
-    readonly queued: number;
-    readonly inFlight: number;
     /** Times from the start of an attempt to its response, with weights that halve about every 3 s. */
     readonly attemptLatencies: Float64Array;
     readonly attemptLatenciesSecond: number;
-    /** p95 of `attemptLatencies`, undefined while there are too few. */
+    /** p95 of `attemptLatencies`, undefined while they are too few. */
     readonly hedgeAfterMs: number | undefined;
 }
--- /dev/null
+++ b/routing/state/src/create-service.ts
@@ -0,0 +1,30 @@
+import { rollingCounts } from "./rolling-counts.js";
+import type { ServiceState } from "./service-state.js";
+
+/** A service without backend servers, classes or requests. */
+export const createService = (name: string): ServiceState => ({
+    name,
+    servers: [],
+    serverIndexes: new Map(),
+    classes: new Map(),
+    reserveSlot: false,
+    queue: { urgent: [], normal: [], patient: [] },
+    inFlightIds: [],
+    patientInFlight: 0,
+    patientLimit: 1,
+    arrivals: rollingCounts.empty,
+    completions: rollingCounts.empty,
+    retries: rollingCounts.empty,
+    hedgeable: rollingCounts.empty,
+    hedges: rollingCounts.empty,
+    sequence: 0,
+    selections: 0,
+    medianLatencyMs: undefined,
+    medianAtMs: -Infinity,
+    reportsCountAnswered: true,
+    pressureLevel: 0,
+    peerPressureLevel: 0,
+    peerPressureAtMs: -Infinity,
+    nextEvaluationAtMs: -Infinity,
+    wakeAtMs: Infinity,
+});
--- /dev/null
+++ b/routing/state/src/detach-attempt.ts
@@ -0,0 +1,22 @@
+import type { AttemptState } from "./attempt-state.js";
+import { findServer } from "./find-server.js";
+import type { Mutable } from "./mutable.js";
+import type { RequestState } from "./request-state.js";
+import type { ServiceState } from "./service-state.js";
+import { updateServer } from "./update-server.js";
+
+/** Takes an attempt that is over off its request and its backend server. */
+export const detachAttempt = (
+    service: Mutable<ServiceState>,
+    request: RequestState,
+    attempt: AttemptState,
+): RequestState => {
+    const server = findServer(service, attempt.address);
+    if (server !== undefined) {
+        updateServer(service, attempt.address, { ownInFlight: Math.max(0, server.ownInFlight - 1) });
+    }
+    if (request.classTargets.urgency === "patient") {
+        service.patientInFlight = Math.max(0, service.patientInFlight - 1);
+    }
+    return { ...request, attempts: request.attempts.filter(other => other.attemptId !== attempt.attemptId) };
+};
--- /dev/null
+++ b/routing/state/src/is-leaving.ts
@@ -0,0 +1,7 @@
+import type { BackendServerState } from "./backend-server-state.js";
+
+/** Whether the instance that is presumably behind the address is known to be leaving. */
+export const isLeaving = (server: BackendServerState): boolean =>
+    server.listedLeaving
+    || server.leavingInstanceIds.length > 0
+        && (server.instanceId === undefined || server.leavingInstanceIds.includes(server.instanceId));
--- /dev/null
+++ b/routing/state/src/latency-buckets.ts
@@ -0,0 +1,35 @@
+const FIRST_UPPER_MS = 0.1;
+// Neighbouring buckets differ by 10 %, which is the error of a percentile; 145 of them reach above 90 s.
+const GROWTH = 1.1;
+const BUCKET_COUNT = 145;
+const LOG_GROWTH = Math.log(GROWTH);
+
+/** Histogram buckets on a logarithmic scale, for percentiles in bounded memory. */
+export const latencyBuckets = {
+    count: BUCKET_COUNT,
+
+    indexOf: (latencyMs: number): number =>
+        latencyMs <= FIRST_UPPER_MS
+            ? 0
+            : Math.min(BUCKET_COUNT - 1, Math.ceil(Math.log(latencyMs / FIRST_UPPER_MS) / LOG_GROWTH)),
+
+    /** Upper end of the bucket in which the percentile lies; undefined without samples. */
+    percentile: (counts: ArrayLike<number>, percentile: number): number | undefined => {
+        let total = 0;
+        for (let index = 0; index < counts.length; index += 1) {
+            total += counts[index] ?? 0;
+        }
+        if (total <= 0) {
+            return undefined;
+        }
+        const rank = total * percentile / 100;
+        let passed = 0;
+        for (let index = 0; index < counts.length; index += 1) {
+            passed += counts[index] ?? 0;
+            if (passed >= rank) {
+                return FIRST_UPPER_MS * GROWTH ** index;
+            }
+        }
+        return FIRST_UPPER_MS * GROWTH ** (BUCKET_COUNT - 1);
+    },
+};
--- /dev/null
+++ b/routing/state/src/note-latency.ts
@@ -0,0 +1,30 @@
+import { findServer } from "./find-server.js";
+import type { Mutable } from "./mutable.js";
+import type { ServiceState } from "./service-state.js";
+import { updateServer } from "./update-server.js";
+
+const AVERAGE_WEIGHT = 0.15;
+const MEDIAN_VALID_MS = 250;
+
+const medianOf = (values: readonly number[]): number | undefined =>
+    values.toSorted((left, right) => left - right)[Math.floor((values.length - 1) / 2)];
+
+/** Takes the time to a response into the moving average of a backend server and the median of its service. */
+export const noteLatency = (
+    service: Mutable<ServiceState>,
+    address: string,
+    opts: { readonly atMs: number; readonly latencyMs: number; },
+): void => {
+    const server = findServer(service, address);
+    if (server === undefined) {
+        return;
+    }
+    const latencyMs = server.latencyMs === undefined
+        ? opts.latencyMs
+        : server.latencyMs + (opts.latencyMs - server.latencyMs) * AVERAGE_WEIGHT;
+    updateServer(service, address, { latencyMs, latencyAtMs: opts.atMs });
+    if (service.medianLatencyMs === undefined || opts.atMs - service.medianAtMs >= MEDIAN_VALID_MS) {
+        service.medianLatencyMs = medianOf(service.servers.flatMap(other => other.latencyMs ?? []));
+        service.medianAtMs = opts.atMs;
+    }
+};
--- /dev/null
+++ b/routing/state/src/on-attempt-failed.ts
@@ -0,0 +1,156 @@
+import type { AttemptFailure } from "./attempt-failure.js";
+import { detachAttempt } from "./detach-attempt.js";
+import { dispatchQueue } from "./dispatch-queue.js";
+import { findAttempt } from "./find-attempt.js";
+import { findServer } from "./find-server.js";
+import type { Mutable } from "./mutable.js";
+import { noteFailure } from "./note-failure.js";
+import { REASON_CODES } from "./reason-codes.js";
+import { recordClass } from "./record-class.js";
+import { rejectRequest } from "./reject-request.js";
+import { removeServer } from "./remove-server.js";
+import type { RequestState } from "./request-state.js";
+import { retryRequest } from "./retry-request.js";
+import type { RoutingDraft } from "./routing-draft.js";
+import { ROUTING_LIMITS } from "./routing-limits.js";
+import type { ServiceState } from "./service-state.js";
+import { updateServer } from "./update-server.js";
+
+interface FailureRule {
+    /** No byte was sent. */
+    readonly nothingSent: boolean;
+    /** The request surely did not run in this attempt. */
+    readonly surelyNotRun: boolean;
+    readonly countsAgainstServer: boolean;
+    readonly statusCode: number;
+    readonly reasonCode: string;
+}
+
+const RULES: Readonly<Record<AttemptFailure, FailureRule>> = {
+    "connect-failed": {
+        nothingSent: true,
+        surelyNotRun: true,
+        countsAgainstServer: true,
+        statusCode: 503,
+        reasonCode: REASON_CODES.connectFailed,
+    },
+    "connection-stale": {
+        nothingSent: true,
+        surelyNotRun: true,
+        countsAgainstServer: false,
+        statusCode: 503,
+        reasonCode: REASON_CODES.connectFailed,
+    },
+    "cancel-confirmed": {
+        nothingSent: false,
+        surelyNotRun: true,
+        countsAgainstServer: false,
+        statusCode: 503,
+        reasonCode: REASON_CODES.cancelled,
+    },
+    "reset": {
+        nothingSent: false,
+        surelyNotRun: false,
+        countsAgainstServer: true,
+        statusCode: 502,
+        reasonCode: REASON_CODES.reset,
+    },
+    "silent": {
+        nothingSent: false,
+        surelyNotRun: false,
+        countsAgainstServer: true,
+        statusCode: 504,
+        reasonCode: REASON_CODES.silent,
+    },
+    "body-cut": {
+        nothingSent: false,
+        surelyNotRun: false,
+        countsAgainstServer: true,
+        statusCode: 502,
+        reasonCode: REASON_CODES.bodyCut,
+    },
+};
+
+const learn = (
+    draft: RoutingDraft,
+    service: Mutable<ServiceState>,
+    address: string,
+    failure: AttemptFailure,
+): void => {
+    const server = findServer(service, address);
+    if (server === undefined) {
+        return;
+    }
+    if (failure === "connect-failed" && server.absent) {
+        removeServer(draft, service, address);
+        return;
+    }
+    if (RULES[failure].countsAgainstServer) {
+        noteFailure(draft, service, address);
+    }
+    if (failure === "silent") {
+        updateServer(service, address, { suspectUntilMs: draft.atMs + ROUTING_LIMITS.suspectMs });
+        if (server.instanceId !== undefined) {
+            draft.emit({
+                type: "publish-evidence",
+                evidence: {
+                    service: service.name,
+                    address,
+                    instanceId: server.instanceId,
+                    kind: "silent",
+                    observedBy: draft.base.vmId,
+                },
+            });
+        }
+    }
+};
+
+const decide = (
+    draft: RoutingDraft,
+    service: Mutable<ServiceState>,
+    request: RequestState,
+    rule: FailureRule,
+): void => {
+    const mayRepeat = rule.surelyNotRun || request.classTargets.repeatable;
+    if (mayRepeat && retryRequest(draft, service, request, { reselection: rule.nothingSent })) {
+        return;
+    }
+    const overdue = request.giveUpAtMs !== undefined || request.deadlineAtMs <= draft.atMs;
+    const outcome = request.mayHaveRun ? "unknown" : "not-run";
+    rejectRequest(draft, service, request, {
+        outcome,
+        statusCode: overdue ? 504 : rule.statusCode,
+        reasonCode: request.callerGone
+            ? REASON_CODES.callerGone
+            : overdue
+            ? REASON_CODES.deadlineInFlight
+            : rule.reasonCode,
+        retryAfterMs: outcome === "not-run" ? ROUTING_LIMITS.retryAfterMs : undefined,
+        counted: !request.callerGone,
+    });
+};
+
+/** An attempt ended without a whole response. */
+export const onAttemptFailed = (draft: RoutingDraft, attemptId: string, failure: AttemptFailure): void => {
+    const found = findAttempt(draft, attemptId);
+    if (found === undefined) {
+        return;
+    }
+    const { service, request, attempt } = found;
+    const rule = RULES[failure];
+    const detached = detachAttempt(service, request, attempt);
+    const remaining = { ...detached, mayHaveRun: detached.mayHaveRun || !rule.surelyNotRun };
+    learn(draft, service, attempt.address, failure);
+    if (request.phase === "relaying") {
+        draft.removeRequest(request.requestId);
+        recordClass(service, request.classTargets.name, { atMs: draft.atMs, count: "unknown" });
+        draft.emit({ type: "finish-request", requestId: request.requestId, outcome: "unknown" });
+    }
+    else {
+        draft.setRequest(remaining);
+        if (remaining.attempts.length === 0) {
+            decide(draft, service, remaining, rule);
+        }
+    }
+    dispatchQueue(draft, service);
+};
--- a/routing/state/src/request-state.ts
+++ b/routing/state/src/request-state.ts
@@ -17,6 +17,10 @@
     readonly retries: number;
     /** Attempts that ended before a byte was sent and so are no retries. */
     readonly reselections: number;
+    /** Whether the next attempt counts against the retry budget. */
+    readonly retrying: boolean;
+    /** Whether an ended attempt may have run. */
+    readonly mayHaveRun: boolean;
     readonly triedAddresses: readonly string[];
     readonly hedgeAtMs: number | undefined;
     /** Set at the deadline of a non-repeatable request, while the result of its cancellation is awaited. */
--- /dev/null
+++ b/routing/state/src/routing-draft.ts
@@ -0,0 +1,98 @@
+import * as HashMap from "effect/HashMap";
+import * as Option from "effect/Option";
+import type { Mutable } from "./mutable.js";
+import type { RequestState } from "./request-state.js";
+import type { RoutingEffect } from "./routing-effect.js";
+import type { RoutingState } from "./routing-state.js";
+import type { ServiceState } from "./service-state.js";
+
+const GOLDEN_RATIO = 0.618_033_988_749_895;
+
+/** Working copy of the parts of the state that one event changes. The state itself is never written to. */
+export class RoutingDraft {
+    readonly base: RoutingState;
+    readonly atMs: number;
+    readonly effects: RoutingEffect[] = [];
+    addressServices: ReadonlyMap<string, string>;
+    vmListAsOfMs: number | undefined;
+    private readonly services = new Map<string, Mutable<ServiceState>>();
+    private readonly requests = new Map<string, RequestState | undefined>();
+    private random: number;
+
+    constructor(base: RoutingState, opts: { readonly atMs: number; readonly random: number; }) {
+        this.base = base;
+        this.atMs = opts.atMs;
+        this.random = opts.random;
+        this.addressServices = base.addressServices;
+        this.vmListAsOfMs = base.vmListAsOfMs;
+    }
+
+    /** Returns a service for changes. */
+    service(name: string): Mutable<ServiceState> | undefined {
+        const edited = this.services.get(name);
+        if (edited !== undefined) {
+            return edited;
+        }
+        const found = HashMap.get(this.base.services, name);
+        if (Option.isNone(found)) {
+            return undefined;
+        }
+        const copy = { ...found.value };
+        this.services.set(name, copy);
+        return copy;
+    }
+
+    addService(service: ServiceState): void {
+        this.services.set(service.name, { ...service });
+    }
+
+    request(requestId: string): RequestState | undefined {
+        if (this.requests.has(requestId)) {
+            return this.requests.get(requestId);
+        }
+        return Option.getOrUndefined(HashMap.get(this.base.requests, requestId));
+    }
+
+    setRequest(request: RequestState): void {
+        this.requests.set(request.requestId, request);
+    }
+
+    removeRequest(requestId: string): void {
+        this.requests.set(requestId, undefined);
+    }
+
+    emit(effect: RoutingEffect): void {
+        this.effects.push(effect);
+    }
+
+    /** Further numbers in [0, 1) from the one that came with the event. */
+    nextRandom(): number {
+        const value = this.random;
+        this.random = (value + GOLDEN_RATIO) % 1;
+        return value;
+    }
+
+    /** The new state. `wakeAtMs` only falls here; a tick computes it anew. */
+    commit(): RoutingState {
+        let services = this.base.services;
+        let wakeAtMs = this.base.wakeAtMs;
+        for (const [name, service] of this.services) {
+            services = HashMap.set(services, name, service);
+            wakeAtMs = Math.min(wakeAtMs, service.wakeAtMs);
+        }
+        let requests = this.base.requests;
+        for (const [requestId, request] of this.requests) {
+            requests = request === undefined
+                ? HashMap.remove(requests, requestId)
+                : HashMap.set(requests, requestId, request);
+        }
+        return {
+            ...this.base,
+            services,
+            requests,
+            addressServices: this.addressServices,
+            vmListAsOfMs: this.vmListAsOfMs,
+            wakeAtMs,
+        };
+    }
+}
--- a/routing/state/src/select-class-status.ts
+++ b/routing/state/src/select-class-status.ts
@@ -1,9 +1,84 @@
+import type { ClassTargets } from "@marigoldstall/core.types";
+import * as HashMap from "effect/HashMap";
+import type { ClassState } from "./class-state.js";
 import type { ClassStatus } from "./class-status.js";
+import { latencyBuckets } from "./latency-buckets.js";
+import { ROUTING_LIMITS } from "./routing-limits.js";
 import type { RoutingState } from "./routing-state.js";
 
+interface Waiting {
+    readonly queued: number;
+    readonly inFlight: number;
+}
+
+const NOTHING_WAITING: Waiting = { queued: 0, inFlight: 0 };
+
+const keyOf = (targets: ClassTargets): string => `${targets.service} ${targets.name}`;
+
+const countWaiting = (state: RoutingState): ReadonlyMap<string, Waiting> => {
+    const waiting = new Map<string, Waiting>();
+    for (const { classTargets, phase } of HashMap.values(state.requests)) {
+        const { queued, inFlight } = waiting.get(keyOf(classTargets)) ?? NOTHING_WAITING;
+        waiting.set(keyOf(classTargets), {
+            queued: queued + (phase === "queued" ? 1 : 0),
+            inFlight: inFlight + (phase === "queued" ? 0 : 1),
+        });
+    }
+    return waiting;
+};
+
+const statusOf = (classState: ClassState, waiting: Waiting, atMs: number): ClassStatus => {
+    const { targets } = classState;
+    const since = Math.floor(atMs / 1000) - ROUTING_LIMITS.statisticsSeconds;
+    const seconds = classState.seconds.filter(({ second }) => second > since);
+    const latencies = new Uint32Array(latencyBuckets.count);
+    const sums = { arrived: 0, completed: 0, late: 0, rejected: 0, unknown: 0 };
+    for (const second of seconds) {
+        sums.arrived += second.arrived;
+        sums.completed += second.completed;
+        sums.late += second.late;
+        sums.rejected += second.rejected;
+        sums.unknown += second.unknown;
+        second.latencies.forEach((count, index) => {
+            latencies[index] = (latencies[index] ?? 0) + count;
+        });
+    }
+    const reasons: string[] = [];
+    const allowedLate = sums.completed * (1 - targets.lateness.percentile / 100);
+    if (sums.late > allowedLate) {
+        reasons.push(`${sums.late} of ${sums.completed} responses took longer than ${targets.lateness.withinMs} ms`);
+    }
+    const ended = sums.completed + sums.rejected + sums.unknown;
+    if (sums.rejected * 100 > targets.turnedAwayAtMostPercent * ended) {
+        reasons.push(`${sums.rejected} of ${ended} requests were rejected`);
+    }
+    if (sums.unknown > 0) {
+        reasons.push(`${sums.unknown} of ${ended} requests ended with an unknown outcome`);
+    }
+    return {
+        service: targets.service,
+        className: targets.name,
+        urgency: targets.urgency,
+        lateness: targets.lateness,
+        turnedAwayAtMostPercent: targets.turnedAwayAtMostPercent,
+        ...sums,
+        ...waiting,
+        p50Ms: latencyBuckets.percentile(latencies, 50),
+        p95Ms: latencyBuckets.percentile(latencies, 95),
+        p99Ms: latencyBuckets.percentile(latencies, 99),
+        atTargetPercentileMs: latencyBuckets.percentile(latencies, targets.lateness.percentile),
+        degraded: reasons.length > 0,
+        degradedReasons: reasons,
+    };
+};
+
 /** Status of every class over the last 10 s. */
 export const selectClassStatus = (state: RoutingState, atMs: number): readonly ClassStatus[] => {
-    void state;
-    void atMs;
-    return [];
+    const waiting = countWaiting(state);
+    return HashMap.toValues(state.services).flatMap(service =>
+        Array.from(
+            service.classes.values(),
+            classState => statusOf(classState, waiting.get(keyOf(classState.targets)) ?? NOTHING_WAITING, atMs),
+        )
+    );
 };
--- /dev/null
+++ b/routing/state/src/start-attempt.ts
@@ -0,0 +1,89 @@
+import { findServer } from "./find-server.js";
+import { logDecision } from "./log-decision.js";
+import type { Mutable } from "./mutable.js";
+import { requestQueues } from "./request-queues.js";
+import type { RequestState } from "./request-state.js";
+import { rollingCounts } from "./rolling-counts.js";
+import type { RoutingDraft } from "./routing-draft.js";
+import { ROUTING_LIMITS } from "./routing-limits.js";
+import type { ServiceState } from "./service-state.js";
+import { updateServer } from "./update-server.js";
+import { wakeAt } from "./wake-at.js";
+
+// When the class has too few samples, and for what is not hedged, there is no hedging time.
+const hedgeTimeOf = (service: ServiceState, request: RequestState, atMs: number): number | undefined => {
+    const { classTargets } = request;
+    if (classTargets.urgency !== "urgent" || !classTargets.repeatable || !request.bodyReplayable) {
+        return undefined;
+    }
+    if (request.callerAttempt > 1 || request.attemptsStarted > 0) {
+        return undefined;
+    }
+    const hedgeAfterMs = service.classes.get(classTargets.name)?.hedgeAfterMs;
+    return hedgeAfterMs === undefined ? undefined : atMs + hedgeAfterMs;
+};
+
+/** Binds a request to a backend server and starts an attempt there. */
+export const startAttempt = (
+    draft: RoutingDraft,
+    service: Mutable<ServiceState>,
+    request: RequestState,
+    opts: {
+        readonly address: string;
+        readonly candidates: readonly string[];
+        readonly kind: "first" | "retry" | "hedge" | "trial";
+    },
+): void => {
+    const { atMs } = draft;
+    const { address } = opts;
+    const attemptId = `${request.requestId}.${request.attemptsStarted + 1}`;
+    const hedge = opts.kind === "hedge";
+    const hedgeAtMs = hedge ? undefined : hedgeTimeOf(service, request, atMs);
+    if (request.phase === "queued") {
+        requestQueues.remove(service, request);
+        service.inFlightIds = [...service.inFlightIds, request.requestId];
+    }
+    if (hedge) {
+        service.hedges = rollingCounts.add(service.hedges, atMs);
+    }
+    else if (request.retrying) {
+        service.retries = rollingCounts.add(service.retries, atMs);
+    }
+    draft.setRequest({
+        ...request,
+        phase: "in-flight",
+        attempts: [...request.attempts, { attemptId, address, startedAtMs: atMs, hedge }],
+        attemptsStarted: request.attemptsStarted + 1,
+        retries: request.retries + (request.retrying ? 1 : 0),
+        retrying: false,
+        triedAddresses: [...request.triedAddresses, address],
+        hedgeAtMs,
+    });
+    const server = findServer(service, address);
+    updateServer(service, address, { ownInFlight: (server?.ownInFlight ?? 0) + 1 });
+    service.patientInFlight += request.classTargets.urgency === "patient" ? 1 : 0;
+    service.selections += 1;
+    wakeAt(service, Math.min(request.deadlineAtMs, hedgeAtMs ?? Infinity));
+    draft.emit({
+        type: "start-attempt",
+        requestId: request.requestId,
+        attemptId,
+        attemptNumber: request.callerAttempt + request.retries + (hedge || request.retrying ? 1 : 0),
+        service: service.name,
+        address,
+        deadlineAtMs: request.deadlineAtMs,
+        requireLiveConnection: !request.classTargets.repeatable,
+        silenceLimitMs: Math.max(
+            ROUTING_LIMITS.silenceFloorMs,
+            ROUTING_LIMITS.silenceTargetFactor * request.classTargets.lateness.withinMs,
+        ),
+    });
+    logDecision(draft, {
+        kind: "route",
+        service: service.name,
+        request,
+        candidates: opts.candidates,
+        choice: address,
+        reason: opts.kind,
+    });
+};
--- /dev/null
+++ b/routing/state/src/tick-service.ts
@@ -0,0 +1,116 @@
+import { buildCandidates } from "./build-candidates.js";
+import { dispatchQueue } from "./dispatch-queue.js";
+import { evaluateSecond } from "./evaluate-second.js";
+import type { Mutable } from "./mutable.js";
+import { REASON_CODES } from "./reason-codes.js";
+import { rejectRequest } from "./reject-request.js";
+import { requestQueues } from "./request-queues.js";
+import type { RequestState } from "./request-state.js";
+import { retryBudget } from "./retry-budget.js";
+import type { RoutingDraft } from "./routing-draft.js";
+import { ROUTING_LIMITS } from "./routing-limits.js";
+import type { ServiceState } from "./service-state.js";
+import { startAttempt } from "./start-attempt.js";
+
+const expireQueued = (draft: RoutingDraft, service: Mutable<ServiceState>): void => {
+    for (const urgency of ["urgent", "normal", "patient"] as const) {
+        let entry = service.queue[urgency][0];
+        while (entry !== undefined && entry.deadlineAtMs <= draft.atMs) {
+            const request = draft.request(entry.requestId);
+            if (request === undefined) {
+                return;
+            }
+            rejectRequest(draft, service, request, {
+                outcome: request.mayHaveRun ? "unknown" : "not-run",
+                statusCode: 504,
+                reasonCode: REASON_CODES.deadlineInQueue,
+                retryAfterMs: ROUTING_LIMITS.retryAfterMs,
+            });
+            entry = service.queue[urgency][0];
+        }
+    }
+};
+
+// The deadline passed while an attempt is in flight.
+const expireInFlight = (draft: RoutingDraft, service: Mutable<ServiceState>, request: RequestState): void => {
+    const attempt = request.attempts[0];
+    if (!request.classTargets.repeatable && request.giveUpAtMs === undefined && attempt !== undefined) {
+        // Whether it ran matters here: the answer to the cancellation may still tell.
+        const giveUpAtMs = draft.atMs + ROUTING_LIMITS.cancellationMs;
+        draft.setRequest({ ...request, giveUpAtMs, hedgeAtMs: undefined });
+        draft.emit({
+            type: "cancel-attempt",
+            attemptId: attempt.attemptId,
+            reason: REASON_CODES.deadlineInFlight,
+        });
+        return;
+    }
+    rejectRequest(draft, service, request, {
+        outcome: "unknown",
+        statusCode: 504,
+        reasonCode: REASON_CODES.deadlineInFlight,
+    });
+};
+
+const tryHedge = (draft: RoutingDraft, service: Mutable<ServiceState>, request: RequestState): void => {
+    if (!retryBudget.allowsHedge(service, draft.atMs)) {
+        draft.setRequest({ ...request, hedgeAtMs: undefined });
+        return;
+    }
+    const { candidates } = buildCandidates(service, request, {
+        atMs: draft.atMs,
+        availabilityZone: draft.base.availabilityZone,
+    });
+    const choice = draft.base.policy.select({
+        candidates: candidates.filter(candidate => !request.triedAddresses.includes(candidate.address)),
+        urgency: request.classTargets.urgency,
+        reserveSlot: service.reserveSlot,
+        random: draft.nextRandom(),
+        cursor: service.selections,
+    });
+    if (choice === undefined) {
+        draft.setRequest({ ...request, hedgeAtMs: draft.atMs + ROUTING_LIMITS.hedgeRecheckMs });
+        return;
+    }
+    startAttempt(draft, service, request, {
+        address: choice.address,
+        candidates: candidates.map(candidate => candidate.address),
+        kind: "hedge",
+    });
+};
+
+// Earliest time at which one of the waiting or running requests needs a tick.
+const computeWakeAtMs = (draft: RoutingDraft, service: ServiceState): number => {
+    let wakeAtMs = requestQueues.length(service) > 0 ? draft.atMs + ROUTING_LIMITS.queueRecheckMs : Infinity;
+    for (const entries of [service.queue.urgent, service.queue.normal, service.queue.patient]) {
+        wakeAtMs = Math.min(wakeAtMs, entries[0]?.deadlineAtMs ?? Infinity);
+    }
+    for (const requestId of service.inFlightIds) {
+        const request = draft.request(requestId);
+        if (request !== undefined) {
+            const endAtMs = request.giveUpAtMs ?? request.deadlineAtMs;
+            wakeAtMs = Math.min(wakeAtMs, endAtMs, request.hedgeAtMs ?? Infinity);
+        }
+    }
+    return service.pressureLevel > 0 ? Math.min(wakeAtMs, service.nextEvaluationAtMs) : wakeAtMs;
+};
+
+/** Does what is due in one service: deadlines, hedges, waiting requests, the evaluation of each second. */
+export const tickService = (draft: RoutingDraft, service: Mutable<ServiceState>): void => {
+    evaluateSecond(service, draft.atMs);
+    expireQueued(draft, service);
+    for (const requestId of service.inFlightIds) {
+        const request = draft.request(requestId);
+        if (request === undefined) {
+            continue;
+        }
+        if ((request.giveUpAtMs ?? request.deadlineAtMs) <= draft.atMs) {
+            expireInFlight(draft, service, request);
+        }
+        else if (request.hedgeAtMs !== undefined && request.hedgeAtMs <= draft.atMs) {
+            tryHedge(draft, service, request);
+        }
+    }
+    dispatchQueue(draft, service);
+    service.wakeAtMs = computeWakeAtMs(draft, service);
+};
