--- a/routing/measuring/src/create-measuring-state.ts
+++ b/routing/measuring/src/create-measuring-state.ts
@@ -6,5 +6,4 @@
     shares: [],
     units: new Map(),
     recentProbes: new Map(),
-    sentInLastSecond: 0,
 });
--- a/routing/measuring/src/probe-unit-state.ts
+++ b/routing/measuring/src/probe-unit-state.ts
@@ -1,6 +1,5 @@
-/** Permission for at most one probe in any one second. */
+/** When a probe unit was last spent by this daemon, on its monotonic clock. */
 export interface ProbeUnitState {
     readonly unit: number;
     readonly lastProbeAtMs: number;
-    readonly lastProbeWallMs: number;
 }
