feat(stand-ins): add the layouts of both sites and their processes

Cause: the demonstration and the measurements run whole sites as processes, and none may outlive its run. A guard process ends the daemons when the process that started them dies. Conclusion: ports are picked below the range of outgoing connections, so that none is taken between pick and use.

--- a/stand-ins/sites/src/index.ts
+++ b/stand-ins/sites/src/index.ts
@@ -1,1 +1,16 @@
-export {};
+export type { ClassLoad } from "./class-load.js";
+export { findSiteLayout } from "./find-site-layout.js";
+export { findTargetsFile } from "./find-targets-file.js";
+export { luznik } from "./luznik.js";
+export { ManagedProcess } from "./managed-process.js";
+export { pickFreePorts } from "./pick-free-ports.js";
+export { runTool } from "./run-tool.js";
+export type { ServiceLayout } from "./service-layout.js";
+export type { SiteBackendServer } from "./site-backend-server.js";
+export type { SiteDaemon } from "./site-daemon.js";
+export type { SiteLayout } from "./site-layout.js";
+export type { SiteName } from "./site-name.js";
+export type { SiteOptions } from "./site-options.js";
+export { Site } from "./site.js";
+export type { ToolResult } from "./tool-result.js";
+export { zilina } from "./zilina.js";
--- /dev/null
+++ b/stand-ins/sites/src/luznik.ts
@@ -0,0 +1,71 @@
+import type { SiteLayout } from "./site-layout.js";
+
+/** Lužnik Poročila, the puddle report line. */
+export const luznik: SiteLayout = {
+    name: "luznik",
+    region: "osrednja",
+    availabilityZones: ["bezigrad", "vic", "moste"],
+    entryVms: 13,
+    services: [
+        { service: "statusdesk", backendServers: 12, serviceTime: { distribution: "exponential", meanMs: 20 } },
+        { service: "crewcall", backendServers: 6, serviceTime: { distribution: "lognormal", meanMs: 30 } },
+        { service: "fotoshramba", backendServers: 6, serviceTime: { distribution: "lognormal", meanMs: 60 } },
+        { service: "arhiv", backendServers: 7, serviceTime: { distribution: "exponential", meanMs: 100 } },
+    ],
+    classes: [
+        {
+            name: "status-check",
+            method: "GET",
+            path: "/statusdesk/status",
+            ratePerSecond: 250,
+            repeatable: true,
+            bodyBytes: 0,
+            responseBytes: 600,
+        },
+        {
+            name: "status-export",
+            method: "GET",
+            path: "/statusdesk/exports",
+            ratePerSecond: 40,
+            repeatable: true,
+            bodyBytes: 0,
+            responseBytes: 8000,
+        },
+        {
+            name: "case-lookup",
+            method: "GET",
+            path: "/crewcall/cases",
+            ratePerSecond: 60,
+            repeatable: true,
+            bodyBytes: 0,
+            responseBytes: 1200,
+        },
+        {
+            name: "crew-dispatch",
+            method: "POST",
+            path: "/crewcall/dispatches",
+            ratePerSecond: 50,
+            repeatable: false,
+            bodyBytes: 400,
+            responseBytes: 500,
+        },
+        {
+            name: "photo-pack",
+            method: "GET",
+            path: "/fotoshramba/packs",
+            ratePerSecond: 50,
+            repeatable: true,
+            bodyBytes: 0,
+            responseBytes: 60_000,
+        },
+        {
+            name: "archive-read",
+            method: "GET",
+            path: "/arhiv/records",
+            ratePerSecond: 25,
+            repeatable: true,
+            bodyBytes: 0,
+            responseBytes: 4000,
+        },
+    ],
+};
--- /dev/null
+++ b/stand-ins/sites/src/post-json.ts
@@ -0,0 +1,14 @@
+/** Sends JSON to a control path and fails unless it is taken. */
+export const postJson = async (
+    url: string,
+    opts: { readonly body?: unknown; readonly method?: string; } = {},
+): Promise<unknown> => {
+    const response = await fetch(url, {
+        method: opts.method ?? "POST",
+        ...opts.method === "GET" ? {} : { body: JSON.stringify(opts.body ?? {}) },
+    });
+    if (!response.ok) {
+        throw new Error(`${url} answered ${response.status}: ${await response.text()}`);
+    }
+    return await response.json();
+};
--- /dev/null
+++ b/stand-ins/sites/src/site-layout.ts
@@ -0,0 +1,13 @@
+import type { ClassLoad } from "./class-load.js";
+import type { ServiceLayout } from "./service-layout.js";
+import type { SiteName } from "./site-name.js";
+
+/** VMs of a site, and the load that its callers send on an ordinary day. */
+export interface SiteLayout {
+    readonly name: SiteName;
+    readonly region: string;
+    readonly availabilityZones: readonly string[];
+    readonly entryVms: number;
+    readonly services: readonly ServiceLayout[];
+    readonly classes: readonly ClassLoad[];
+}
--- /dev/null
+++ b/stand-ins/sites/src/site-name.ts
@@ -0,0 +1,2 @@
+/** Names of the sites. */
+export type SiteName = "luznik" | "zilina";
--- /dev/null
+++ b/stand-ins/sites/src/stand-in-processes.ts
@@ -0,0 +1,119 @@
+import type { BackendSettings } from "@marigoldstall-private/backend-server";
+import { createRequire } from "node:module";
+import { dirname, join } from "node:path";
+import { ManagedProcess } from "./managed-process.js";
+import { postJson } from "./post-json.js";
+import type { SiteBackendServer } from "./site-backend-server.js";
+import type { SiteOptions } from "./site-options.js";
+
+const DEFAULT_HOST_PROCESSES = 4;
+/** Keeps the random numbers of the backend servers apart. */
+const SEED_STEP = 7919;
+
+/** `import.meta.resolve` is not there under the loader that the tests use. */
+const resolver = createRequire(import.meta.url);
+
+const findMain = (name: "log" | "vm-list" | "backend-server"): string =>
+    join(dirname(resolver.resolve(`@marigoldstall-private/${name}`)), "main.js");
+
+interface HostAnswer {
+    readonly control: string;
+    readonly servers: readonly { readonly vmId: string; readonly service: string; readonly address: string; }[];
+}
+
+interface PlannedServer extends BackendSettings {
+    readonly vmId: string;
+    readonly service: string;
+}
+
+/** Processes that take the platform's place at a site. */
+export class StandInProcesses {
+    readonly logAddress: string;
+    readonly vmListAddress: string;
+    readonly backendServers: readonly SiteBackendServer[];
+    readonly hostControls: readonly string[];
+    private readonly processes: readonly ManagedProcess[];
+
+    private constructor(opts: {
+        readonly logAddress: string;
+        readonly vmListAddress: string;
+        readonly backendServers: readonly SiteBackendServer[];
+        readonly hostControls: readonly string[];
+        readonly processes: readonly ManagedProcess[];
+    }) {
+        this.logAddress = opts.logAddress;
+        this.vmListAddress = opts.vmListAddress;
+        this.backendServers = opts.backendServers;
+        this.hostControls = opts.hostControls;
+        this.processes = opts.processes;
+    }
+
+    static async start(opts: SiteOptions & { readonly directory: string; }): Promise<StandInProcesses> {
+        const processes: ManagedProcess[] = [];
+        const launch = (name: string, command: readonly string[]) => {
+            const launched = new ManagedProcess({
+                name,
+                command: [process.execPath, ...command, "--until-stdin-ends"],
+                logFile: join(opts.directory, `${name}.log`),
+                readsFirstLine: true,
+            });
+            processes.push(launched);
+            return launched.firstLine();
+        };
+        const zones = opts.layout.availabilityZones;
+        const zoneByVmId = new Map<string, string>();
+        const planned = opts.layout.services.flatMap(layout =>
+            Array.from({ length: layout.backendServers }, (unused, index): PlannedServer => {
+                const vmId = `${layout.service}-${index + 1}`;
+                zoneByVmId.set(vmId, zones[index % zones.length] ?? "");
+                return {
+                    vmId,
+                    service: layout.service,
+                    serviceTime: opts.serviceTime ?? layout.serviceTime,
+                    seed: (opts.seed ?? 1) + SEED_STEP * (zoneByVmId.size + 1),
+                };
+            })
+        );
+        const hostCount = opts.hostProcesses ?? DEFAULT_HOST_PROCESSES;
+        try {
+            const [log, vmList, ...hosts] = await Promise.all([
+                launch("log", [findMain("log"), "--retention-ms", String(opts.logRetentionMs ?? 3_600_000)]),
+                launch("vm-list", [findMain("vm-list")]),
+                ...Array.from({ length: hostCount }, (unused, host) => {
+                    const servers = planned.filter((server, index) => index % hostCount === host);
+                    return launch(`host-${host + 1}`, [
+                        findMain("backend-server"),
+                        "--servers",
+                        JSON.stringify(servers),
+                    ]);
+                }),
+            ]) as [{ address: string; }, { address: string; }, ...HostAnswer[]];
+            const backendServers = hosts.flatMap(host =>
+                host.servers.map(server => ({
+                    ...server,
+                    availabilityZone: zoneByVmId.get(server.vmId) ?? "",
+                    controlUrl: `http://${host.control}/servers/${server.vmId}`,
+                }))
+            );
+            for (const { vmId, service, address, availabilityZone } of backendServers) {
+                const vm = { vmId, role: service, address, availabilityZone, state: "live" };
+                await postJson(`http://${vmList.address}/_vms`, { body: vm });
+            }
+            return new StandInProcesses({
+                logAddress: log.address,
+                vmListAddress: vmList.address,
+                backendServers,
+                hostControls: hosts.map(host => host.control),
+                processes,
+            });
+        }
+        catch (error) {
+            await Promise.all(processes.map(launched => launched.stop({ graceMs: 0 })));
+            throw error;
+        }
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.processes.map(launched => launched.stop({ graceMs: 2000 })));
+    }
+}
--- /dev/null
+++ b/stand-ins/sites/src/tool-result.ts
@@ -0,0 +1,6 @@
+/** Result of one run of the command-line tool. */
+export interface ToolResult {
+    readonly exitCode: number;
+    readonly stdout: string;
+    readonly stderr: string;
+}
