feat(sites): give the VM list all VMs at its start

Cause: a list that lags by more than the age of the site was empty, since VMs were added one by one after its start. Change: the VM list starts last, with all VMs; removal of a VM over the site. Conclusion: the demonstration can set a lag of 30 s in its first seconds.

--- a/stand-ins/sites/src/site.ts
+++ b/stand-ins/sites/src/site.ts
@@ -67,10 +67,6 @@
     /** Starts the stand-ins, writes the settings files, and starts the daemons. */
     static async start(opts: SiteOptions): Promise<Site> {
         const directory = mkdtempSync(join(tmpdir(), `marigoldstall-${opts.layout.name}-`));
-        const standIns = await StandInProcesses.start({ ...opts, directory }).catch((error: unknown) => {
-            rmSync(directory, { recursive: true, force: true });
-            throw error;
-        });
         const count = opts.daemons ?? opts.layout.entryVms;
         const ports = await pickFreePorts(count * PORTS_PER_DAEMON);
         const zones = opts.layout.availabilityZones;
@@ -88,6 +84,16 @@
                 logFile: join(directory, `${vmId}.log`),
             };
         });
+        const standIns = await StandInProcesses.start({
+            ...opts,
+            directory,
+            entryVms: daemonList.map(({ vmId, controlAddress, availabilityZone }) => (
+                { vmId, address: controlAddress, availabilityZone }
+            )),
+        }).catch((error: unknown) => {
+            rmSync(directory, { recursive: true, force: true });
+            throw error;
+        });
         const site = new Site({ ...opts, directory, standIns, daemonList });
         try {
             for (const daemon of daemonList) {
@@ -180,6 +186,11 @@
         await postJson(`http://${this.standIns.vmListAddress}/_vms/${vmId}/leave`);
     }
 
+    /** Removes a VM from the VM list. */
+    async removeFromVmList(vmId: string): Promise<void> {
+        await postJson(`http://${this.standIns.vmListAddress}/_vms/${vmId}`, { method: "DELETE" });
+    }
+
     async setBackendFaults(server: SiteBackendServer, faults: BackendFaultSettings): Promise<void> {
         await postJson(`${server.controlUrl}/_faults`, { body: faults });
     }
--- a/stand-ins/sites/src/stand-in-processes.ts
+++ b/stand-ins/sites/src/stand-in-processes.ts
@@ -2,7 +2,6 @@
 import { createRequire } from "node:module";
 import { dirname, join } from "node:path";
 import { ManagedProcess } from "./managed-process.js";
-import { postJson } from "./post-json.js";
 import type { SiteBackendServer } from "./site-backend-server.js";
 import type { SiteOptions } from "./site-options.js";
 
@@ -21,6 +20,12 @@
     readonly servers: readonly { readonly vmId: string; readonly service: string; readonly address: string; }[];
 }
 
+interface PlannedVm {
+    readonly vmId: string;
+    readonly address: string;
+    readonly availabilityZone: string;
+}
+
 interface PlannedServer extends BackendSettings {
     readonly vmId: string;
     readonly service: string;
@@ -48,7 +53,12 @@
         this.processes = opts.processes;
     }
 
-    static async start(opts: SiteOptions & { readonly directory: string; }): Promise<StandInProcesses> {
+    static async start(
+        opts: SiteOptions & {
+            readonly directory: string;
+            readonly entryVms: readonly PlannedVm[];
+        },
+    ): Promise<StandInProcesses> {
         const processes: ManagedProcess[] = [];
         const launch = (name: string, command: readonly string[]) => {
             const launched = new ManagedProcess({
@@ -76,9 +86,8 @@
         );
         const hostCount = opts.hostProcesses ?? DEFAULT_HOST_PROCESSES;
         try {
-            const [log, vmList, ...hosts] = await Promise.all([
+            const [log, ...hosts] = await Promise.all([
                 launch("log", [findMain("log"), "--retention-ms", String(opts.logRetentionMs ?? 3_600_000)]),
-                launch("vm-list", [findMain("vm-list")]),
                 ...Array.from({ length: hostCount }, (unused, host) => {
                     const servers = planned.filter((server, index) => index % hostCount === host);
                     return launch(`host-${host + 1}`, [
@@ -87,7 +96,7 @@
                         JSON.stringify(servers),
                     ]);
                 }),
-            ]) as [{ address: string; }, { address: string; }, ...HostAnswer[]];
+            ]) as [{ address: string; }, ...HostAnswer[]];
             const backendServers = hosts.flatMap(host =>
                 host.servers.map(server => ({
                     ...server,
@@ -95,10 +104,15 @@
                     controlUrl: `http://${host.control}/servers/${server.vmId}`,
                 }))
             );
-            for (const { vmId, service, address, availabilityZone } of backendServers) {
-                const vm = { vmId, role: service, address, availabilityZone, state: "live" };
-                await postJson(`http://${vmList.address}/_vms`, { body: vm });
-            }
+            const vms = [
+                ...opts.entryVms.map(vm => ({ ...vm, role: "entry", state: "live" })),
+                ...backendServers.map(({ vmId, service, address, availabilityZone }) => (
+                    { vmId, role: service, address, availabilityZone, state: "live" }
+                )),
+            ];
+            const vmList = await launch("vm-list", [findMain("vm-list"), "--vms", JSON.stringify(vms)]) as {
+                readonly address: string;
+            };
             return new StandInProcesses({
                 logAddress: log.address,
                 vmListAddress: vmList.address,
