feat(demo): run a site under faults

Conclusion: calls without an answer are excused only at the moment at which their daemon was killed.

--- a/demo/src/check-promises.ts
+++ b/demo/src/check-promises.ts
@@ -8,6 +8,8 @@
  * two probes of one unit arrive at least 900 ms apart.
  */
 const PROBE_WINDOW_MS = 900;
+/** Time in which a caller may still send on a connection to a killed daemon, before it sees that it is closed. */
+const KILL_SEEN_WITHIN_MS = 500;
 const LEAVING_GOAL_MS = 2000;
 const IN_FORCE_GOAL_MS = 10_000;
 const NEW_VM_GOAL_MS = 5000;
@@ -59,19 +61,17 @@
     const checked = evidence.calls.filter(call => call.answer !== "none");
     const foreign = checked.filter(call => call.answer === "foreign").length;
     const damaged = checked.filter(call => call.answer === "damaged").length;
-    const unanswered = evidence.calls.filter(call =>
-        call.outcome === "no-answer" && !evidence.killedEntries.includes(call.entry)
-    );
-    const killed = evidence.calls.filter(call =>
-        call.outcome === "no-answer" && evidence.killedEntries.includes(call.entry)
-    );
+    const wasKilled = (call: CallRecord) =>
+        evidence.kills.some(kill => kill.entry === call.entry && call.sentAtMs <= kill.atMs + KILL_SEEN_WITHIN_MS);
+    const noAnswer = evidence.calls.filter(call => call.outcome === "no-answer");
+    const unanswered = noAnswer.filter(call => !wasKilled(call));
     const codes = [...new Set(unanswered.map(call => call.errorCode))].join(", ");
     return {
         checked: checked.length,
         broken: foreign + damaged + unanswered.length,
         detail: `${checked.length} answers compared, ${foreign} foreign, ${damaged} damaged, `
             + `${unanswered.length} calls without an answer${codes === "" ? "" : ` (${codes})`}, `
-            + `${killed.length} more at killed daemons`,
+            + `${noAnswer.length - unanswered.length} more at the moment a daemon was killed`,
     };
 };
 
--- a/demo/src/demo-evidence.ts
+++ b/demo/src/demo-evidence.ts
@@ -7,8 +7,8 @@
     readonly calls: readonly CallRecord[];
     readonly records: readonly BackendRecord[];
     readonly probesPerSecond: number;
-    /** Caller addresses of daemons that were killed; their callers may be left without an answer. */
-    readonly killedEntries: readonly string[];
+    /** Caller addresses of daemons that were killed, and when; callers of that moment may be left without an answer. */
+    readonly kills: readonly { readonly entry: string; readonly atMs: number; }[];
     readonly stoppedEntry: string;
     /** Exit code or signal of the daemon that was asked to stop, undefined while it runs. */
     readonly stoppedExit: number | string | undefined;
--- /dev/null
+++ b/demo/src/entry-watch.ts
@@ -0,0 +1,20 @@
+import type { Caller } from "@marigoldstall-private/caller";
+import type { Site } from "@marigoldstall-private/sites";
+import { setTimeout as delay } from "node:timers/promises";
+
+const CHECK_EVERY_MS = 500;
+
+/** Keeps the caller's entries to the daemons that are ready, as the platform's balancer does. */
+export const watchEntries = async (
+    site: Site,
+    opts: { readonly caller: Caller; readonly signal: AbortSignal; },
+): Promise<void> => {
+    while (!opts.signal.aborted) {
+        const ready = await Promise.all(site.daemons.map(daemon => site.isReady(daemon)));
+        const entries = site.daemons.filter((daemon, index) => ready[index]).map(daemon => daemon.callerAddress);
+        if (entries.length > 0) {
+            opts.caller.setEntries(entries);
+        }
+        await delay(CHECK_EVERY_MS, undefined, { signal: opts.signal }).catch(() => undefined);
+    }
+};
--- a/demo/test/check-promises.test.ts
+++ b/demo/test/check-promises.test.ts
@@ -60,7 +60,7 @@
     calls: [call, notRun],
     records: [record],
     probesPerSecond: 1,
-    killedEntries: ["killed"],
+    kills: [{ entry: "killed", atMs: 1000 }],
     stoppedEntry: "stopped",
     stoppedExit: 0,
     leavingVmId: "crewcall-1",
@@ -88,6 +88,19 @@
         },
         { title: "another caller's answer", promise: 2, changed: { calls: [notRun, { ...call, answer: "foreign" }] } },
         { title: "half an answer", promise: 2, changed: { calls: [notRun, { ...call, answer: "damaged" }] } },
+        {
+            title: "a call without an answer long after the daemon was killed",
+            promise: 2,
+            changed: {
+                calls: [call, notRun, {
+                    ...call,
+                    entry: "killed",
+                    sentAtMs: 1600,
+                    outcome: "no-answer",
+                    answer: "none",
+                }],
+            },
+        },
         {
             title: "a run after \"not run\"",
             promise: 3,
@@ -108,7 +121,7 @@
             title: "a call cut by a planned stop",
             promise: 6,
             changed: {
-                killedEntries: ["killed", "stopped"],
+                kills: [{ entry: "stopped", atMs: 1000 }],
                 calls: [call, notRun, { ...call, outcome: "no-answer", answer: "none" }],
             },
         },
