feat(daemon.state): join the slices in a root reducer

The slices decide on their own; one's output is another's event. Adds reduceRoot, which passes events on and turns effects into events: a request with a key goes to the ledger first and to routing only after route-request, finish-request settles the claim, terms and bounds reach the ledger and measuring slices, an applied configuration reaches routing, measuring, membership and ownership. Conclusion: the shell has one reducer and one list of effects.

--- /dev/null
+++ b/daemon/state/src/create-root-state-options.ts
@@ -0,0 +1,12 @@
+import type { Member } from "@marigoldstall/fleet.membership";
+import type { SelectionPolicyName } from "@marigoldstall/routing.policy";
+
+/** Options of {@link createRootState}. */
+export interface CreateRootStateOptions {
+    readonly self: Member;
+    readonly atMs: number;
+    readonly logRetentionMs: number;
+    /** Share of an idempotency key, from `createShareHasher` of fleet.ownership. */
+    readonly shareOf: (service: string, key: string) => number;
+    readonly policy?: SelectionPolicyName | undefined;
+}
--- a/daemon/state/src/index.ts
+++ b/daemon/state/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export type { CreateRootStateOptions } from "./create-root-state-options.js";
+export { createRootState } from "./create-root-state.js";
+export type { EventContext } from "./event-context.js";
+export type { LogRead } from "./log-read.js";
+export { reduceRoot } from "./reduce-root.js";
+export type { RequestArrival } from "./request-arrival.js";
+export type { RootEffect } from "./root-effect.js";
+export type { RootEventBody } from "./root-event-body.js";
+export type { RootEvent } from "./root-event.js";
+export type { RootState } from "./root-state.js";
--- /dev/null
+++ b/daemon/state/test/reduce-root.test.ts
@@ -0,0 +1,179 @@
+import { digestTargets } from "@marigoldstall/config.targets";
+import type { Targets } from "@marigoldstall/core.types";
+import {
+    createRootState,
+    reduceRoot,
+    type RootEffect,
+    type RootEvent,
+    type RootEventBody,
+    type RootState,
+} from "@marigoldstall/daemon.state";
+import { expect } from "chai";
+import { isDeepStrictEqual } from "node:util";
+
+const WALL_MS = 1_800_000_000_000;
+const BACKEND = "127.0.0.1:9001";
+
+const TARGETS: Targets = {
+    site: "test",
+    measuring: { probesPerSecond: 2 },
+    classes: [true, false].map(repeatable => ({
+        name: repeatable ? "check" : "dispatch",
+        service: "crewcall",
+        urgency: "urgent",
+        repeatable,
+        lateness: { percentile: 99, withinMs: 300 },
+        turnedAwayAtMostPercent: 1,
+        match: [],
+    })),
+};
+
+/** One daemon whose log takes effect at once. */
+class Harness {
+    readonly events: RootEvent[] = [];
+    readonly initial: RootState;
+    state: RootState;
+    atMs = 0;
+    private ownershipOffset = 0;
+
+    constructor() {
+        const self = {
+            daemon: { vmId: "a", incarnation: "0001" },
+            address: "a:7200",
+            availabilityZone: "bezigrad",
+        };
+        this.initial = createRootState({ self, atMs: 0, logRetentionMs: 3_600_000, shareOf: () => 0 });
+        this.state = this.initial;
+    }
+
+    send(body: RootEventBody): readonly RootEffect[] {
+        const event = { ...body, atMs: this.atMs, wallMs: WALL_MS + this.atMs, random: 0.5 };
+        this.events.push(event);
+        const { state, effects } = reduceRoot(this.state, event);
+        this.state = state;
+        for (const effect of effects) {
+            if (effect.type === "append-ownership-record") {
+                this.append(effect.value);
+            }
+        }
+        return effects.filter(effect => effect.type !== "log-decision");
+    }
+
+    /** Makes the daemon alone in the fleet, with targets, a backend server and all shares. */
+    prepare(): void {
+        const read = { from: 0, startedAtMs: 0, firstOffset: 0, nextOffset: 0, records: [] };
+        this.send({ type: "ownership-log-read", read });
+        this.send({
+            type: "vm-list-read",
+            vmList: {
+                asOfMs: 1,
+                vms: [
+                    { vmId: "a", role: "entry", address: "a:7200", availabilityZone: "bezigrad", state: "live" },
+                    { vmId: "b1", role: "crewcall", address: BACKEND, availabilityZone: "bezigrad", state: "live" },
+                ],
+            },
+        });
+        this.publish();
+        for (let tick = 0; tick < 150; tick += 1) {
+            this.atMs += 100;
+            this.send({ type: "tick", checkAddresses: [] });
+        }
+    }
+
+    publish(): readonly RootEffect[] {
+        const value = { publishId: "p1", version: 1, parentVersion: 0, author: "test", targets: TARGETS };
+        return this.send({
+            type: "configuration-log-read",
+            read: {
+                from: 0,
+                startedAtMs: this.atMs,
+                firstOffset: 0,
+                nextOffset: 1,
+                records: [{ offset: 0, value }],
+            },
+        });
+    }
+
+    arrive(requestId: string, key?: string): readonly RootEffect[] {
+        return this.send({
+            type: "request-arrived",
+            request: {
+                requestId,
+                service: "crewcall",
+                className: key === undefined ? "check" : "dispatch",
+                deadlineAtMs: this.atMs + 30_000,
+                callerAttempt: 1,
+                bodyReplayable: true,
+                claim: key === undefined ? undefined : { key, fingerprint: "f" },
+            },
+        });
+    }
+
+    /** Answers an attempt whole with 200. */
+    complete(attemptId: string, requestId: string): readonly RootEffect[] {
+        const response = { statusCode: 200, headers: [], bodyBase64: "b2s=" };
+        return [
+            ...this.send({
+                type: "attempt-responded",
+                attemptId,
+                statusCode: 200,
+                instanceId: "i1",
+                load: undefined,
+                draining: false,
+                notRun: false,
+            }),
+            ...this.send({ type: "attempt-completed", requestId, attemptId, response }),
+        ];
+    }
+
+    private append(value: unknown): void {
+        const offset = this.ownershipOffset;
+        this.ownershipOffset += 1;
+        const read = { from: offset, startedAtMs: this.atMs, firstOffset: 0, nextOffset: offset + 1 };
+        this.send({ type: "ownership-log-read", read: { ...read, records: [{ offset, value }] } });
+    }
+}
+
+const types = (effects: readonly RootEffect[]): readonly string[] => effects.map(effect => effect.type);
+
+describe("daemon.state", () => {
+    let harness: Harness;
+
+    beforeEach(() => {
+        harness = new Harness();
+        harness.prepare();
+    });
+
+    it("applies a configuration in all slices that need it", () => {
+        expect(harness.state.applied?.version).to.equal(1);
+        expect(harness.state.applied?.digest).to.equal(digestTargets(TARGETS));
+        expect(harness.state.membership.configurationVersion).to.equal(1);
+        expect(harness.state.measuring.unitCount).to.equal(2);
+    });
+
+    it("routes a request without a key at once", () => {
+        expect(types(harness.arrive("r1"))).to.include("start-attempt");
+    });
+
+    it("passes evidence of a peer to routing, which then sends nothing to the leaving backend server", () => {
+        const first = harness.arrive("r0").find(effect => effect.type === "start-attempt");
+        harness.complete(first?.type === "start-attempt" ? first.attemptId : "", "r0");
+        harness.send({
+            type: "evidence-received",
+            evidence: [
+                { service: "crewcall", address: BACKEND, instanceId: "i1", kind: "leaving", observedBy: "b" },
+            ],
+        });
+        expect(types(harness.arrive("r1"))).not.to.include("start-attempt");
+    });
+
+    it("gives the same states and effects when its events are replayed", () => {
+        harness.arrive("r2");
+        let state = harness.initial;
+        for (const event of harness.events) {
+            state = reduceRoot(state, event).state;
+        }
+        // Events that a test appends while another is handled are recorded in the order in which they were reduced.
+        expect(isDeepStrictEqual(state, harness.state)).to.equal(true);
+    });
+});
