feat(daemon.runtime): serve callers, the control port and the operator port

The daemon needs sockets, timers and loops around the root reducer. Adds the caller port with strict checks and limits, connection pools that carry one request at a time and refuse unexpected bytes, attempts with the check right before the first byte and confirmed cancellation, the silence check within the probe budget, the control port, metrics, background loops and the graceful shutdown. Conclusion: a request runs end to end; a response is matched to its request by the echoed Request-Id.

--- /dev/null
+++ b/daemon/runtime/src/attempt.ts
@@ -0,0 +1,334 @@
+import type { RoutingEffect } from "@marigoldstall/routing.state";
+import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { AttemptListener } from "./attempt-listener.js";
+import type { BackendConnection } from "./backend-connection.js";
+import type { BackendPool } from "./backend-pool.js";
+import type { CallerRequest } from "./caller-request.js";
+import type { Clock } from "./clock.js";
+import { forwardedHeaders } from "./forwarded-headers.js";
+import { relayResponse } from "./relay-response.js";
+import { singleHeader } from "./single-header.js";
+
+type StartAttempt = Extract<RoutingEffect, { readonly type: "start-attempt"; }>;
+
+// Routing waits 1 s for the result of a cancellation.
+const CANCEL_TIMEOUT_MS = 900;
+const MAX_DRAIN_BYTES = 65_536;
+
+/** One sending of a caller's request to a backend server. */
+export class Attempt {
+    readonly effect: StartAttempt;
+    readonly request: CallerRequest;
+    readonly pool: BackendPool;
+    sentAtMs: number | undefined;
+    response: IncomingMessage | undefined;
+    /** A check of the silent connection was asked for. */
+    checkWanted = false;
+    private readonly clock: Clock;
+    private readonly listener: AttemptListener;
+    private connection: BackendConnection | undefined;
+    private outgoing: ClientRequest | undefined;
+    private instanceIdAtSend: string | undefined;
+    private abandonConnect = (): void => undefined;
+    private ended = false;
+    private relayed = false;
+
+    constructor(opts: {
+        readonly effect: StartAttempt;
+        readonly request: CallerRequest;
+        readonly pool: BackendPool;
+        readonly clock: Clock;
+        readonly listener: AttemptListener;
+    }) {
+        this.effect = opts.effect;
+        this.request = opts.request;
+        this.pool = opts.pool;
+        this.clock = opts.clock;
+        this.listener = opts.listener;
+    }
+
+    /** Whether bytes were sent and no response has begun. */
+    get awaitsResponse(): boolean {
+        return !this.ended && this.sentAtMs !== undefined && this.response === undefined;
+    }
+
+    /** Whether the connection received nothing since the request was sent. */
+    get isSilent(): boolean {
+        return this.awaitsResponse && (this.connection?.lastReceivedAtMs ?? 0) <= (this.sentAtMs ?? 0);
+    }
+
+    start(): void {
+        this.abandonConnect = this.pool.acquire({
+            mode: this.effect.requireLiveConnection ? "fresh" : "any",
+            onFailed: () => {
+                this.end(() => {
+                    this.listener.failed(this, "connect-failed");
+                });
+            },
+            onReady: connection => {
+                this.send(connection);
+            },
+        });
+    }
+
+    /** Relays the response to the caller. */
+    relay(): void {
+        if (this.response === undefined || this.ended) {
+            return;
+        }
+        this.relayed = true;
+        relayResponse(this.request, {
+            upstream: this.response,
+            clock: this.clock,
+            onWhole: () => {
+                this.finishRequestBody();
+                this.end(() => {
+                    this.listener.completed(this);
+                });
+            },
+        });
+    }
+
+    /**
+     * Ends the attempt. What the backend server may have got it is asked to cancel; of a request that must not run
+     * twice the listener hears whether that was confirmed.
+     */
+    cancel(): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        this.abandonConnect();
+        const { response } = this;
+        if (response !== undefined && !this.relayed && Number(response.headers["content-length"]) <= MAX_DRAIN_BYTES) {
+            // A short response that nobody wants is read to its end, so that the connection can be used again.
+            response.resume();
+            response.on("end", () => {
+                this.finishRequestBody();
+            });
+            return;
+        }
+        this.connection?.destroy();
+        if (response !== undefined) {
+            return;
+        }
+        if (this.sentAtMs === undefined) {
+            this.listener.failed(this, "connection-stale");
+            return;
+        }
+        this.askToCancel(confirmed => {
+            if (this.effect.requireLiveConnection) {
+                this.listener.failed(this, confirmed ? "cancel-confirmed" : "reset");
+            }
+        });
+    }
+
+    /** The connection was found to be silent while another one works: closes it for good. */
+    closeSilent(): void {
+        this.pool.closeIdle({ olderThanMs: 2_000 });
+        this.failAfterSend("silent");
+    }
+
+    private send(connection: BackendConnection): void {
+        if (this.ended) {
+            this.pool.release(connection);
+            return;
+        }
+        const { request, effect } = this;
+        const nowMs = this.clock.atMs();
+        // No await and no callback may come between this check and the request below: a pause after the check is
+        // harmless only because the grant allows this one sending.
+        if (request.callerGone || request.finished || request.isExpired(this.clock)) {
+            this.pool.release(connection);
+            this.end(() => {
+                this.listener.failed(this, "connection-stale");
+            });
+            return;
+        }
+        if (effect.requireLiveConnection && !connection.isFresh(nowMs)) {
+            this.pool.release(connection);
+            this.end(() => {
+                this.listener.failed(this, "connection-stale");
+            });
+            return;
+        }
+        this.connection = connection;
+        this.sentAtMs = nowMs;
+        this.instanceIdAtSend = this.pool.instanceId;
+        connection.expectResponse(() => this.response?.complete === true);
+        const outgoing = httpRequest({
+            agent: connection.agent,
+            method: request.message.method,
+            path: request.path,
+            headers: this.headers(Math.max(1, Math.floor(request.deadlineAtMs - nowMs))),
+        });
+        this.outgoing = outgoing;
+        outgoing.on("response", response => {
+            this.onResponse(response);
+        });
+        outgoing.on("error", () => {
+            this.failAfterSend(this.response === undefined ? "reset" : "body-cut");
+        });
+        this.sendBody(outgoing);
+    }
+
+    private headers(remainingMs: number): string[] {
+        const { message, requestId, bodyComplete, bodyBytes, statedBytes } = this.request;
+        const headers = forwardedHeaders(message.rawHeaders, {
+            connection: message.headers.connection,
+            dropContentLength: true,
+        });
+        headers.push(
+            "Request-Id",
+            requestId,
+            "Request-Timeout-Ms",
+            String(remainingMs),
+            "Marigoldstall-Attempt",
+            String(this.effect.attemptNumber),
+        );
+        if (bodyComplete) {
+            if (bodyBytes > 0 || statedBytes !== undefined) {
+                headers.push("Content-Length", String(bodyBytes));
+            }
+        }
+        else if (statedBytes !== undefined) {
+            headers.push("Content-Length", String(statedBytes));
+        }
+        else {
+            headers.push("Transfer-Encoding", "chunked");
+        }
+        return headers;
+    }
+
+    private sendBody(outgoing: ClientRequest): void {
+        const { request } = this;
+        if (request.bodyComplete) {
+            if (request.bodyBytes === 0) {
+                outgoing.end();
+            }
+            else {
+                outgoing.end(request.chunks.length === 1 ? request.chunks[0] : Buffer.concat(request.chunks));
+            }
+            return;
+        }
+        request.bodyTaken = true;
+        const { message } = request;
+        for (const chunk of request.chunks) {
+            outgoing.write(chunk);
+        }
+        request.chunks = [];
+        message.on("data", (chunk: Buffer) => {
+            request.progressAtMs = this.clock.atMs();
+            if (!this.ended && !outgoing.write(chunk)) {
+                message.pause();
+            }
+        });
+        outgoing.on("drain", () => {
+            message.resume();
+        });
+        message.on("close", () => {
+            // The caller's body was cut short; the backend server must not take it for a whole one.
+            if (!message.complete) {
+                this.connection?.destroy();
+            }
+        });
+        message.on("end", () => {
+            request.bodyComplete = true;
+            if (!this.ended) {
+                outgoing.end();
+            }
+        });
+        message.resume();
+    }
+
+    private onResponse(response: IncomingMessage): void {
+        if (this.ended) {
+            this.connection?.destroy();
+            return;
+        }
+        // A response to another request, such as a late or repeated one, fails the attempt.
+        if (singleHeader(response.headers["request-id"]) !== this.request.requestId) {
+            this.connection?.destroy();
+            this.failAfterSend("reset");
+            return;
+        }
+        // Without a stated length the end of the connection would end the body, and a cut one would look whole.
+        const statusCode = response.statusCode ?? 0;
+        const hasNoBody = this.request.message.method === "HEAD" || statusCode === 204 || statusCode === 304;
+        if (
+            !hasNoBody && response.headers["content-length"] === undefined
+            && response.headers["transfer-encoding"] === undefined
+        ) {
+            this.connection?.destroy();
+            this.failAfterSend("reset");
+            return;
+        }
+        this.response = response;
+        this.pool.instanceId = singleHeader(response.headers["instance-id"]) ?? this.pool.instanceId;
+        response.on("error", () => {
+            this.failAfterSend("body-cut");
+        });
+        response.on("close", () => {
+            if (!response.complete) {
+                this.failAfterSend("body-cut");
+            }
+        });
+        this.listener.responded(this);
+        if (!this.relayed) {
+            this.cancel();
+        }
+    }
+
+    /** A connection whose request body was not sent whole cannot carry another request. */
+    private finishRequestBody(): void {
+        if (this.outgoing?.writableEnded !== true) {
+            this.connection?.destroy();
+        }
+    }
+
+    /** Fails an attempt after its first byte was sent. */
+    private failAfterSend(failure: "reset" | "silent" | "body-cut"): void {
+        this.end(() => {
+            this.connection?.destroy();
+            if (failure === "body-cut" && this.relayed) {
+                this.listener.failed(this, failure);
+                return;
+            }
+            if (!this.effect.requireLiveConnection) {
+                if (failure === "silent") {
+                    this.askToCancel(() => undefined);
+                }
+                this.listener.failed(this, failure);
+                return;
+            }
+            this.askToCancel(confirmed => {
+                this.listener.failed(this, confirmed ? "cancel-confirmed" : failure);
+            });
+        });
+    }
+
+    /** Calls back with true only if the instance to which the request was sent states that it will not run it. */
+    private askToCancel(callback: (confirmed: boolean) => void): void {
+        const { instanceIdAtSend } = this;
+        this.pool.exchange({
+            method: "DELETE",
+            path: `/_requests/${encodeURIComponent(this.request.requestId)}`,
+            timeoutMs: CANCEL_TIMEOUT_MS,
+            mode: "new",
+        }, result => {
+            const state = (result?.body as { readonly state?: unknown; } | undefined)?.state;
+            callback(
+                result?.statusCode === 200 && instanceIdAtSend !== undefined
+                    && result.instanceId === instanceIdAtSend
+                    && (state === "not-started" || state === "never-seen"),
+            );
+        });
+    }
+
+    private end(then: () => void): void {
+        if (!this.ended) {
+            this.ended = true;
+            then();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/runtime/src/exchange-result.ts
@@ -0,0 +1,6 @@
+/** Answer of a backend server to a request of the daemon itself. */
+export interface ExchangeResult {
+    readonly statusCode: number;
+    readonly instanceId: string | undefined;
+    readonly body: unknown;
+}
--- /dev/null
+++ b/daemon/runtime/src/relay-response.ts
@@ -0,0 +1,75 @@
+import type { IncomingMessage } from "node:http";
+import type { CallerRequest } from "./caller-request.js";
+import type { Clock } from "./clock.js";
+import { forwardedHeaders } from "./forwarded-headers.js";
+
+// Larger responses are kept without their body.
+const MAX_STORED_BYTES = 65_536;
+
+interface RelayResponseOptions {
+    readonly upstream: IncomingMessage;
+    readonly clock: Clock;
+    /** The whole response was handed to the caller's connection; the answer itself is not ended yet. */
+    readonly onWhole: () => void;
+}
+
+/** Streams a response to the caller. A caller that reads slowly slows the reading from the backend server. */
+export const relayResponse = (request: CallerRequest, opts: RelayResponseOptions): void => {
+    const { upstream, clock } = opts;
+    const { response } = request;
+    const statusCode = upstream.statusCode ?? 502;
+    const notRun = upstream.headers["not-run"] === "true";
+    const headers = forwardedHeaders(upstream.rawHeaders, {
+        connection: upstream.headers.connection,
+        dropContentLength: false,
+    });
+    const keepsResponse = request.idempotencyKey !== undefined && !request.targets.repeatable;
+    const storedHeaders: [string, string][] = [];
+    if (keepsResponse) {
+        for (let index = 0; index + 1 < headers.length; index += 2) {
+            storedHeaders.push([headers[index] as string, headers[index + 1] as string]);
+        }
+    }
+    headers.push("Request-Id", request.requestId, "Marigoldstall-Outcome", notRun ? "not-run" : "completed");
+    if (!request.bodyComplete) {
+        response.shouldKeepAlive = false;
+    }
+    if (!request.callerGone) {
+        response.writeHead(statusCode, headers);
+    }
+    const storedChunks: Buffer[] = [];
+    let bodyBytes = 0;
+    upstream.on("data", (chunk: Buffer) => {
+        bodyBytes += chunk.length;
+        if (keepsResponse && bodyBytes <= MAX_STORED_BYTES) {
+            storedChunks.push(chunk);
+        }
+        // When the caller has gone, the response is only read to its end, to be kept for repeats of the key.
+        if (!request.callerGone) {
+            request.progressAtMs = clock.atMs();
+            if (!response.write(chunk)) {
+                upstream.pause();
+            }
+        }
+    });
+    response.on("drain", () => {
+        request.progressAtMs = clock.atMs();
+        upstream.resume();
+    });
+    response.on("close", () => {
+        upstream.resume();
+    });
+    upstream.on("end", () => {
+        if (!upstream.complete) {
+            return;
+        }
+        if (keepsResponse) {
+            request.storedResponse = {
+                statusCode,
+                headers: storedHeaders,
+                bodyBase64: bodyBytes <= MAX_STORED_BYTES ? Buffer.concat(storedChunks).toString("base64") : undefined,
+            };
+        }
+        opts.onWhole();
+    });
+};
--- /dev/null
+++ b/daemon/runtime/src/request-path.ts
@@ -0,0 +1,326 @@
+import type { Outcome } from "@marigoldstall/core.types";
+import type { RootEffect, RootEventBody } from "@marigoldstall/daemon.state";
+import { createHash } from "node:crypto";
+import type { AttemptListener } from "./attempt-listener.js";
+import { Attempt } from "./attempt.js";
+import { BackendPool } from "./backend-pool.js";
+import type { CallerPort } from "./caller-port.js";
+import type { CallerRequest } from "./caller-request.js";
+import type { Clock } from "./clock.js";
+import type { Metrics } from "./metrics.js";
+import { parseLoadReport } from "./parse-load-report.js";
+import { singleHeader } from "./single-header.js";
+import { writeAnswer } from "./write-answer.js";
+import { writeStoredResponse } from "./write-stored-response.js";
+
+type EffectOf<Type extends RootEffect["type"]> = Extract<RootEffect, { readonly type: Type; }>;
+
+const FINGERPRINT_BYTES = 65_536;
+const PROBE_TIMEOUT_MS = 1_000;
+// A probe unit allows one probe in any one second. A probe that could not leave at once is given up, because the
+// next one may follow after exactly a second.
+const PROBE_DELAY_MS = 20;
+const POOL_IDLE_MS = 4_000;
+// VMs are replaced all the time; pools of addresses that nobody uses any more must not pile up.
+const POOL_FORGET_MS = 600_000;
+
+/** Brings requests from the caller port to backend servers and back, as the reducer decides. */
+export class RequestPath {
+    private readonly clock: Clock;
+    private readonly metrics: Metrics;
+    private readonly maxConnections: number;
+    private readonly dispatch: (event: RootEventBody) => void;
+    private readonly port: () => CallerPort;
+    private readonly pools = new Map<string, BackendPool>();
+    private readonly attempts = new Map<string, Attempt>();
+    private readonly listener: AttemptListener;
+
+    constructor(opts: {
+        readonly clock: Clock;
+        readonly metrics: Metrics;
+        readonly maxConnections: number;
+        readonly dispatch: (event: RootEventBody) => void;
+        readonly port: () => CallerPort;
+    }) {
+        this.clock = opts.clock;
+        this.metrics = opts.metrics;
+        this.maxConnections = opts.maxConnections;
+        this.dispatch = opts.dispatch;
+        this.port = opts.port;
+        this.listener = {
+            responded: attempt => {
+                this.onResponded(attempt);
+            },
+            completed: attempt => {
+                this.forget(attempt, "completed");
+                this.dispatch({
+                    type: "attempt-completed",
+                    requestId: attempt.request.requestId,
+                    attemptId: attempt.effect.attemptId,
+                    response: attempt.request.storedResponse,
+                });
+            },
+            failed: (attempt, failure) => {
+                this.forget(attempt, failure);
+                this.dispatch({ type: "attempt-failed", attemptId: attempt.effect.attemptId, failure });
+            },
+        };
+    }
+
+    get connectionCount(): number {
+        let count = 0;
+        for (const pool of this.pools.values()) {
+            count += pool.connectionCount;
+        }
+        return count;
+    }
+
+    /** A request passed the checks of the caller port. */
+    arrive(request: CallerRequest): void {
+        const { idempotencyKey, targets } = request;
+        this.dispatch({
+            type: "request-arrived",
+            request: {
+                requestId: request.requestId,
+                service: request.service,
+                className: targets.name,
+                deadlineAtMs: request.deadlineAtMs,
+                callerAttempt: request.callerAttempt,
+                bodyReplayable: request.bodyComplete,
+                claim: idempotencyKey === undefined || targets.repeatable
+                    ? undefined
+                    : { key: idempotencyKey, fingerprint: this.fingerprint(request) },
+            },
+        });
+    }
+
+    startAttempt(effect: EffectOf<"start-attempt">): void {
+        const request = this.port().requests.get(effect.requestId);
+        if (request === undefined) {
+            this.dispatch({ type: "attempt-failed", attemptId: effect.attemptId, failure: "connection-stale" });
+            return;
+        }
+        const { clock, listener } = this;
+        const attempt = new Attempt({ effect, request, clock, listener, pool: this.pool(effect.address) });
+        this.attempts.set(effect.attemptId, attempt);
+        attempt.start();
+    }
+
+    relay(effect: EffectOf<"relay-attempt">): void {
+        this.attempts.get(effect.attemptId)?.relay();
+    }
+
+    cancelAttempt(effect: EffectOf<"cancel-attempt">): void {
+        const attempt = this.attempts.get(effect.attemptId);
+        if (attempt !== undefined) {
+            this.forget(attempt, "cancelled");
+            attempt.cancel();
+        }
+    }
+
+    reject(effect: EffectOf<"reject-request">): void {
+        const request = this.port().requests.get(effect.requestId);
+        if (request !== undefined) {
+            this.metrics.rejections.inc({ reason: effect.reasonCode });
+            this.answer(request, effect);
+        }
+    }
+
+    answerCaller(effect: EffectOf<"answer-caller">): void {
+        const request = this.port().requests.get(effect.requestId);
+        if (request === undefined) {
+            return;
+        }
+        if (effect.response !== undefined && !request.callerGone && !request.response.headersSent) {
+            const { requestId, reasonCode } = effect;
+            writeStoredResponse(request.response, { requestId, stored: effect.response, reasonCode });
+            this.end(request, effect.outcome);
+            return;
+        }
+        const reasonCode = effect.reasonCode ?? "ERR_MARIGOLDSTALL_ANSWERED_FROM_LEDGER";
+        this.metrics.rejections.inc({ reason: reasonCode });
+        this.answer(request, { ...effect, reasonCode });
+    }
+
+    finish(effect: EffectOf<"finish-request">): void {
+        const request = this.port().requests.get(effect.requestId);
+        if (request === undefined) {
+            return;
+        }
+        if (effect.outcome === "completed") {
+            if (!request.callerGone) {
+                request.response.end();
+            }
+            this.end(request, "completed");
+            return;
+        }
+        this.answer(request, {
+            outcome: effect.outcome,
+            statusCode: 502,
+            reasonCode: "ERR_MARIGOLDSTALL_RESPONSE_CUT",
+            retryAfterMs: undefined,
+        });
+    }
+
+    closeConnections(address: string): void {
+        this.pools.get(address)?.closeIdle({ olderThanMs: 0 });
+    }
+
+    probe(address: string): void {
+        const pool = this.pool(address);
+        const silent = this.silentAttempts().filter(attempt => attempt.pool === pool);
+        const path = silent.length > 0 ? "/_health" : "/_load";
+        const decidedAtMs = this.clock.atMs();
+        const decidedWallMs = this.clock.wallMs();
+        pool.exchange({
+            method: "GET",
+            path,
+            timeoutMs: PROBE_TIMEOUT_MS,
+            mode: silent.length > 0 ? "new" : "any",
+            mayStillSend: () =>
+                this.clock.atMs() - decidedAtMs <= PROBE_DELAY_MS
+                && this.clock.wallMs() - decidedWallMs <= PROBE_DELAY_MS,
+        }, result => {
+            this.metrics.probes.inc({ result: result?.statusCode === 200 ? "answered" : "failed" });
+            const body = (result?.statusCode === 200 ? result.body : undefined) as
+                | Partial<Record<"status" | "inFlight" | "queued" | "slots", unknown>>
+                | undefined;
+            const { inFlight, queued, slots } = body ?? {};
+            this.dispatch({
+                type: "load-probed",
+                address,
+                instanceId: result?.instanceId,
+                load: typeof inFlight === "number" && typeof queued === "number" && typeof slots === "number"
+                    ? { inFlight, queued, slots }
+                    : undefined,
+                draining: body?.status === "draining",
+            });
+            if (result !== undefined) {
+                for (const attempt of silent) {
+                    if (attempt.isSilent) {
+                        attempt.closeSilent();
+                    }
+                }
+            }
+        });
+    }
+
+    /**
+     * Looks for connections without a byte since their request was sent. One whose backend server answered on another
+     * connection meanwhile is closed; for the others the returned addresses have to be probed.
+     */
+    checkSilence(): readonly string[] {
+        const addresses = new Set<string>();
+        for (const attempt of this.silentAttempts()) {
+            const suspectAtMs = (attempt.sentAtMs ?? 0) + attempt.effect.silenceLimitMs;
+            if (attempt.pool.lastReceivedAtMs > suspectAtMs) {
+                attempt.closeSilent();
+            }
+            else {
+                addresses.add(attempt.pool.address);
+            }
+        }
+        return [...addresses];
+    }
+
+    /** Closes idle connections before the backend servers do, and forgets pools without any. */
+    closeIdlePools(): void {
+        const nowMs = this.clock.atMs();
+        for (const pool of this.pools.values()) {
+            pool.closeIdle({ olderThanMs: POOL_IDLE_MS });
+            if (pool.connectionCount === 0 && nowMs - pool.usedAtMs > POOL_FORGET_MS) {
+                this.pools.delete(pool.address);
+            }
+        }
+    }
+
+    close(): void {
+        for (const pool of this.pools.values()) {
+            pool.closeAll();
+        }
+    }
+
+    private silentAttempts(): readonly Attempt[] {
+        const nowMs = this.clock.atMs();
+        const silent: Attempt[] = [];
+        for (const attempt of this.attempts.values()) {
+            if (attempt.isSilent && nowMs - (attempt.sentAtMs ?? nowMs) >= attempt.effect.silenceLimitMs) {
+                silent.push(attempt);
+            }
+        }
+        return silent;
+    }
+
+    private onResponded(attempt: Attempt): void {
+        const response = attempt.response;
+        if (response === undefined) {
+            return;
+        }
+        const { headers } = response;
+        this.dispatch({
+            type: "attempt-responded",
+            attemptId: attempt.effect.attemptId,
+            statusCode: response.statusCode ?? 0,
+            instanceId: singleHeader(headers["instance-id"]),
+            load: parseLoadReport(singleHeader(headers["load-report"])),
+            draining: headers["draining"] === "true",
+            notRun: response.statusCode === 503 && headers["not-run"] === "true",
+        });
+    }
+
+    private forget(attempt: Attempt, result: string): void {
+        if (this.attempts.delete(attempt.effect.attemptId)) {
+            this.metrics.attempts.inc({ service: attempt.effect.service, result });
+        }
+    }
+
+    private answer(request: CallerRequest, opts: {
+        readonly outcome: Outcome;
+        readonly statusCode: number;
+        readonly reasonCode: string;
+        readonly retryAfterMs: number | undefined;
+    }): void {
+        const { response, requestId } = request;
+        this.end(request, opts.outcome);
+        if (request.callerGone) {
+            return;
+        }
+        if (response.headersSent) {
+            // Part of a response was sent: only the end of the connection tells the caller that it is not whole.
+            response.destroy();
+            return;
+        }
+        if (!request.message.complete) {
+            response.shouldKeepAlive = false;
+        }
+        writeAnswer(response, { ...opts, requestId });
+    }
+
+    private end(request: CallerRequest, outcome: Outcome): void {
+        this.port().finish(request);
+        const metrics = this.metrics.ofClass(request.targets);
+        metrics.count(outcome);
+        if (outcome === "completed") {
+            metrics.observe((this.clock.atMs() - request.arrivedAtMs) / 1_000);
+        }
+    }
+
+    private fingerprint(request: CallerRequest): string {
+        const hash = createHash("sha256").update(`${request.message.method}\n${request.path}\n`);
+        let remainingBytes = FINGERPRINT_BYTES;
+        for (const chunk of request.chunks) {
+            hash.update(chunk.length > remainingBytes ? chunk.subarray(0, remainingBytes) : chunk);
+            remainingBytes = Math.max(0, remainingBytes - chunk.length);
+        }
+        return hash.digest("hex");
+    }
+
+    private pool(address: string): BackendPool {
+        let pool = this.pools.get(address);
+        if (pool === undefined) {
+            pool = new BackendPool({ address, maxConnections: this.maxConnections, clock: this.clock });
+            this.pools.set(address, pool);
+        }
+        return pool;
+    }
+}
--- /dev/null
+++ b/daemon/runtime/test/backend-faults.test.ts
@@ -0,0 +1,206 @@
+import { expect } from "chai";
+import { Agent } from "node:http";
+import { sendRequest } from "./support/send-request.js";
+import { TestBackend } from "./support/test-backend.js";
+import { TestSite } from "./support/test-site.js";
+
+const CHECK = "/statusdesk/status/1";
+const DISPATCH = { path: "/statusdesk/dispatch/1", method: "POST" };
+
+describe("daemon.runtime with failing backend servers", () => {
+    let site: TestSite;
+    let caller = "";
+
+    const start = async (...handlers: TestBackend["handler"][]): Promise<readonly TestBackend[]> => {
+        site = await TestSite.start({ backends: handlers.map(handler => new TestBackend(handler)) });
+        caller = (await site.startReadyDaemon()).addresses.caller;
+        return site.backends;
+    };
+
+    afterEach(() => site.stop());
+
+    describe("when the connection is reset before the first byte of the response", () => {
+        const reset: TestBackend["handler"] = request => {
+            request.socket.destroy();
+        };
+
+        it("sends a repeatable request elsewhere", async () => {
+            let failures = 0;
+            const resetOnce: TestBackend["handler"] = (request, response, backend) => {
+                failures += 1;
+                if (failures === 1) {
+                    request.socket.destroy();
+                }
+                else {
+                    backend.answer(request, response);
+                }
+            };
+            await start(resetOnce, resetOnce);
+            const answer = await sendRequest(caller, { path: CHECK });
+            expect(answer).to.include({ statusCode: 200, whole: true });
+            expect(failures).to.equal(2);
+        });
+
+        for (
+            const [state, knowsInstance, outcome] of [
+                ["running", true, "unknown"],
+                ["finished", true, "unknown"],
+                ["never-seen", true, "not-run"],
+                ["not-started", true, "not-run"],
+                ["never-seen", false, "unknown"],
+            ] as const
+        ) {
+            it(
+                `answers ${outcome} to a non-repeatable request when the cancellation says ${state} of ${
+                    knowsInstance ? "the same" : "another"
+                } instance, and never sends it twice`,
+                async () => {
+                    const [backend] = await start((request, response, self) => {
+                        if (request.url === "/status/1") {
+                            self.answer(request, response);
+                        }
+                        else {
+                            self.instanceId = knowsInstance ? self.instanceId : "instance-2";
+                            reset(request, response, self);
+                        }
+                    }) as [TestBackend];
+                    backend.cancelState = state;
+                    await sendRequest(caller, { path: CHECK });
+                    const answer = await sendRequest(caller, DISPATCH);
+                    expect(answer.headers["marigoldstall-outcome"]).to.equal(outcome);
+                    expect(answer.headers["marigoldstall-reason"]).to.match(/^ERR_MARIGOLDSTALL_/);
+                    const dispatched = backend.received.filter(path => path === "/dispatch/1");
+                    // A confirmed cancellation allows further attempts; without one there is exactly one.
+                    if (outcome === "unknown") {
+                        expect(dispatched).to.have.length(1);
+                    }
+                    expect(backend.cancelled).to.have.length(dispatched.length);
+                },
+            );
+        }
+    });
+
+    it("breaks the caller's connection when a response is cut, so that it never looks whole", async () => {
+        await start((request, response, backend) => {
+            request.resume();
+            response.writeHead(200, { ...backend.headers(request), "Content-Length": 1_000 });
+            response.write("x".repeat(500));
+            setTimeout(() => response.destroy(), 20);
+        });
+        const answer = await sendRequest(caller, { path: CHECK });
+        expect(answer.whole).to.equal(false);
+    });
+
+    it("does not relay a response whose end only the end of the connection would tell", async () => {
+        await start(request => {
+            request.socket.end(
+                `HTTP/1.1 200 OK\r\nRequest-Id: ${request.headers["request-id"]}\r\nConnection: close\r\n\r\nhalf`,
+            );
+        });
+        const answer = await sendRequest(caller, DISPATCH);
+        expect(answer.statusCode).not.to.equal(200);
+        expect(answer.headers["marigoldstall-outcome"]).to.equal("unknown");
+    });
+
+    it("never gives a caller the repeated response to another request", async () => {
+        const [backend] = await start((request, response, self) => {
+            const body = String(request.url);
+            request.resume();
+            request.on("end", () => {
+                const head = Object.entries({ ...self.headers(request), "Content-Length": String(body.length) })
+                    .map(([name, value]) => `${name}: ${value}`).join("\r\n");
+                const whole = `HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}`;
+                response.socket?.write(whole);
+                // The copy arrives together with the response, right after it, or much later.
+                const copies = Number(new URL(body, "http://x").searchParams.get("n")) % 3;
+                if (copies === 0) {
+                    response.socket?.write(whole);
+                }
+                else {
+                    setTimeout(() => response.socket?.write(whole), copies === 1 ? 0 : 5);
+                }
+            });
+        }) as [TestBackend];
+        const agent = new Agent({ keepAlive: true });
+        for (let index = 0; index < 60; index += 1) {
+            const answer = await sendRequest(caller, { path: `${CHECK}?n=${index}`, agent });
+            if (answer.statusCode === 200) {
+                expect(answer.body).to.equal(`/status/1?n=${index}`);
+            }
+        }
+        agent.destroy();
+        expect(backend.received.length).to.be.greaterThan(30);
+    });
+
+    it("gives up a silent connection once another one works, and sends a repeatable request elsewhere", async () => {
+        let silenced = 0;
+        const [backend] = await start((request, response, self) => {
+            if (silenced === 0) {
+                silenced += 1;
+                request.resume();
+                return;
+            }
+            self.answer(request, response);
+        }) as [TestBackend];
+        const answer = await sendRequest(caller, { path: CHECK });
+        expect(answer).to.include({ statusCode: 200, whole: true });
+        expect(backend.received).to.have.length(2);
+    }).timeout(40_000);
+
+    it("sends a shed request elsewhere, also a non-repeatable one", async () => {
+        let sheds = 0;
+        const shedOnce: TestBackend["handler"] = (request, response, self) => {
+            sheds += 1;
+            if (sheds === 1) {
+                self.shed(request, response);
+            }
+            else {
+                self.answer(request, response);
+            }
+        };
+        await start(shedOnce, shedOnce);
+        const answer = await sendRequest(caller, { ...DISPATCH, body: "crew 4" });
+        expect(answer).to.include({ statusCode: 200, body: "POST /dispatch/1 6" });
+        expect(sheds).to.equal(2);
+    });
+
+    it("sends nothing more to a backend server that says it is draining", async () => {
+        const backends = await start((request, response, self) => {
+            self.shed(request, response, { Draining: "true" });
+        }, (request, response, self) => {
+            self.answer(request, response);
+        });
+        for (let index = 0; index < 20; index += 1) {
+            const answer = await sendRequest(caller, { path: CHECK });
+            expect(answer.statusCode).to.equal(200);
+        }
+        expect(backends[0]?.received.length).to.be.lessThan(2);
+    });
+
+    it("streams a long body and a long response without losing a byte", async () => {
+        const bytes = 3_000_000;
+        await start((request, response, self) => {
+            let received = 0;
+            request.on("data", (chunk: Buffer) => {
+                received += chunk.length;
+            });
+            request.on("end", () => {
+                response.writeHead(200, self.headers(request));
+                response.end("y".repeat(received));
+            });
+        });
+        const answer = await sendRequest(caller, { path: CHECK, method: "POST", body: Buffer.alloc(bytes, 120) });
+        expect(answer).to.include({ statusCode: 200, whole: true });
+        expect(answer.body.length).to.equal(bytes);
+    });
+
+    it("answers 504 and cancels when the deadline of a caller passes", async () => {
+        const [backend] = await start(request => {
+            request.resume();
+        }) as [TestBackend];
+        const answer = await sendRequest(caller, { ...DISPATCH, headers: { "Request-Timeout-Ms": "200" } });
+        expect(answer.statusCode).to.equal(504);
+        expect(answer.headers["marigoldstall-outcome"]).to.equal("unknown");
+        expect(backend.cancelled).to.have.length(1);
+    });
+});
--- /dev/null
+++ b/daemon/runtime/test/caller-port.test.ts
@@ -0,0 +1,146 @@
+import { expect } from "chai";
+import { connect } from "node:net";
+import { eventually } from "./support/eventually.js";
+import { sendRequest } from "./support/send-request.js";
+import { TestBackend } from "./support/test-backend.js";
+import { TestSite } from "./support/test-site.js";
+
+/** Sends bytes as they are and collects what comes back until the daemon closes the connection. */
+const sendRaw = (address: string, text: string): Promise<string> =>
+    new Promise(resolve => {
+        const [host, port] = address.split(":");
+        const socket = connect(Number(port), host as string, () => socket.write(text));
+        let received = "";
+        socket.setEncoding("utf8");
+        socket.on("data", chunk => {
+            received += String(chunk);
+        });
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            resolve(received);
+        });
+    });
+
+const PREFIX = "ERR_MARIGOLDSTALL_";
+
+describe("daemon.runtime caller port", () => {
+    let site: TestSite;
+    let caller = "";
+
+    const start = async (opts: Parameters<typeof TestSite.start>[0] = {}): Promise<void> => {
+        site = await TestSite.start(opts);
+        caller = (await site.startReadyDaemon()).addresses.caller;
+    };
+
+    afterEach(() => site.stop());
+
+    const cases: readonly (readonly [string, string, Record<string, string>, number, string])[] = [
+        ["an unknown service", "/nowhere/x", {}, 404, "UNKNOWN_SERVICE"],
+        ["no service", "/", {}, 404, "UNKNOWN_SERVICE"],
+        ["a path that matches no class", "/statusdesk/x", {}, 404, "UNKNOWN_CLASS"],
+        ["an unknown class", "/statusdesk/status", { "Marigoldstall-Class": "vip" }, 404, "UNKNOWN_CLASS"],
+        ["a malformed key", "/statusdesk/status", { "Idempotency-Key": "7" }, 400, "INVALID_IDEMPOTENCY_KEY"],
+        ["a malformed timeout", "/statusdesk/status", { "Request-Timeout-Ms": "-1" }, 400, "INVALID_TIMEOUT"],
+        ["a malformed attempt", "/statusdesk/status", { "Marigoldstall-Attempt": "x" }, 400, "INVALID_ATTEMPT"],
+        ["a path of the cancellation protocol", "/statusdesk/_requests/1", {}, 404, "RESERVED_PATH"],
+        ["an escaped reserved path", "/statusdesk/%5frequests/1", {}, 404, "RESERVED_PATH"],
+        ["a reserved path behind dot segments", "/statusdesk/status/../_load", {}, 404, "RESERVED_PATH"],
+    ];
+    it("refuses what it cannot send, says that it was not run, and tells the reason", async () => {
+        await start();
+        for (const [name, path, headers, statusCode, reason] of cases) {
+            const answer = await sendRequest(caller, { path, headers });
+            expect(answer.statusCode, name).to.equal(statusCode);
+            expect(answer.headers["marigoldstall-outcome"], name).to.equal("not-run");
+            expect(answer.headers["marigoldstall-reason"], name).to.equal(PREFIX + reason);
+            expect(answer.headers["request-id"], name).to.be.a("string");
+        }
+        expect(site.backends[0]?.received).to.deep.equal([]);
+    });
+
+    const line = "POST /statusdesk/status HTTP/1.1\r\nHost: x\r\n";
+    const malformed: readonly (readonly [string, string, number])[] = [
+        ["two different lengths", `${line}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc`, 400],
+        ["a length and chunks", `${line}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`, 400],
+        ["a broken chunk", `${line}Transfer-Encoding: chunked\r\n\r\nzz\r\n`, 400],
+        ["oversized headers", `${line}X: ${"y".repeat(20_000)}\r\n\r\n`, 431],
+        ["no HTTP at all", "hello\r\n\r\n", 400],
+    ];
+    it("refuses malformed HTTP with an outcome, and goes on serving others", async () => {
+        await start();
+        for (const [name, text, statusCode] of malformed) {
+            const received = await sendRaw(caller, text);
+            expect(received, name).to.match(new RegExp(`^HTTP/1.1 ${statusCode} `));
+            expect(received, name).to.contain("Marigoldstall-Outcome: not-run");
+        }
+        expect(site.backends[0]?.received).to.deep.equal([]);
+        expect((await sendRequest(caller, { path: "/statusdesk/status" })).statusCode).to.equal(200);
+    });
+
+    it("still answers a request when malformed bytes follow it on the same connection", async () => {
+        await start({
+            backends: [
+                new TestBackend((request, response, backend) => {
+                    setTimeout(() => {
+                        backend.answer(request, response);
+                    }, 50);
+                }),
+            ],
+        });
+        const received = await sendRaw(caller, "GET /statusdesk/status HTTP/1.1\r\nHost: x\r\n\r\nbroken\r\n\r\n");
+        expect(received).to.contain("GET /status 0");
+    });
+
+    it("removes headers that concern one connection only", async () => {
+        let seen: Record<string, unknown> = {};
+        await start({
+            backends: [
+                new TestBackend((request, response, backend) => {
+                    seen = request.headers;
+                    backend.answer(request, response, { "Keep-Alive": "timeout=99", "X-Kept": "yes" });
+                }),
+            ],
+        });
+        const answer = await sendRequest(caller, {
+            path: "/statusdesk/status",
+            headers: { "Connection": "close, X-Hop", "X-Hop": "1", "X-Kept": "yes", "Request-Id": "forged" },
+        });
+        expect(seen).to.include({ "x-kept": "yes", "marigoldstall-attempt": "1" });
+        expect(seen).not.to.have.any.keys("x-hop");
+        expect(seen["request-id"]).to.equal(answer.headers["request-id"]);
+        expect(answer.headers["x-kept"]).to.equal("yes");
+        expect(answer.headers).not.to.have.any.keys("instance-id", "load-report");
+        expect(answer.headers["keep-alive"] ?? "").not.to.contain("99");
+    });
+
+    it("answers 408 to a caller that sends its body too slowly, and does not run the request", async () => {
+        await start({ limits: { bodyTimeoutMs: 200 } });
+        const received = await sendRaw(caller, `${line}Content-Length: 10\r\n\r\nabc`);
+        expect(received).to.match(/^HTTP\/1.1 408 /);
+        expect(received).to.contain("Marigoldstall-Outcome: not-run");
+        expect(site.backends[0]?.received).to.deep.equal([]);
+    });
+
+    it("limits the connections of one address and the requests in flight", async () => {
+        await start({
+            backends: [
+                new TestBackend(request => {
+                    request.resume();
+                }),
+            ],
+            limits: { connectionsPerCallerAddress: 3, requestsInFlight: 2 },
+        });
+        const abort = new AbortController();
+        const held = [1, 2].map(() => sendRequest(caller, { path: "/statusdesk/status", signal: abort.signal }));
+        await eventually(() => site.backends[0]?.received.length === 2, { what: "two requests are in flight" });
+        const third = await sendRequest(caller, { path: "/statusdesk/status" });
+        expect(third.headers["marigoldstall-reason"]).to.equal(`${PREFIX}TOO_MANY_REQUESTS_IN_FLIGHT`);
+        expect(third.headers["retry-after"]).to.equal("1");
+        const idle = sendRaw(caller, "GET /statusdesk/status HTTP/1.1\r\nHost: x\r\n");
+        const fourth = await sendRaw(caller, "GET /statusdesk/status HTTP/1.1\r\nHost: x\r\n\r\n");
+        expect(fourth).to.contain("TOO_MANY_CONNECTIONS");
+        abort.abort();
+        await Promise.all(held);
+        void idle;
+    });
+});
--- /dev/null
+++ b/daemon/runtime/test/lifecycle.test.ts
@@ -0,0 +1,135 @@
+import { expect } from "chai";
+import { Agent } from "node:http";
+import type { Answer } from "./support/answer.js";
+import { eventually } from "./support/eventually.js";
+import { sendRequest } from "./support/send-request.js";
+import { TestBackend } from "./support/test-backend.js";
+import { TestSite } from "./support/test-site.js";
+
+const CHECK = "/statusdesk/status/1";
+
+const answerLate: TestBackend["handler"] = (request, response, backend) => {
+    setTimeout(() => {
+        backend.answer(request, response);
+    }, 100);
+};
+
+describe("daemon.runtime lifecycle", () => {
+    let site: TestSite;
+
+    afterEach(() => site.stop());
+
+    it("stops under load without cutting a request, also when it is asked twice", async () => {
+        site = await TestSite.start({
+            backends: [new TestBackend(answerLate), new TestBackend(answerLate)],
+            noticeMs: 500,
+        });
+        const daemon = await site.startReadyDaemon();
+        const agent = new Agent({ keepAlive: true });
+        const answers: Answer[] = [];
+        let sending = true;
+        const load = [1, 2, 3, 4].map(async () => {
+            while (sending) {
+                answers.push(await sendRequest(daemon.addresses.caller, { path: CHECK, agent }));
+            }
+        });
+        await eventually(() => answers.length >= 8, { what: "requests are answered before the stop" });
+        const stopped = daemon.stop();
+        const ready = await fetch(`http://${daemon.addresses.operator}/readyz`);
+        expect(ready.status).to.equal(503);
+        expect(await ready.text()).to.contain("stopping");
+        const again = daemon.stop();
+        // As the balancer does once it noticed: no new requests, while some are in flight.
+        const before = answers.length;
+        await eventually(() => answers.length >= before + 4, { what: "requests are answered during the notice" });
+        sending = false;
+        await Promise.all([stopped, again, ...load]);
+        agent.destroy();
+        expect(answers.filter(answer => answer.statusCode !== 200 || !answer.whole)).to.deep.equal([]);
+        expect(answers.at(-1)?.headers.connection).to.equal("close");
+    });
+
+    it("finishes a long request after it stopped listening, however long it takes", async () => {
+        let release: (() => void) | undefined;
+        site = await TestSite.start({
+            backends: [
+                new TestBackend((request, response, backend) => {
+                    if (request.url === "/status/1") {
+                        backend.answer(request, response);
+                        return;
+                    }
+                    release = () => {
+                        backend.answer(request, response);
+                    };
+                }),
+            ],
+        });
+        const daemon = await site.startReadyDaemon();
+        const answer = sendRequest(daemon.addresses.caller, { path: "/statusdesk/dispatch/1", method: "POST" });
+        await eventually(() => release !== undefined, { what: "the request is in flight" });
+        let stopped = false;
+        const stopping = daemon.stop().then(() => {
+            stopped = true;
+        });
+        await eventually(
+            async () => (await sendRequest(daemon.addresses.caller, { path: CHECK })).statusCode === undefined,
+            { what: "the daemon stopped listening" },
+        );
+        expect(stopped).to.equal(false);
+        release?.();
+        expect(await answer).to.include({ statusCode: 200, whole: true });
+        await stopping;
+    });
+
+    it("gets the configuration from a peer when the log is down at its start", async () => {
+        site = await TestSite.start();
+        const first = await site.startReadyDaemon("entry-1");
+        site.log.setFaults({ outage: "refuse" });
+        const second = await site.startDaemon("entry-2");
+        await site.waitReady(second);
+        expect(second.state.applied?.version).to.equal(1);
+        expect((await sendRequest(second.addresses.caller, { path: CHECK })).statusCode).to.equal(200);
+        await eventually(
+            () => first.state.membership.members?.length === 2 && second.state.membership.members?.length === 2,
+            { what: "both daemons know each other" },
+        );
+    });
+
+    it("is not ready and takes no requests while it has no configuration", async () => {
+        site = await TestSite.start();
+        site.log.setFaults({ outage: "drop" });
+        const daemon = await site.startDaemon("entry-1");
+        await eventually(() => daemon.state.membership.vmList !== undefined, { what: "the VM list was read" });
+        const ready = await fetch(`http://${daemon.addresses.operator}/readyz`);
+        expect(ready.status).to.equal(503);
+        expect(await ready.text()).to.contain("no configuration");
+        expect(daemon.addresses.caller).to.equal("");
+        expect((await fetch(`http://${daemon.addresses.operator}/livez`)).status).to.equal(200);
+        site.log.setFaults({});
+        await site.waitReady(daemon);
+    });
+
+    it("has a new version in force everywhere without a restart", async () => {
+        site = await TestSite.start();
+        const daemons = [await site.startReadyDaemon("entry-1"), await site.startReadyDaemon("entry-2")];
+        await site.publish(2);
+        await eventually(() => daemons.every(daemon => daemon.state.applied?.version === 2), {
+            what: "version 2 is in force",
+        });
+    });
+
+    it("serves metrics with bounded labels, whatever callers send", async () => {
+        site = await TestSite.start();
+        const daemon = await site.startReadyDaemon();
+        for (let index = 0; index < 20; index += 1) {
+            await sendRequest(daemon.addresses.caller, { path: `/service-${index}/x` });
+        }
+        await sendRequest(daemon.addresses.caller, { path: CHECK });
+        const text = await (await fetch(`http://${daemon.addresses.operator}/metrics`)).text();
+        expect(text).to.contain(
+            "marigoldstall_requests_total{service=\"statusdesk\",class=\"check\",outcome=\"completed\"} 1",
+        );
+        expect(text).to.contain("marigoldstall_rejections_total{reason=\"ERR_MARIGOLDSTALL_UNKNOWN_SERVICE\"} 20");
+        expect(text).not.to.contain("service-7");
+    });
+});
--- /dev/null
+++ b/daemon/runtime/test/support/send-request.ts
@@ -0,0 +1,43 @@
+import { type Agent, request as httpRequest } from "node:http";
+import type { Answer } from "./answer.js";
+
+interface SendRequestOptions {
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: Record<string, string>;
+    readonly body?: string | Buffer;
+    readonly agent?: Agent;
+    readonly signal?: AbortSignal;
+}
+
+/** Sends one request as a caller. A connection that breaks gives an answer that is not whole. */
+export const sendRequest = (address: string, opts: SendRequestOptions): Promise<Answer> =>
+    new Promise(resolve => {
+        const [host, port] = address.split(":");
+        const request = httpRequest({
+            host,
+            port: Number(port),
+            method: opts.method ?? "GET",
+            path: opts.path,
+            headers: opts.headers ?? {},
+            ...opts.agent === undefined ? { agent: false } : { agent: opts.agent },
+            ...opts.signal === undefined ? {} : { signal: opts.signal },
+        }, response => {
+            const chunks: Buffer[] = [];
+            const finish = (): void => {
+                resolve({
+                    statusCode: response.statusCode,
+                    headers: response.headers,
+                    body: Buffer.concat(chunks).toString("utf8"),
+                    whole: response.complete,
+                });
+            };
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("error", () => undefined);
+            response.on("close", finish);
+        });
+        request.on("error", () => {
+            resolve({ statusCode: undefined, headers: {}, body: "", whole: false });
+        });
+        request.end(opts.body);
+    });
