--- a/daemon/cli/src/index.ts
+++ b/daemon/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { daemonCommand } from "./daemon-command.js";
+export type { DaemonFlags } from "./daemon-flags.js";
--- /dev/null
+++ b/daemon/cli/src/run-daemon.ts
@@ -0,0 +1,64 @@
+import { readDaemonSettings } from "@marigoldstall/config.settings";
+import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
+import { Daemon } from "@marigoldstall/daemon.runtime";
+import { readFileSync } from "node:fs";
+import type { DaemonFlags } from "./daemon-flags.js";
+
+const EXIT_USAGE = 2;
+
+const fail = (text: string): void => {
+    process.stderr.write(`${text}\n`);
+    process.exitCode = EXIT_USAGE;
+};
+
+/** Runs the daemon until it is asked to stop, and leaves the exit code in `process.exitCode`. */
+export const runDaemon = async (flags: DaemonFlags): Promise<void> => {
+    let text: string;
+    try {
+        text = readFileSync(flags.settings, "utf8");
+    }
+    catch (cause) {
+        fail(formatError(
+            new MarigoldstallError({
+                code: "SETTINGS_UNREADABLE",
+                message: `the settings file cannot be read: ${String((cause as Error).message)}`,
+                step: "read daemon settings",
+                peer: flags.settings,
+                hint: "give the path of a readable file with --settings",
+                cause,
+            }),
+        ));
+        return;
+    }
+    const settings = readDaemonSettings(text, { file: flags.settings });
+    if (settings.isErr()) {
+        fail(formatError(settings.error));
+        return;
+    }
+    const daemon = new Daemon(settings.value, { policy: flags.policy });
+    try {
+        await daemon.start();
+    }
+    catch (cause) {
+        fail(formatError(
+            new MarigoldstallError({
+                code: "PORT_UNAVAILABLE",
+                message: `a port cannot be opened: ${String((cause as Error).message)}`,
+                step: "open ports",
+                hint: "check listen.control and listen.operator, and that no other process holds the ports",
+                cause,
+            }),
+        ));
+        // Ports that did open would keep the process alive.
+        process.exit(EXIT_USAGE);
+    }
+    const stop = (signal: NodeJS.Signals): void => {
+        process.stderr.write(`marigoldstalld: ${signal} received\n`);
+        void daemon.stop().then(() => {
+            process.exit(0);
+        });
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+    process.stderr.write(`marigoldstalld: started, control port ${daemon.addresses.control}\n`);
+};
