test(daemon.cli): cover start errors, exit codes and a repeated SIGTERM

The command's exit codes and messages had no test. Conclusion: usage and settings faults end with 2, a stop by signal with 0.

--- /dev/null
+++ b/daemon/cli/test/marigoldstalld.test.ts
@@ -0,0 +1,128 @@
+import { LogStandIn } from "@marigoldstall-private/log";
+import { VmListStandIn } from "@marigoldstall-private/vm-list";
+import { expect } from "chai";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+const MAIN = fileURLToPath(new URL("../lib/main.js", import.meta.url));
+
+interface Run {
+    readonly child: ChildProcess;
+    readonly output: () => string;
+    readonly exited: Promise<number>;
+}
+
+const run = (...flags: readonly string[]): Run => {
+    const child = spawn(process.execPath, [MAIN, ...flags], { stdio: ["ignore", "pipe", "pipe"] });
+    let output = "";
+    for (const stream of [child.stdout, child.stderr]) {
+        stream.setEncoding("utf8");
+        stream.on("data", text => {
+            output += String(text);
+        });
+    }
+    return { child, output: () => output, exited: once(child, "exit").then(([code]) => code as number) };
+};
+
+/** Ports that were free a moment ago. */
+const findPorts = async (count: number): Promise<readonly number[]> => {
+    const servers = Array.from({ length: count }, () => createServer());
+    await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+};
+
+describe("marigoldstalld", () => {
+    const directory = mkdtempSync(join(tmpdir(), "marigoldstalld-"));
+    const file = join(directory, "settings.yaml");
+    let log: LogStandIn;
+    let vmList: VmListStandIn;
+
+    before(async () => {
+        log = await LogStandIn.start();
+        vmList = await VmListStandIn.start();
+    });
+
+    after(async () => {
+        await log.close();
+        await vmList.close();
+        rmSync(directory, { recursive: true });
+    });
+
+    const writeSettings = async (control?: string): Promise<readonly number[]> => {
+        const ports = await findPorts(3);
+        writeFileSync(
+            file,
+            [
+                "vm: { id: entry-1, region: osrednja, availabilityZone: bezigrad }",
+                "listen:",
+                `  caller: "127.0.0.1:${ports[0]}"`,
+                `  control: "${control ?? `127.0.0.1:${ports[1]}`}"`,
+                `  operator: "127.0.0.1:${ports[2]}"`,
+                `platform: { log: "${log.address}", vmList: "${vmList.address}", logRetentionMs: 3600000 }`,
+                "security: { controlKey: a control key of at least 32 characters }",
+                "stop: { noticeMs: 300 }",
+            ].join("\n"),
+        );
+        return ports;
+    };
+
+    it("prints its version and ends with 0", async () => {
+        const { exited, output } = run("--version");
+        expect(await exited).to.equal(0);
+        expect(output()).to.match(/^\d+\.\d+\.\d+\n$/);
+    });
+
+    const usageErrors: readonly (readonly [string, readonly string[], string])[] = [
+        ["without settings", [], "--settings"],
+        ["with an unknown policy", ["--settings", file, "--policy", "best"], "slot-aware"],
+        ["with a settings file that does not exist", ["--settings", `${file}.absent`], "SETTINGS_UNREADABLE"],
+    ];
+    for (const [name, flags, text] of usageErrors) {
+        it(`ends with 2 and says what is wrong when started ${name}`, async () => {
+            const { exited, output } = run(...flags);
+            expect(await exited).to.equal(2);
+            expect(output()).to.contain(text);
+        });
+    }
+
+    it("ends with 2 and names the line and key of a fault in the settings", async () => {
+        await writeSettings("localhost:7200");
+        const { exited, output } = run("--settings", file);
+        expect(await exited).to.equal(2);
+        expect(output()).to.contain("SETTINGS_INVALID").and.to.contain("listen.control");
+    });
+
+    it("ends with 2 when a port is taken", async () => {
+        const taken = createServer();
+        await new Promise<void>(resolve => taken.listen(0, "127.0.0.1", resolve));
+        await writeSettings(`127.0.0.1:${(taken.address() as AddressInfo).port}`);
+        const { exited, output } = run("--settings", file);
+        expect(await exited).to.equal(2);
+        expect(output()).to.contain("PORT_UNAVAILABLE");
+        taken.close();
+    });
+
+    it("stops with 0 on SIGTERM, and a second one changes nothing", async () => {
+        const ports = await writeSettings();
+        const { child, exited, output } = run("--settings", file);
+        while (!output().includes("started")) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        expect((await fetch(`http://127.0.0.1:${ports[2]}/livez`)).status).to.equal(200);
+        child.kill("SIGTERM");
+        while (!output().includes("SIGTERM")) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        child.kill("SIGTERM");
+        expect(await exited).to.equal(0);
+        expect(output().match(/SIGTERM received/g)).to.have.length(2);
+    });
+});
