feat(daemon.state): name the owner in answers to claims and settlements

The ledger slice has to tell a late answer of a former owner from one of the current owner. The shell passes on the owner that the effect named.

--- a/daemon/runtime/src/fleet-calls.ts
+++ b/daemon/runtime/src/fleet-calls.ts
@@ -110,16 +110,18 @@
     }
 
     sendClaim(effect: EffectOf<"send-claim">): void {
-        const { requestId } = effect.request;
-        this.callDaemon(effect.owner, "ledger.claim", effect.request, answer => {
-            this.dispatch({ type: "claim-answered", requestId, reply: wire.claimReply(answer) });
+        const { owner, request } = effect;
+        const { requestId } = request;
+        this.callDaemon(owner, "ledger.claim", request, answer => {
+            this.dispatch({ type: "claim-answered", requestId, owner, reply: wire.claimReply(answer) });
         }, CLAIM_TIMEOUT_MS);
     }
 
     sendSettle(effect: EffectOf<"send-settle">): void {
-        const { requestId } = effect.request;
-        this.callDaemon(effect.owner, "ledger.settle", effect.request, answer => {
-            this.dispatch({ type: "settle-answered", requestId, received: answer !== undefined });
+        const { owner, request } = effect;
+        const { requestId } = request;
+        this.callDaemon(owner, "ledger.settle", request, answer => {
+            this.dispatch({ type: "settle-answered", requestId, owner, received: answer !== undefined });
         });
     }
 
--- a/daemon/state/src/root-event-body.ts
+++ b/daemon/state/src/root-event-body.ts
@@ -1,4 +1,4 @@
-import type { AcceptedConfiguration, Evidence, LoadReport, VmList } from "@marigoldstall/core.types";
+import type { AcceptedConfiguration, DaemonId, Evidence, LoadReport, VmList } from "@marigoldstall/core.types";
 import type { Heartbeat } from "@marigoldstall/fleet.membership";
 import type { PromiseReply, PromiseRequest } from "@marigoldstall/fleet.ownership";
 import type { ClaimReply, ClaimRequest, SettleRequest, StoredResponse } from "@marigoldstall/requests.ledger";
@@ -60,9 +60,21 @@
     | { readonly type: "promise-requested"; readonly rpcId: string; readonly request: PromiseRequest; }
     | { readonly type: "promise-answered"; readonly reply: PromiseReply; }
     | { readonly type: "claim-received"; readonly rpcId: string; readonly request: ClaimRequest; }
-    | { readonly type: "claim-answered"; readonly requestId: string; readonly reply: ClaimReply | undefined; }
+    | {
+        readonly type: "claim-answered";
+        readonly requestId: string;
+        /** Daemon that was asked. */
+        readonly owner: DaemonId;
+        readonly reply: ClaimReply | undefined;
+    }
     | { readonly type: "settle-received"; readonly rpcId: string; readonly request: SettleRequest; }
-    | { readonly type: "settle-answered"; readonly requestId: string; readonly received: boolean; }
+    | {
+        readonly type: "settle-answered";
+        readonly requestId: string;
+        /** Daemon that was told. */
+        readonly owner: DaemonId;
+        readonly received: boolean;
+    }
     | { readonly type: "heartbeat-received"; readonly rpcId: string; readonly heartbeat: Heartbeat; }
     | {
         readonly type: "heartbeat-answered";
