feat(tool): add the command-line tool for operators

Cause: operators publish and change targets, and need to see what became of them and how the classes do. Daemon calls go through fleet/rpc behind the abstract DaemonClient. Conclusion: the answers of real daemons to status.get, explain.get and configuration.fetch are still to be tried.

--- a/config/targets/src/index.ts
+++ b/config/targets/src/index.ts
@@ -1,6 +1,7 @@
 export { canonicalizeTargets } from "./canonicalize-targets.js";
 export { diffTargets } from "./diff-targets.js";
 export { digestTargets } from "./digest-targets.js";
+export { formatTargets } from "./format-targets.js";
 export type { MatchClassRequest } from "./match-class-request.js";
 export { matchClass } from "./match-class.js";
 export { parseTargets } from "./parse-targets.js";
--- /dev/null
+++ b/tool/cli/src/class-report.ts
@@ -0,0 +1,13 @@
+/** What one daemon reports about one class over the last 10 s. */
+export interface ClassReport {
+    readonly service: string;
+    readonly className: string;
+    readonly lateness: { readonly percentile: number; readonly withinMs: number; };
+    readonly turnedAwayAtMostPercent: number;
+    readonly arrived: number;
+    readonly completed: number;
+    readonly late: number;
+    readonly rejected: number;
+    readonly unknown: number;
+    readonly atTargetPercentileMs: number | undefined;
+}
--- /dev/null
+++ b/tool/cli/src/commands.ts
@@ -0,0 +1,19 @@
+import type { CommandDefinition } from "./command-definition.js";
+import { explain } from "./commands/explain.js";
+import { status } from "./commands/status.js";
+import { targetsDiff } from "./commands/targets-diff.js";
+import { targetsHistory } from "./commands/targets-history.js";
+import { targetsPublish } from "./commands/targets-publish.js";
+import { targetsShow } from "./commands/targets-show.js";
+import { targetsValidate } from "./commands/targets-validate.js";
+
+/** All commands of the tool. */
+export const COMMANDS: readonly CommandDefinition[] = [
+    targetsValidate,
+    targetsDiff,
+    targetsPublish,
+    targetsShow,
+    targetsHistory,
+    status,
+    explain,
+];
--- /dev/null
+++ b/tool/cli/src/commands/summarize-version.ts
@@ -0,0 +1,12 @@
+import type { AcceptedConfiguration } from "@marigoldstall/core.types";
+
+/** A version without its targets, for JSON. */
+export const summarizeVersion = (configuration: AcceptedConfiguration | undefined) =>
+    configuration === undefined ? undefined : {
+        version: configuration.version,
+        author: configuration.author,
+        publishId: configuration.publishId,
+        offset: configuration.offset,
+        digest: configuration.digest,
+        site: configuration.targets.site,
+    };
--- /dev/null
+++ b/tool/cli/src/commands/targets-show.ts
@@ -0,0 +1,32 @@
+import { formatTargets } from "@marigoldstall/config.targets";
+import { err, ok } from "neverthrow";
+import type { CommandDefinition } from "../command-definition.js";
+import { ExitCode } from "../exit-code.js";
+import { readCurrent } from "../read-current.js";
+import { describeVersion } from "./describe-version.js";
+import { summarizeVersion } from "./summarize-version.js";
+
+/** `targets show` */
+export const targetsShow: CommandDefinition = {
+    name: "targets show",
+    help: "Prints the newest accepted version as YAML that can be edited and published.",
+    arguments: [],
+    options: [],
+    handler: async context => {
+        const connections = await context.connect();
+        if (connections.isErr()) {
+            return err(connections.error);
+        }
+        const current = await readCurrent(connections.value);
+        return current.andThen(({ configuration, source }) =>
+            ok({
+                exitCode: ExitCode.Success,
+                json: { ...summarizeVersion(configuration), source, targets: configuration?.targets },
+                lines: [
+                    `# ${describeVersion(configuration)}, read from the ${source}`,
+                    ...configuration === undefined ? [] : formatTargets(configuration.targets).trimEnd().split("\n"),
+                ],
+            })
+        );
+    },
+};
--- /dev/null
+++ b/tool/cli/src/daemon-client.ts
@@ -0,0 +1,22 @@
+import type { MarigoldstallError } from "@marigoldstall/core.error";
+import type { AcceptedConfiguration } from "@marigoldstall/core.types";
+import type { Result } from "neverthrow";
+import type { DaemonStatus } from "./daemon-status.js";
+import type { LoggedDecision } from "./logged-decision.js";
+
+/** Calls to the control ports of the daemons. */
+export abstract class DaemonClient {
+    abstract readStatus(address: string): Promise<Result<DaemonStatus, MarigoldstallError>>;
+
+    abstract explain(
+        address: string,
+        opts: { readonly requestId: string; },
+    ): Promise<Result<readonly LoggedDecision[], MarigoldstallError>>;
+
+    /** The version in force at the daemon, if there is one. */
+    abstract fetchConfiguration(
+        address: string,
+    ): Promise<Result<AcceptedConfiguration | undefined, MarigoldstallError>>;
+
+    abstract close(): void;
+}
--- /dev/null
+++ b/tool/cli/src/exit-code.ts
@@ -0,0 +1,9 @@
+/** Exit codes of the tool. */
+export enum ExitCode {
+    Success = 0,
+    UsageOrInvalidFile = 2,
+    Conflict = 3,
+    OutcomeUnknown = 4,
+    Unreachable = 5,
+    NotInForceOrDegraded = 6,
+}
--- a/tool/cli/src/index.ts
+++ b/tool/cli/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export type { ClassReport } from "./class-report.js";
+export type { CommandDefinition } from "./command-definition.js";
+export { COMMANDS } from "./commands.js";
+export type { Connections } from "./connections.js";
+export { DaemonClient } from "./daemon-client.js";
+export type { DaemonStatus } from "./daemon-status.js";
+export { ExitCode } from "./exit-code.js";
+export type { LoggedDecision } from "./logged-decision.js";
+export { RpcDaemonClient } from "./rpc-daemon-client.js";
+export { runTool } from "./run-tool.js";
+export type { ToolEnvironment } from "./tool-environment.js";
--- /dev/null
+++ b/tool/cli/src/read-targets-file.ts
@@ -0,0 +1,28 @@
+import { readTargets } from "@marigoldstall/config.targets";
+import { MarigoldstallError } from "@marigoldstall/core.error";
+import type { Targets } from "@marigoldstall/core.types";
+import { err } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { CommandFailure } from "./command-failure.js";
+import { ExitCode } from "./exit-code.js";
+import type { ToolContext } from "./tool-context.js";
+
+/** Reads and checks the targets file of a command. */
+export const readTargetsFile = async (context: ToolContext, file: string): Promise<Result<Targets, CommandFailure>> => {
+    let text: string;
+    try {
+        text = await context.readFile(file);
+    }
+    catch (cause) {
+        const error = new MarigoldstallError({
+            code: "FILE_UNREADABLE",
+            message: `cannot read the file: ${(cause as Error).message}`,
+            step: "read targets",
+            peer: file,
+            hint: "check the path and its permissions",
+            cause,
+        });
+        return err({ exitCode: ExitCode.UsageOrInvalidFile, error });
+    }
+    return readTargets(text, { file }).mapErr(error => ({ exitCode: ExitCode.UsageOrInvalidFile, error }));
+};
--- /dev/null
+++ b/tool/cli/src/status-schema.ts
@@ -0,0 +1,30 @@
+import * as Schema from "effect/Schema";
+
+const count = Schema.Finite.check(Schema.makeFilter((value: number) => value >= 0));
+const optionalNumber = Schema.optionalKey(Schema.Finite);
+
+/** Form of the answer to `status.get`, as far as the tool uses it. */
+export const statusSchema = Schema.Struct({
+    vmId: Schema.String,
+    incarnation: Schema.String,
+    configurationVersion: optionalNumber,
+    ready: Schema.Boolean,
+    reasons: Schema.Array(Schema.String),
+    classes: Schema.Array(Schema.Struct({
+        service: Schema.String,
+        className: Schema.String,
+        lateness: Schema.Struct({ percentile: Schema.Finite, withinMs: Schema.Finite }),
+        turnedAwayAtMostPercent: Schema.Finite,
+        arrived: count,
+        completed: count,
+        late: count,
+        rejected: count,
+        unknown: count,
+        atTargetPercentileMs: optionalNumber,
+    })),
+    sharesOwned: count,
+    logAvailable: Schema.Boolean,
+    probesInLastSecond: count,
+    probesPerSecond: optionalNumber,
+    stale: Schema.Array(Schema.String),
+});
