fix(tool): check the site against the daemons when the log has no version

Cause: after retention removed all records, publish had no version to compare the site with. Change: it then asks the daemons, and says that a new series starts. Measured: 28 tests of the tool pass. Conclusion: the file of another site is refused in this case too.

--- a/tool/cli/src/commands/targets-publish.ts
+++ b/tool/cli/src/commands/targets-publish.ts
@@ -11,6 +11,7 @@
 import type { CommandResult } from "../command-result.js";
 import type { Connections } from "../connections.js";
 import { ExitCode } from "../exit-code.js";
+import { readCurrent } from "../read-current.js";
 import { readTargetsFile } from "../read-targets-file.js";
 import type { ToolContext } from "../tool-context.js";
 import { usageFailure } from "../usage-failure.js";
@@ -152,7 +153,13 @@
     if (plan.type !== "planned") {
         return describeFailure(plan, call);
     }
-    const { record, parent } = plan;
+    const { record } = plan;
+    let { parent } = plan;
+    if (record.restartAtOffset !== undefined) {
+        const current = await readCurrent(connections);
+        parent = current.isOk() ? current.value.configuration : undefined;
+        context.reportProgress(`the log holds no version any more; a new series starts at version ${record.version}`);
+    }
     if (parent !== undefined && parent.targets.site !== targets.site && input.options["allowSiteChange"] !== true) {
         return fail(ExitCode.UsageOrInvalidFile, {
             code: "SITE_MISMATCH",
--- a/tool/cli/test/tool-fixture.ts
+++ b/tool/cli/test/tool-fixture.ts
@@ -20,6 +20,7 @@
     readonly files = new Map<string, string>();
     readonly statuses = new Map<string, Partial<DaemonStatus>>();
     readonly decisions = new Map<string, readonly LoggedDecision[]>();
+    readonly configurations = new Map<string, unknown>();
     private readonly servers: RpcServer[] = [];
     private nextId = 1;
 
@@ -35,7 +36,7 @@
                 methods: {
                     "status.get": () => fixture.status(vmId),
                     "explain.get": () => ({ decisions: fixture.decisions.get(vmId) ?? [] }),
-                    "configuration.fetch": () => ({}),
+                    "configuration.fetch": () => ({ configuration: fixture.configurations.get(vmId) }),
                 },
             });
             fixture.servers.push(server);
--- a/tool/cli/test/tool.test.ts
+++ b/tool/cli/test/tool.test.ts
@@ -1,3 +1,4 @@
+import { readTargets } from "@marigoldstall/config.targets";
 import { COMMANDS } from "@marigoldstall/tool.cli";
 import { expect } from "chai";
 import { ToolFixture } from "./tool-fixture.js";
@@ -159,6 +160,20 @@
             expect(fixture.log.records("configuration")).to.have.lengthOf(1);
         });
 
+        it("compares with the daemons' version when the log has removed all records", async () => {
+            await fixture.run("targets", "publish", "t.yaml");
+            const targets = readTargets(TARGETS, { file: "t.yaml" })._unsafeUnwrap();
+            const known = { version: 1, offset: 0, publishId: "1-id1", author: "Ana", digest: "d", targets };
+            fixture.configurations.set("entry-2", known);
+            fixture.log.setFaults({ cutBelowOffset: 1 });
+            expect((await fixture.run("targets", "diff", "t2.yaml")).out).to.include("read from the daemons");
+            expect((await fixture.run("targets", "publish", "zilina.yaml")).code).to.equal(2);
+            const { code, out, err } = await fixture.run("targets", "publish", "t2.yaml");
+            expect(code).to.equal(0);
+            expect(err).to.include("a new series starts at version 2");
+            expect(out).to.include("accepted: version 2");
+        });
+
         it("refuses the targets of another site, unless it is told otherwise", async () => {
             await fixture.run("targets", "publish", "t.yaml");
             expect((await fixture.run("targets", "publish", "zilina.yaml")).code).to.equal(2);
