feat(tool): show unusable backend servers and shares without an owner

Cause: status named the class that misses its target, but not the backend servers or shares behind it. Change: it lists backend servers that daemons do not find usable, with the number of daemons, and counts owned shares. reasonsNotReady follows the daemon's answer to status.get. Conclusion: fewer than 64 owned shares are a degradation, since requests with those keys are not run.

--- a/tool/cli/src/commands/status.ts
+++ b/tool/cli/src/commands/status.ts
@@ -1,5 +1,6 @@
 import type { MarigoldstallError } from "@marigoldstall/core.error";
 import type { Vm } from "@marigoldstall/core.types";
+import { SHARE_COUNT } from "@marigoldstall/fleet.ownership";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { CommandDefinition } from "../command-definition.js";
@@ -10,6 +11,8 @@
 import type { ClassSummary } from "./class-summary.js";
 import { summarizeClasses } from "./summarize-classes.js";
 
+const MAX_BACKEND_SERVER_LINES = 30;
+
 interface Answer {
     readonly vm: Vm;
     readonly status: Result<DaemonStatus, MarigoldstallError>;
@@ -45,10 +48,14 @@
     if (status.isErr()) {
         return [`${vm.vmId}: no answer, ${status.error.code} ${status.error.message}`];
     }
-    const { ready, reasons, configurationVersion } = status.value;
+    const { ready, reasonsNotReady, configurationVersion } = status.value;
     const isBehind = newest !== undefined && (configurationVersion ?? 0) < newest;
     return [
-        ...ready ? [] : [`${vm.vmId}: not ready: ${reasons.length === 0 ? "no reason given" : reasons.join("; ")}`],
+        ...ready
+            ? []
+            : [`${vm.vmId}: not ready: ${
+                reasonsNotReady.length === 0 ? "no reason given" : reasonsNotReady.join("; ")
+            }`],
         ...isBehind ? [`${vm.vmId}: version ${configurationVersion ?? "none"} in force, newest is ${newest}`] : [],
     ];
 };
@@ -58,6 +65,25 @@
     ...answers.flatMap(({ vm, status }) => status.isOk() ? status.value.stale.map(text => `${vm.vmId}: ${text}`) : []),
 ];
 
+const listBackendServers = (statuses: readonly DaemonStatus[]): readonly string[] => {
+    const counts = new Map<string, number>();
+    for (const server of statuses.flatMap(entry => entry.backendServers)) {
+        const key = `${server.service} ${server.vmId} (${server.address}): ${server.condition}`;
+        counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    const lines = [...counts].sort(([left], [right]) => left < right ? -1 : 1)
+        .map(([key, count]) => `${key} for ${count} of ${statuses.length} entry VMs`);
+    const more = lines.length - MAX_BACKEND_SERVER_LINES;
+    return more > 0 ? [...lines.slice(0, MAX_BACKEND_SERVER_LINES), `and ${more} more, see --json`] : lines;
+};
+
+const listShareProblems = (answers: readonly Answer[], sharesOwned: number): readonly string[] => {
+    const isKnown = answers.every(answer => answer.status.isOk());
+    return isKnown && sharesOwned < SHARE_COUNT
+        ? [`${sharesOwned} of ${SHARE_COUNT} shares have an owner; requests with keys of the others are not run`]
+        : [];
+};
+
 const section = (title: string, lines: readonly string[]): readonly string[] =>
     lines.length === 0 ? [] : [title, ...lines.map(line => `  ${line}`)];
 
@@ -98,9 +124,11 @@
             // Daemons on an older version may state another budget; the newest version decides.
             probesPerSecond: statuses.find(entry => entry.configurationVersion === newest)?.probesPerSecond,
         };
+        const sharesOwned = statuses.reduce((total, entry) => total + entry.sharesOwned, 0);
         const degraded = [
             ...classes.flatMap(entry => entry.reasons.map(reason => `${entry.service}/${entry.className}: ${reason}`)),
             ...answers.flatMap(answer => listVmProblems(answer, newest)),
+            ...listShareProblems(answers, sharesOwned),
         ];
         const stale = listStale(answers, stream.isErr() ? stream.error : undefined);
         return ok({
@@ -111,6 +139,7 @@
                 newestVersion: newest,
                 classes,
                 measuring,
+                sharesOwned,
                 stale,
                 vms: answers.map(answer =>
                     answer.status.isOk()
@@ -122,6 +151,7 @@
                 `newest version ${newest ?? "none"}, ${statuses.length} of ${answers.length} entry VMs answered`,
                 ...section("classes", classes.map(describeClass)),
                 ...section("entry VMs", answers.map(describeVm)),
+                ...section("backend servers that are not simply usable", listBackendServers(statuses)),
                 `measuring: ${measuring.probesInLastSecond} probes in the last second, `
                 + `budget ${measuring.probesPerSecond ?? "unknown"} per second for the fleet`,
                 ...section("stale information", stale),
--- a/tool/cli/src/daemon-status.ts
+++ b/tool/cli/src/daemon-status.ts
@@ -1,3 +1,4 @@
+import type { BackendServerReport } from "./backend-server-report.js";
 import type { ClassReport } from "./class-report.js";
 
 /** Answer of a daemon to `status.get`. */
@@ -7,7 +8,9 @@
     readonly configurationVersion: number | undefined;
     readonly ready: boolean;
     /** Why the daemon is not ready. */
-    readonly reasons: readonly string[];
+    readonly reasonsNotReady: readonly string[];
+    /** Backend servers that are not simply usable, as this daemon sees them. */
+    readonly backendServers: readonly BackendServerReport[];
     readonly classes: readonly ClassReport[];
     readonly sharesOwned: number;
     readonly logAvailable: boolean;
--- a/tool/cli/src/status-schema.ts
+++ b/tool/cli/src/status-schema.ts
@@ -9,7 +9,13 @@
     incarnation: Schema.String,
     configurationVersion: optionalNumber,
     ready: Schema.Boolean,
-    reasons: Schema.Array(Schema.String),
+    reasonsNotReady: Schema.Array(Schema.String),
+    backendServers: Schema.Array(Schema.Struct({
+        service: Schema.String,
+        address: Schema.String,
+        vmId: Schema.String,
+        condition: Schema.String,
+    })),
     classes: Schema.Array(Schema.Struct({
         service: Schema.String,
         className: Schema.String,
--- a/tool/cli/test/tool.test.ts
+++ b/tool/cli/test/tool.test.ts
@@ -242,6 +242,15 @@
             }
         });
 
+        it("counts the daemons that find a backend server unusable, and the shares without an owner", async () => {
+            const server = { service: "arhiv", address: "127.0.0.1:1", vmId: "arhiv-3", condition: "ejected" };
+            fixture.statuses.set("entry-1", { backendServers: [server], sharesOwned: 30 });
+            const { code, out } = await fixture.run("status");
+            expect(code).to.equal(6);
+            expect(out).to.include("arhiv arhiv-3 (127.0.0.1:1): ejected for 1 of 2 entry VMs");
+            expect(out).to.include("62 of 64 shares have an owner");
+        });
+
         it("ends with 5 when neither the VM list nor any daemon answers", async () => {
             await Promise.all([fixture.stopDaemon(0), fixture.stopDaemon(1)]);
             expect((await fixture.run("status")).code).to.equal(5);
