--- /dev/null
+++ b/bench/src/percentile.ts
@@ -0,0 +1,5 @@
+/** Percentile of values by the nearest rank; 0 without values. */
+export const percentile = (values: readonly number[], opts: { readonly percent: number; }): number => {
+    const sorted = [...values].sort((a, b) => a - b);
+    return sorted[Math.max(Math.ceil(sorted.length * opts.percent / 100) - 1, 0)] ?? 0;
+};
--- /dev/null
+++ b/bench/src/policies.ts
@@ -0,0 +1,198 @@
+import type { BackendRecord } from "@marigoldstall-private/backend-server";
+import type { CallerReport } from "@marigoldstall-private/caller";
+import { luznik } from "@marigoldstall-private/sites";
+import type { Site } from "@marigoldstall-private/sites";
+import type { BenchOptions } from "./bench-options.js";
+import { describeConditions } from "./describe-conditions.js";
+import { percentile } from "./percentile.js";
+import { prepareSite } from "./prepare-site.js";
+import { readProcessorTime } from "./processor-time.js";
+import { readMetric } from "./read-metric.js";
+import { runCaller } from "./run-caller.js";
+import { simulateCentralQueue } from "./simulate-central-queue.js";
+import { writeMeasurement } from "./write-measurement.js";
+
+const POLICIES = ["random", "round-robin", "power-of-two-choices", "least-outstanding", "slot-aware"] as const;
+const LOADS_PERCENT = [50, 70, 85, 95];
+const SERVICE = "statusdesk";
+const MEAN_MS = 40;
+const SLOTS = 2;
+const STRAGGLER_FACTOR = 3;
+const REPORT_LAG_MS = 500;
+const WARM_UP_MS = 4000;
+const CONTROL_BYTES_METRIC = "marigoldstall_control_bytes_total";
+
+interface Case {
+    readonly seed: number;
+    readonly loadPercent: number;
+    readonly policy: string;
+}
+
+interface Counts {
+    readonly atMs: number;
+    readonly records: readonly BackendRecord[];
+    readonly processorMs: number;
+    readonly controlBytes: number | undefined;
+}
+
+const readCounts = async (site: Site): Promise<Counts> => {
+    const bytes = await Promise.all(
+        site.daemons.map(daemon => readMetric(daemon.operatorAddress, { name: CONTROL_BYTES_METRIC })),
+    );
+    return {
+        atMs: performance.timeOrigin + performance.now(),
+        records: (await site.records()).filter(record => record.service === SERVICE),
+        processorMs: site.daemons.reduce((sum, daemon) => sum + readProcessorTime(site.processOf(daemon).pid), 0),
+        controlBytes: bytes.some(count => count === undefined)
+            ? undefined
+            : bytes.reduce<number>((sum, count) => sum + (count ?? 0), 0),
+    };
+};
+
+/** The same arrivals and service times through one queue; runs on the straggler are scaled back. */
+const simulateBound = (
+    report: CallerReport,
+    opts: { readonly records: readonly BackendRecord[]; readonly stragglerVmId: string | undefined; },
+): readonly number[] => {
+    const serviceMsByNonce = new Map(
+        opts.records.flatMap(record =>
+            record.runs.filter(run => run.ending === "finished").map((run): readonly [string, number] => [
+                new URL(run.path, "http://entry").searchParams.get("nonce") ?? "",
+                ((run.finishedAtMs ?? run.startedAtMs) - run.startedAtMs)
+                / (record.vmId === opts.stragglerVmId ? STRAGGLER_FACTOR : 1),
+            ])
+        ),
+    );
+    const requests = report.calls.map(call => (
+        { arrivedAtMs: call.dueAtMs, serviceMs: serviceMsByNonce.get(call.nonce) ?? MEAN_MS, warmUp: call.warmUp }
+    )).sort((a, b) => a.arrivedAtMs - b.arrivedAtMs);
+    const slotFactors = opts.records.flatMap(record =>
+        Array.from({ length: SLOTS }, () => record.vmId === opts.stragglerVmId ? STRAGGLER_FACTOR : 1)
+    );
+    const latencies = simulateCentralQueue(requests, { slotFactors });
+    return latencies.filter((latency, index) => requests[index]?.warmUp === false);
+};
+
+const measure = async (site: Site, opts: BenchOptions & Case): Promise<readonly (readonly string[])[]> => {
+    const servers = site.backendServers.filter(server => server.service === SERVICE);
+    const straggler = servers[0];
+    for (const server of servers) {
+        await site.setBackendFaults(server, {
+            reportLagMs: REPORT_LAG_MS,
+            ...server === straggler ? { stragglerFactor: STRAGGLER_FACTOR } : {},
+        });
+    }
+    const capacityPerSecond = (servers.length - 1 + 1 / STRAGGLER_FACTOR) * SLOTS * 1000 / MEAN_MS;
+    const before = await readCounts(site);
+    const [first = "", ...others] = site.daemons.map(daemon => daemon.callerAddress);
+    const report = await runCaller({
+        entries: [first, ...others],
+        classes: [{
+            name: "status-check",
+            method: "GET",
+            path: `/${SERVICE}/status`,
+            ratePerSecond: capacityPerSecond * opts.loadPercent / 100,
+            repeatable: true,
+            responseBytes: 600,
+        }],
+        seed: opts.seed,
+        durationMs: WARM_UP_MS + 1000 * opts.seconds,
+        warmUpMs: WARM_UP_MS,
+        settleMs: 10_000,
+    });
+    const after = await readCounts(site);
+    const [counted] = report.classes;
+    if (counted === undefined) {
+        throw new Error("the caller reported no class");
+    }
+    const elapsedSeconds = (after.atMs - before.atMs) / 1000;
+    const runs = after.records.flatMap(record => record.runs);
+    const refusals = after.records.flatMap(record => record.refusals);
+    const probes = after.records.flatMap(record => record.probes).filter(probe => probe.atMs >= before.atMs).length;
+    const controlBytes = after.controlBytes === undefined || before.controlBytes === undefined
+        ? "not measured"
+        : ((after.controlBytes - before.controlBytes) / elapsedSeconds / site.daemons.length).toFixed(0);
+    const bound = simulateBound(report, { records: after.records, stragglerVmId: straggler?.vmId });
+    const label = [String(opts.loadPercent), String(opts.seed)];
+    return [
+        [
+            ...label,
+            opts.policy,
+            String(counted.sent),
+            counted.p50Ms.toFixed(1),
+            counted.p99Ms.toFixed(1),
+            counted.p999Ms.toFixed(1),
+            (100 * counted.notRun / counted.sent).toFixed(2),
+            String(counted.unknown + counted.noAnswer),
+            ((runs.length + refusals.length) / report.calls.length).toFixed(3),
+            (probes / elapsedSeconds).toFixed(1),
+            controlBytes,
+            ((after.processorMs - before.processorMs) / report.calls.length).toFixed(2),
+        ],
+        [
+            ...label,
+            `bound for ${opts.policy}`,
+            String(bound.length),
+            percentile(bound, { percent: 50 }).toFixed(1),
+            percentile(bound, { percent: 99 }).toFixed(1),
+            percentile(bound, { percent: 99.9 }).toFixed(1),
+            ...Array.from({ length: 6 }, () => ""),
+        ],
+    ];
+};
+
+/** Selection policies on one service with a straggler and stale load reports, against one queue before all slots. */
+export const policies = async (opts: BenchOptions): Promise<string> => {
+    const conditions = describeConditions(opts);
+    const rows: (readonly string[])[] = [];
+    for (const loadPercent of LOADS_PERCENT) {
+        for (const seed of opts.seeds) {
+            for (const policy of POLICIES) {
+                const site = await prepareSite({
+                    layout: luznik,
+                    seed,
+                    daemonCommand: [process.execPath, "daemon/cli/lib/main.js", "--policy", policy],
+                    serviceTime: { distribution: "exponential", meanMs: MEAN_MS },
+                });
+                try {
+                    rows.push(...await measure(site, { ...opts, seed, loadPercent, policy }));
+                    opts.print(rows.at(-2)?.join("  ") ?? "");
+                }
+                finally {
+                    await site.stop();
+                }
+            }
+        }
+    }
+    return writeMeasurement("policies", {
+        title: "Selection policies with a straggler and stale load reports",
+        conditions: [
+            ...conditions,
+            `load: site luznik with ${luznik.entryVms} daemons, 12 backend servers of ${SERVICE} with ${SLOTS} slots, `
+            + `exponential service times of mean ${MEAN_MS} ms, one straggler (factor ${STRAGGLER_FACTOR}), load reports `
+            + `${REPORT_LAG_MS} ms old; load in percent of the slot capacity, the straggler counted with its speed`,
+        ],
+        header: [
+            "load %",
+            "seed",
+            "policy",
+            "calls",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms",
+            "turned away %",
+            "unknown",
+            "attempts/request",
+            "probes/s",
+            "control bytes/s per daemon",
+            "processor ms/request",
+        ],
+        rows,
+        notes: [
+            "Bound: the arrivals and service times of that run through one queue with perfect knowledge, calculated, "
+            + "without any time for the network or the daemon.",
+            "Attempts: runs and refusals at the backend servers over calls, with the warm-up. Processor time is that of "
+            + "all daemons with their background work.",
+        ],
+    });
+};
--- /dev/null
+++ b/bench/src/write-measurement.ts
@@ -0,0 +1,37 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+
+const DIRECTORY = "docs/measurements";
+
+const formatRow = (cells: readonly string[]): string => `| ${cells.join(" | ")} |`;
+
+/** Writes the page of a measurement. */
+export const writeMeasurement = (
+    name: string,
+    opts: {
+        readonly title: string;
+        readonly conditions: readonly string[];
+        readonly header: readonly string[];
+        readonly rows: readonly (readonly string[])[];
+        readonly notes: readonly string[];
+    },
+): string => {
+    const file = join(DIRECTORY, `${name}.md`);
+    const lines = [
+        `# ${opts.title}`,
+        "",
+        `Written by \`npm run bench -- ${name}\`.`,
+        "",
+        ...opts.conditions.map(condition => `- ${condition}`),
+        "",
+        formatRow(opts.header),
+        formatRow(opts.header.map(() => "---")),
+        ...opts.rows.map(formatRow),
+        "",
+        ...opts.notes.map(note => `- ${note}`),
+        "",
+    ];
+    mkdirSync(DIRECTORY, { recursive: true });
+    writeFileSync(file, lines.join("\n"));
+    return file;
+};
--- a/demo/src/check-promises.ts
+++ b/demo/src/check-promises.ts
@@ -123,7 +123,7 @@
         broken: arrivals.filter(atMs => atMs > sinceMs + LEAVING_GOAL_MS).length,
         detail:
             `${record.vmId} ran ${record.runs.length} requests; ${arrivals.length} were sent to it after it began to `
-            + `leave, the last after ${last} ms`,
+            + `leave, the last after ${Math.round(last)} ms`,
     };
 };
 
--- a/demo/src/fault-script.ts
+++ b/demo/src/fault-script.ts
@@ -83,7 +83,7 @@
                 this.inForceAfterMs = await this.publishChanged();
             }),
             step("kill", `kill daemon ${killed.vmId} (SIGKILL)`, async () => {
-                this.killedAtMs = Date.now();
+                this.killedAtMs = performance.timeOrigin + performance.now();
                 site.processOf(killed).kill("SIGKILL");
                 await site.processOf(killed).exited;
                 await site.removeFromVmList(killed.vmId);
--- a/stand-ins/backend-server/src/backend-server.ts
+++ b/stand-ins/backend-server/src/backend-server.ts
@@ -10,6 +10,7 @@
 import type { Job } from "./job.js";
 import { Listener } from "./listener.js";
 import { LoadReportSource } from "./load-report-source.js";
+import { nowMs } from "./now-ms.js";
 import { RandomSource } from "./random-source.js";
 import { Recorder } from "./recorder.js";
 import type { RefusalReason } from "./refusal-reason.js";
@@ -102,7 +103,7 @@
 
     /** From now on new requests are not run. Those in the queue and in the slots are finished. */
     drain(): void {
-        this.recorder.drainingSinceMs ??= Date.now();
+        this.recorder.drainingSinceMs ??= nowMs();
     }
 
     /** Ends the instance without answers, like a killed process. Its record stays. */
@@ -205,14 +206,14 @@
     }
 
     private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const receivedAtMs = Date.now();
+        const receivedAtMs = nowMs();
         const requestId = readHeader(request, "request-id") ?? randomUUID();
         const idempotencyKey = readHeader(request, "idempotency-key");
         const timeoutMs = readHeader(request, "request-timeout-ms");
         const attempt = readHeader(request, "marigoldstall-attempt");
         const path = request.url ?? "/";
         const refuse = (reason: RefusalReason) => {
-            this.recorder.refuse({ requestId, idempotencyKey, instanceId: this.instanceId, atMs: Date.now(), reason });
+            this.recorder.refuse({ requestId, idempotencyKey, instanceId: this.instanceId, atMs: nowMs(), reason });
             if (reason !== "crashed" && !response.destroyed) {
                 const headers = { ...this.statusHeaders(), "Request-Id": requestId, "Not-Run": "true" };
                 sendJson(response, { status: 503, body: { reason }, headers });
@@ -252,7 +253,7 @@
                     path,
                     bodyDigest,
                     receivedAtMs,
-                    startedAtMs: Date.now(),
+                    startedAtMs: nowMs(),
                     finishedAtMs: undefined,
                     ending: undefined,
                 });
--- a/stand-ins/backend-server/src/executor.ts
+++ b/stand-ins/backend-server/src/executor.ts
@@ -131,10 +131,18 @@
         clearTimeout(entry.timer);
         entry.state = "running";
         this.runningEntries.add(entry);
-        entry.timer = setTimeout(() => {
+        const finish = () => {
             this.release(entry);
             entry.job.onFinish();
-        }, entry.job.onStart());
+        };
+        const runMs = entry.job.onStart();
+        // A timer takes at least a millisecond.
+        if (runMs === 0) {
+            setImmediate(() => entry.state === "running" && finish());
+        }
+        else {
+            entry.timer = setTimeout(finish, runMs);
+        }
         this.onLoadChange();
     }
 
--- a/stand-ins/backend-server/src/recorder.ts
+++ b/stand-ins/backend-server/src/recorder.ts
@@ -1,4 +1,5 @@
 import type { BackendRecord } from "./backend-record.js";
+import { nowMs } from "./now-ms.js";
 import type { RefusalRecord } from "./refusal-record.js";
 import type { RunRecord } from "./run-record.js";
 
@@ -14,7 +15,7 @@
     start(run: RunRecord): (ending: "finished" | "stopped") => void {
         const index = this.runs.push(run) - 1;
         return ending => {
-            this.runs[index] = { ...run, ending, finishedAtMs: Date.now() };
+            this.runs[index] = { ...run, ending, finishedAtMs: nowMs() };
         };
     }
 
@@ -23,7 +24,7 @@
     }
 
     probe(path: string): void {
-        this.probes.push({ atMs: Date.now(), path });
+        this.probes.push({ atMs: nowMs(), path });
     }
 
     record(opts: { readonly service: string; readonly vmId: string; readonly address: string; }): BackendRecord {
