fix(caller): end with 0 after the report is printed

Cause: closing standard input at the end was taken for the death of the parent process, which ended the caller with 1. Change: the listener is removed first; a test runs the caller as a process. Conclusion: commands of the stand-ins need a test as a process.

--- a/stand-ins/caller/src/main.ts
+++ b/stand-ins/caller/src/main.ts
@@ -20,6 +20,6 @@
         }
         const report = await caller.run();
         console.log(JSON.stringify(opts.withoutCalls ? { ...report, calls: [] } : report));
-        process.stdin.destroy();
+        process.stdin.removeAllListeners("close").destroy();
     });
 await command.parseAsync();
--- a/stand-ins/caller/test/caller.test.ts
+++ b/stand-ins/caller/test/caller.test.ts
@@ -1,10 +1,16 @@
 import { Caller, checkAnswer } from "@marigoldstall-private/caller";
-import type { CallClassSettings } from "@marigoldstall-private/caller";
+import type { CallClassSettings, CallerReport } from "@marigoldstall-private/caller";
 import { expect } from "chai";
+import { execFile } from "node:child_process";
 import { createHash } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
 import { version } from "uuid";
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -93,6 +99,19 @@
         expect(new Set(calls.map(call => call.answer))).to.deep.equal(new Set(["own"]));
     });
 
+    it("prints its report and ends with 0 when it runs as a process", async () => {
+        const entry = await listen(answerOwn);
+        const plan = join(mkdtempSync(join(tmpdir(), "marigoldstall-test-")), "plan.json");
+        writeFileSync(plan, JSON.stringify({ entries: [entry], classes: [readClass], seed: 1, durationMs: 100 }));
+        const main = fileURLToPath(new URL("../lib/main.js", import.meta.url));
+        const parameters = [main, "--plan", plan, "--until-stdin-ends"];
+        const { stdout } = await promisify(execFile)(process.execPath, parameters);
+        rmSync(dirname(plan), { recursive: true });
+        const report = JSON.parse(stdout) as CallerReport;
+        expect(report.calls).to.not.be.empty;
+        expect(report.classes[0]?.completed).to.equal(report.calls.length);
+    });
+
     it("gives up calls that are never answered and reports them as unanswered", async () => {
         const entry = await listen(() => undefined);
         const report = await new Caller({
