fix(routing): keep the evidence of a leaving server that a VM list loses

Cause: a property over random orders of events found that a VM list that drops a leaving backend server for one read made the routing slice forget its evidence, so that the next list brought it back as a usable server.

--- a/routing/state/src/backend-server-state.ts
+++ b/routing/state/src/backend-server-state.ts
@@ -9,8 +9,8 @@
     readonly listedLeaving: boolean;
     /** A new instance was seen while the VM list still said leaving, so the list speaks of the former one. */
     readonly listedLeavingOutdated: boolean;
-    /** Missing from the newest VM list. Counts only together with failed connections. */
-    readonly absent: boolean;
+    /** `asOfMs` of the first VM list without it. Absence counts only together with failed connections. */
+    readonly absentSinceListMs: number | undefined;
     /** Instances known to be leaving. */
     readonly leavingInstanceIds: readonly string[];
     /** `asOfMs` of the VM list that was in force when the newest of this evidence arrived. */
--- a/routing/state/src/build-candidates.ts
+++ b/routing/state/src/build-candidates.ts
@@ -50,7 +50,7 @@
             slots: server.slots,
             relativeLatency,
             cold: server.coldUntilMs > atMs,
-            suspect: onTrial || server.absent || server.suspectUntilMs > atMs
+            suspect: onTrial || server.absentSinceListMs !== undefined || server.suspectUntilMs > atMs
                 || relativeLatency > ROUTING_LIMITS.stragglerFactor,
         };
         if (onTrial) {
--- a/routing/state/src/create-backend-server.ts
+++ b/routing/state/src/create-backend-server.ts
@@ -11,7 +11,7 @@
     formerInstanceIds: [],
     listedLeaving: vm.state === "leaving",
     listedLeavingOutdated: false,
-    absent: false,
+    absentSinceListMs: undefined,
     leavingInstanceIds: [],
     leavingListAsOfMs: undefined,
     leavingDoubted: false,
--- a/routing/state/src/on-attempt-failed.ts
+++ b/routing/state/src/on-attempt-failed.ts
@@ -3,6 +3,7 @@
 import { dispatchQueue } from "./dispatch-queue.js";
 import { findAttempt } from "./find-attempt.js";
 import { findServer } from "./find-server.js";
+import { isLeaving } from "./is-leaving.js";
 import type { Mutable } from "./mutable.js";
 import { noteFailure } from "./note-failure.js";
 import { REASON_CODES } from "./reason-codes.js";
@@ -81,7 +82,7 @@
     if (server === undefined) {
         return;
     }
-    if (failure === "connect-failed" && server.absent) {
+    if (failure === "connect-failed" && server.absentSinceListMs !== undefined && !isLeaving(server)) {
         removeServer(draft, service, address);
         return;
     }
--- a/routing/state/src/on-vm-list-read.ts
+++ b/routing/state/src/on-vm-list-read.ts
@@ -19,10 +19,14 @@
     server.leavingInstanceIds.length > 0 && vm.state === "live" && server.leavingListAsOfMs !== undefined
     && asOfMs >= server.leavingListAsOfMs + ROUTING_LIMITS.leavingRecheckMs;
 
+const hasLeft = (server: BackendServerState, asOfMs: number): boolean =>
+    isLeaving(server) && server.ownInFlight === 0 && server.absentSinceListMs !== undefined
+    && asOfMs >= server.absentSinceListMs + ROUTING_LIMITS.leavingRecheckMs;
+
 const updateListed = (server: BackendServerState, vm: Vm, asOfMs: number): BackendServerState => ({
     ...server,
     availabilityZone: vm.availabilityZone,
-    absent: false,
+    absentSinceListMs: undefined,
     listedLeaving: vm.state === "leaving" && !server.listedLeavingOutdated,
     listedLeavingOutdated: vm.state === "leaving" && server.listedLeavingOutdated,
     // Evidence that came before the first list is dated by that list.
@@ -71,10 +75,11 @@
     const known = new Map(service.servers.map(server => [server.address, server]));
     const listed = new Set(opts.vms.map(vm => vm.address));
     const merged = opts.vms.map(vm => mergeListed(draft, service, known.get(vm.address), { vm, asOfMs: opts.asOfMs }));
-    // A backend server that the list has lost stays until a connection to it fails, or it left as announced.
+    // A backend server that the list has lost stays until a connection to it fails. One that was leaving stays for a
+    // while, because a list that loses it for a moment must not make its evidence forgotten.
     const absent = service.servers
-        .filter(server => !listed.has(server.address) && !(isLeaving(server) && server.ownInFlight === 0))
-        .map(server => ({ ...server, absent: true }));
+        .filter(server => !listed.has(server.address) && !hasLeft(server, opts.asOfMs))
+        .map(server => ({ ...server, absentSinceListMs: server.absentSinceListMs ?? opts.asOfMs }));
     setServers(service, [...merged, ...absent]);
     limitEjections(service);
     if (requestQueues.length(service) > 0) {
--- a/routing/state/src/select-backend-servers.ts
+++ b/routing/state/src/select-backend-servers.ts
@@ -19,7 +19,7 @@
     if (server.ejectedUntilMs !== undefined) {
         return server.ejectedUntilMs > atMs ? "ejected" : "probation";
     }
-    if (server.absent) {
+    if (server.absentSinceListMs !== undefined) {
         return "absent";
     }
     if (server.coldUntilMs > atMs) {
--- a/routing/state/test/routing-harness.ts
+++ b/routing/state/test/routing-harness.ts
@@ -28,6 +28,7 @@
     state: RoutingState = createRoutingState({ vmId: "entry-1", availabilityZone: "a" });
     atMs = 1000;
     readonly effects: RoutingEffect[] = [];
+    private random = 0.5;
 
     constructor(serverCount: number, classes: readonly ClassTargets[] = RoutingHarness.classes) {
         this.send({ type: "targets-changed", targets: { site: "s", measuring: { probesPerSecond: 0 }, classes } });
@@ -44,7 +45,10 @@
         }));
     }
 
-    send(event: WithoutTime<RoutingEvent>, random = 0.5): readonly RoutingEffect[] {
+    send(event: WithoutTime<RoutingEvent>): readonly RoutingEffect[] {
+        // Always the same numbers, spread evenly.
+        this.random = (this.random + 0.382) % 1;
+        const { random } = this;
         const transition = reduceRouting(this.state, { ...event, atMs: this.atMs, random } as RoutingEvent);
         this.state = transition.state;
         this.effects.push(...transition.effects);
@@ -55,7 +59,11 @@
         this.send({ type: "vm-list-read", vmList: { asOfMs, vms } });
     }
 
-    arrive(requestId: string, className = "check", changes: { callerAttempt?: number; deadlineAtMs?: number; } = {}) {
+    arrive(
+        requestId: string,
+        className = "check",
+        changes: Partial<Extract<RoutingEvent, { type: "request-arrived"; }>> = {},
+    ) {
         return this.send({
             type: "request-arrived",
             requestId,
