feat(routing): model the policies over shared backend servers and time the reducer

Cause: neither the policies nor the reducer's cost were measured. Change: a discrete model that drives the reducers of 13 daemons over 12 model backend servers of two slots, beside a central queue with perfect knowledge on the same arrivals, and a timing of the reducer. Refusals no longer count as answered requests in load reports.

--- /dev/null
+++ b/routing/state/bench/model-result.ts
@@ -0,0 +1,9 @@
+/** What one run of a model measured. */
+export interface ModelResult {
+    readonly urgentMs: readonly number[];
+    readonly normalMs: readonly number[];
+    readonly patientMs: readonly number[];
+    readonly requests: number;
+    readonly attempts: number;
+    readonly notCompleted: number;
+}
--- /dev/null
+++ b/routing/state/bench/reducer-cost.ts
@@ -0,0 +1,112 @@
+// Measures the routing reducer's time per request: npx tsx routing/state/bench/reducer-cost.ts
+import type { ClassTargets, Vm } from "@marigoldstall/core.types";
+import { createRoutingState, reduceRouting, selectNextWakeAtMs } from "@marigoldstall/routing.state";
+import type { RoutingEvent, RoutingState } from "@marigoldstall/routing.state";
+import { ModelRandom } from "./model-random.js";
+
+const SEED = 7;
+const WARM_UP_REQUESTS = 20_000;
+const REQUESTS = 100_000;
+const IN_FLIGHT = 12;
+
+const classOf = (service: string): ClassTargets => ({
+    name: "check",
+    service,
+    urgency: "urgent",
+    repeatable: true,
+    lateness: { percentile: 99, withinMs: 250 },
+    turnedAwayAtMostPercent: 0.5,
+    match: [],
+});
+
+const vmsOf = (service: string, count: number, from: number): readonly Vm[] =>
+    Array.from({ length: count }, (unused, index) => ({
+        vmId: `${service}-${index}`,
+        role: service,
+        address: `127.0.0.1:${from + index}`,
+        availabilityZone: `zone-${index % 3}`,
+        state: "live",
+    }));
+
+const measure = (servers: number, otherServices: number): void => {
+    const random = new ModelRandom(SEED);
+    let atMs = 1000;
+    let events = 0;
+    let state: RoutingState = createRoutingState({ vmId: "entry-1", availabilityZone: "zone-0" });
+    const send = (event: RoutingEvent) => {
+        events += 1;
+        const transition = reduceRouting(state, event);
+        state = transition.state;
+        return transition.effects;
+    };
+    const others = Array.from({ length: otherServices }, (unused, index) => `service-${index}`);
+    const classes = ["statusdesk", ...others].map(classOf);
+    const vms = [
+        vmsOf("statusdesk", servers, 10_000),
+        ...others.map((name, index) => vmsOf(name, 35, 20_000 + index * 35)),
+    ];
+    send({ type: "targets-changed", atMs, targets: { site: "bench", measuring: { probesPerSecond: 0 }, classes } });
+    send({ type: "vm-list-read", atMs, vmList: { asOfMs: 0, vms: vms.flat() } });
+    const open: string[] = [];
+    const runRequest = (index: number): void => {
+        atMs += 0.8;
+        const wakeAtMs = selectNextWakeAtMs(state);
+        if (wakeAtMs !== undefined && wakeAtMs <= atMs) {
+            send({ type: "tick", atMs, random: random.next() });
+        }
+        const effects = send({
+            type: "request-arrived",
+            atMs,
+            random: random.next(),
+            requestId: `0193a0c1-5b1e-7c3a-9d2f-${index}`,
+            service: "statusdesk",
+            className: "check",
+            deadlineAtMs: atMs + 30_000,
+            callerAttempt: 1,
+            bodyReplayable: true,
+        });
+        open.push(...effects.flatMap(effect => effect.type === "start-attempt" ? effect.attemptId : []));
+        const attemptId = open.length > IN_FLIGHT ? open.shift() : undefined;
+        if (attemptId !== undefined) {
+            const load = { inFlight: Math.floor(random.next() * 3), queued: 0, slots: 2 };
+            send({
+                type: "attempt-responded",
+                atMs,
+                random: random.next(),
+                attemptId,
+                statusCode: 200,
+                instanceId: "i",
+                load,
+                draining: false,
+                notRun: false,
+            });
+            send({ type: "attempt-completed", atMs, random: random.next(), attemptId });
+        }
+    };
+    for (let index = 0; index < WARM_UP_REQUESTS; index += 1) {
+        runRequest(index);
+    }
+    events = 0;
+    const startedAtMs = performance.now();
+    for (let index = 0; index < REQUESTS; index += 1) {
+        runRequest(WARM_UP_REQUESTS + index);
+    }
+    const tookUs = (performance.now() - startedAtMs) * 1000;
+    const cells = [
+        servers,
+        otherServices,
+        (tookUs / REQUESTS).toFixed(2),
+        (tookUs / events).toFixed(2),
+        (events / REQUESTS).toFixed(2),
+    ];
+    console.log(`| ${cells.join(" | ")} |`);
+};
+
+console.log(
+    "| backend servers of the service | other services of 35 backend servers | us per request | us per event "
+        + "| events per request |",
+);
+console.log("|" + " --- |".repeat(5));
+for (const [servers, otherServices] of [[12, 0], [12, 4], [12, 64], [35, 64]] as const) {
+    measure(servers, otherServices);
+}
--- a/routing/state/src/note-load.ts
+++ b/routing/state/src/note-load.ts
@@ -15,7 +15,8 @@
         readonly load: LoadReport;
         /** Own requests there that the report may count, other than the one that it answers. */
         readonly ownInFlight: number;
-        readonly source: "response" | "probe";
+        /** A refusal answers a request that is not in the backend server's counts. */
+        readonly source: "response" | "refusal" | "probe";
     },
 ): void => {
     const server = findServer(service, address);
--- a/routing/state/src/on-attempt-responded.ts
+++ b/routing/state/src/on-attempt-responded.ts
@@ -46,7 +46,7 @@
             atMs: draft.atMs,
             load: event.load,
             ownInFlight: Math.max(0, server.ownInFlight - 1),
-            source: "response",
+            source: event.notRun ? "refusal" : "response",
         });
     }
     else {
