perf(routing): copy a backend server once a reduction and buckets of latencies once in 32

Cause: the reducer copied the state of a backend server up to four times an event and two arrays of 145 buckets for each response. Change: a copy made in a reduction carries its revision and is written to in place until the reduction ends; the newest latencies wait in a short list.

--- a/routing/state/src/backend-server-state.ts
+++ b/routing/state/src/backend-server-state.ts
@@ -1,5 +1,7 @@
 /** What this daemon knows of one backend server. */
 export interface BackendServerState {
+    /** Revision of the state in which this copy was made. Only that reduction may still write to it. */
+    readonly revision: number;
     readonly address: string;
     readonly vmId: string;
     readonly availabilityZone: string;
--- a/routing/state/src/create-backend-server.ts
+++ b/routing/state/src/create-backend-server.ts
@@ -4,6 +4,7 @@
 
 /** A backend server of which nothing is known but its entry in the VM list. */
 export const createBackendServer = (vm: Vm, opts: { readonly coldUntilMs: number; }): BackendServerState => ({
+    revision: -1,
     address: vm.address,
     vmId: vm.vmId,
     availabilityZone: vm.availabilityZone,
--- a/routing/state/src/create-routing-state.ts
+++ b/routing/state/src/create-routing-state.ts
@@ -5,6 +5,7 @@
 
 /** The routing state of a daemon that knows no service yet. */
 export const createRoutingState = (opts: CreateRoutingStateOptions): RoutingState => ({
+    revision: 0,
     vmId: opts.vmId,
     availabilityZone: opts.availabilityZone,
     policy: createSelectionPolicy(opts.policy ?? "slot-aware"),
--- a/routing/state/src/create-service.ts
+++ b/routing/state/src/create-service.ts
@@ -4,6 +4,7 @@
 /** A service without backend servers, classes or requests. */
 export const createService = (name: string): ServiceState => ({
     name,
+    revision: -1,
     servers: [],
     serverIndexes: new Map(),
     classes: new Map(),
--- a/routing/state/src/detach-attempt.ts
+++ b/routing/state/src/detach-attempt.ts
@@ -1,9 +1,8 @@
 import type { AttemptState } from "./attempt-state.js";
-import { findServer } from "./find-server.js";
+import { editServer } from "./edit-server.js";
 import type { Mutable } from "./mutable.js";
 import type { RequestState } from "./request-state.js";
 import type { ServiceState } from "./service-state.js";
-import { updateServer } from "./update-server.js";
 
 /** Takes an attempt that is over off its request and its backend server. */
 export const detachAttempt = (
@@ -11,9 +10,9 @@
     request: RequestState,
     attempt: AttemptState,
 ): RequestState => {
-    const server = findServer(service, attempt.address);
+    const server = editServer(service, attempt.address);
     if (server !== undefined) {
-        updateServer(service, attempt.address, { ownInFlight: Math.max(0, server.ownInFlight - 1) });
+        server.ownInFlight = Math.max(0, server.ownInFlight - 1);
     }
     if (request.classTargets.urgency === "patient") {
         service.patientInFlight = Math.max(0, service.patientInFlight - 1);
--- /dev/null
+++ b/routing/state/src/edit-server.ts
@@ -0,0 +1,24 @@
+import type { BackendServerState } from "./backend-server-state.js";
+import type { Mutable } from "./mutable.js";
+import type { ServiceState } from "./service-state.js";
+
+/**
+ * Returns a backend server for changes, or undefined when the service no longer has it. It is copied at most once in
+ * a reduction: a copy with the revision of this reduction is part of no state that anybody else has.
+ */
+export const editServer = (
+    service: Mutable<ServiceState>,
+    address: string,
+): Mutable<BackendServerState> | undefined => {
+    const index = service.serverIndexes.get(address);
+    const server = index === undefined ? undefined : service.servers[index];
+    if (index === undefined || server === undefined || server.revision === service.revision) {
+        return server;
+    }
+    const copy: Mutable<BackendServerState> = { ...server };
+    copy.revision = service.revision;
+    const servers = service.servers.slice();
+    servers[index] = copy;
+    service.servers = servers;
+    return copy;
+};
--- a/routing/state/src/latency-buckets.ts
+++ b/routing/state/src/latency-buckets.ts
@@ -13,6 +13,16 @@
             ? 0
             : Math.min(BUCKET_COUNT - 1, Math.ceil(Math.log(latencyMs / FIRST_UPPER_MS) / LOG_GROWTH)),
 
+    /** A copy of the counts with more latencies. */
+    add: <Counts extends Uint32Array | Float64Array>(counts: Counts, latenciesMs: readonly number[]): Counts => {
+        const sums = counts.slice() as Counts;
+        for (const latencyMs of latenciesMs) {
+            const index = latencyBuckets.indexOf(latencyMs);
+            sums[index] = (sums[index] ?? 0) + 1;
+        }
+        return sums;
+    },
+
     /** Upper end of the bucket in which the percentile lies; undefined without samples. */
     percentile: (counts: ArrayLike<number>, percentile: number): number | undefined => {
         let total = 0;
--- a/routing/state/src/note-instance.ts
+++ b/routing/state/src/note-instance.ts
@@ -24,9 +24,10 @@
     if (server.formerInstanceIds.includes(instanceId)) {
         return;
     }
+    const formerInstanceId = server.instanceId;
     updateServer(service, address, {
         instanceId,
-        formerInstanceIds: [server.instanceId, ...server.formerInstanceIds].slice(
+        formerInstanceIds: [formerInstanceId, ...server.formerInstanceIds].slice(
             0,
             ROUTING_LIMITS.rememberedInstances,
         ),
@@ -50,6 +51,6 @@
         kind: "new-instance",
         service: service.name,
         choice: address,
-        reason: `instance ${instanceId} replaces ${server.instanceId}`,
+        reason: `instance ${instanceId} replaces ${formerInstanceId}`,
     });
 };
--- a/routing/state/src/note-latency.ts
+++ b/routing/state/src/note-latency.ts
@@ -1,7 +1,6 @@
-import { findServer } from "./find-server.js";
+import { editServer } from "./edit-server.js";
 import type { Mutable } from "./mutable.js";
 import type { ServiceState } from "./service-state.js";
-import { updateServer } from "./update-server.js";
 
 const AVERAGE_WEIGHT = 0.15;
 const MEDIAN_VALID_MS = 250;
@@ -15,14 +14,14 @@
     address: string,
     opts: { readonly atMs: number; readonly latencyMs: number; },
 ): void => {
-    const server = findServer(service, address);
+    const server = editServer(service, address);
     if (server === undefined) {
         return;
     }
-    const latencyMs = server.latencyMs === undefined
+    server.latencyMs = server.latencyMs === undefined
         ? opts.latencyMs
         : server.latencyMs + (opts.latencyMs - server.latencyMs) * AVERAGE_WEIGHT;
-    updateServer(service, address, { latencyMs, latencyAtMs: opts.atMs });
+    server.latencyAtMs = opts.atMs;
     if (service.medianLatencyMs === undefined || opts.atMs - service.medianAtMs >= MEDIAN_VALID_MS) {
         service.medianLatencyMs = medianOf(service.servers.flatMap(other => other.latencyMs ?? []));
         service.medianAtMs = opts.atMs;
--- a/routing/state/src/note-load.ts
+++ b/routing/state/src/note-load.ts
@@ -1,8 +1,7 @@
 import type { LoadReport } from "@marigoldstall/core.types";
-import { findServer } from "./find-server.js";
+import { editServer } from "./edit-server.js";
 import type { Mutable } from "./mutable.js";
 import type { ServiceState } from "./service-state.js";
-import { updateServer } from "./update-server.js";
 
 const MEAN_WEIGHT = 0.1;
 
@@ -19,7 +18,7 @@
         readonly source: "response" | "refusal" | "probe";
     },
 ): void => {
-    const server = findServer(service, address);
+    const server = editServer(service, address);
     if (server === undefined) {
         return;
     }
@@ -31,14 +30,11 @@
     }
     const answered = opts.source === "response" && service.reportsCountAnswered ? 1 : 0;
     const others = Math.max(0, total - answered - opts.ownInFlight);
-    const meanOthers = server.reportedAtMs === undefined
+    server.meanOthers = server.reportedAtMs === undefined
         ? others
         : server.meanOthers + (others - server.meanOthers) * MEAN_WEIGHT;
-    updateServer(service, address, {
-        slots: load.slots > 0 ? load.slots : server.slots,
-        reportedOthers: others,
-        reportedAtMs: opts.atMs,
-        meanOthers,
-        informedAtMs: opts.atMs,
-    });
+    server.slots = load.slots > 0 ? load.slots : server.slots;
+    server.reportedOthers = others;
+    server.reportedAtMs = opts.atMs;
+    server.informedAtMs = opts.atMs;
 };
--- a/routing/state/src/on-targets-changed.ts
+++ b/routing/state/src/on-targets-changed.ts
@@ -8,6 +8,7 @@
     targets,
     seconds: [],
     attemptLatencies: new Float64Array(latencyBuckets.count),
+    newestAttemptLatenciesMs: [],
     attemptLatenciesSecond: 0,
     hedgeAfterMs: undefined,
 });
--- a/routing/state/src/record-class.ts
+++ b/routing/state/src/record-class.ts
@@ -5,6 +5,7 @@
 import { ROUTING_LIMITS } from "./routing-limits.js";
 import type { ServiceState } from "./service-state.js";
 
+const NEWEST_LIMIT = 32;
 const NO_LATENCIES = new Uint32Array(latencyBuckets.count);
 
 const emptySecond = (second: number): ClassSecond => ({
@@ -15,6 +16,7 @@
     rejected: 0,
     unknown: 0,
     latencies: NO_LATENCIES,
+    newestLatenciesMs: [],
 });
 
 /** Counts one event of a class, with the latency when a request was completed. */
@@ -36,10 +38,10 @@
     const current: Mutable<ClassSecond> = last?.second === second ? { ...last } : emptySecond(second);
     current[opts.count] += 1;
     if (opts.latencyMs !== undefined) {
-        const latencies = current.latencies.slice();
-        const index = latencyBuckets.indexOf(opts.latencyMs);
-        latencies[index] = (latencies[index] ?? 0) + 1;
-        current.latencies = latencies;
+        const newest = [...current.newestLatenciesMs, opts.latencyMs];
+        const full = newest.length >= NEWEST_LIMIT;
+        current.latencies = full ? latencyBuckets.add(current.latencies, newest) : current.latencies;
+        current.newestLatenciesMs = full ? [] : newest;
         current.late += opts.latencyMs > classState.targets.lateness.withinMs ? 1 : 0;
     }
     const others = last?.second === second ? classState.seconds.slice(0, -1) : classState.seconds;
--- a/routing/state/src/routing-draft.ts
+++ b/routing/state/src/routing-draft.ts
@@ -37,13 +37,14 @@
         if (Option.isNone(found)) {
             return undefined;
         }
-        const copy = { ...found.value };
+        const copy: Mutable<ServiceState> = { ...found.value };
+        copy.revision = this.base.revision + 1;
         this.services.set(name, copy);
         return copy;
     }
 
     addService(service: ServiceState): void {
-        this.services.set(service.name, { ...service });
+        this.services.set(service.name, { ...service, revision: this.base.revision + 1 });
     }
 
     request(requestId: string): RequestState | undefined {
@@ -88,6 +89,7 @@
         }
         return {
             ...this.base,
+            revision: this.base.revision + 1,
             services,
             requests,
             addressServices: this.addressServices,
--- a/routing/state/src/routing-state.ts
+++ b/routing/state/src/routing-state.ts
@@ -5,6 +5,8 @@
 
 /** State of the routing slice. */
 export interface RoutingState {
+    /** Rises with each event. */
+    readonly revision: number;
     readonly vmId: string;
     readonly availabilityZone: string;
     readonly policy: SelectionPolicy;
--- a/routing/state/src/select-class-status.ts
+++ b/routing/state/src/select-class-status.ts
@@ -31,7 +31,7 @@
     const { targets } = classState;
     const since = Math.floor(atMs / 1000) - ROUTING_LIMITS.statisticsSeconds;
     const seconds = classState.seconds.filter(({ second }) => second > since);
-    const latencies = new Uint32Array(latencyBuckets.count);
+    let latencies = new Uint32Array(latencyBuckets.count);
     const sums = { arrived: 0, completed: 0, late: 0, rejected: 0, unknown: 0 };
     for (const second of seconds) {
         sums.arrived += second.arrived;
@@ -39,9 +39,10 @@
         sums.late += second.late;
         sums.rejected += second.rejected;
         sums.unknown += second.unknown;
-        second.latencies.forEach((count, index) => {
-            latencies[index] = (latencies[index] ?? 0) + count;
-        });
+        latencies = latencyBuckets.add(latencies, second.newestLatenciesMs);
+        for (let index = 0; index < latencies.length; index += 1) {
+            latencies[index] = (latencies[index] ?? 0) + (second.latencies[index] ?? 0);
+        }
     }
     const reasons: string[] = [];
     const allowedLate = sums.completed * (1 - targets.lateness.percentile / 100);
--- a/routing/state/src/service-state.ts
+++ b/routing/state/src/service-state.ts
@@ -6,6 +6,8 @@
 /** Routing state of one service. Nothing in it depends on other services. */
 export interface ServiceState {
     readonly name: string;
+    /** Revision of the state in which this copy was made. */
+    readonly revision: number;
     readonly servers: readonly BackendServerState[];
     /** Index in `servers` by address. */
     readonly serverIndexes: ReadonlyMap<string, number>;
--- a/routing/state/src/start-attempt.ts
+++ b/routing/state/src/start-attempt.ts
@@ -1,4 +1,4 @@
-import { findServer } from "./find-server.js";
+import { editServer } from "./edit-server.js";
 import { logDecision } from "./log-decision.js";
 import type { Mutable } from "./mutable.js";
 import { requestQueues } from "./request-queues.js";
@@ -7,7 +7,6 @@
 import type { RoutingDraft } from "./routing-draft.js";
 import { ROUTING_LIMITS } from "./routing-limits.js";
 import type { ServiceState } from "./service-state.js";
-import { updateServer } from "./update-server.js";
 import { wakeAt } from "./wake-at.js";
 
 // When the class has too few samples, and for what is not hedged, there is no hedging time.
@@ -59,8 +58,10 @@
         triedAddresses: [...request.triedAddresses, address],
         hedgeAtMs,
     });
-    const server = findServer(service, address);
-    updateServer(service, address, { ownInFlight: (server?.ownInFlight ?? 0) + 1 });
+    const server = editServer(service, address);
+    if (server !== undefined) {
+        server.ownInFlight += 1;
+    }
     service.patientInFlight += request.classTargets.urgency === "patient" ? 1 : 0;
     service.selections += 1;
     wakeAt(service, Math.min(request.deadlineAtMs, hedgeAtMs ?? Infinity));
--- a/routing/state/src/update-server.ts
+++ b/routing/state/src/update-server.ts
@@ -1,4 +1,5 @@
 import type { BackendServerState } from "./backend-server-state.js";
+import { editServer } from "./edit-server.js";
 import type { Mutable } from "./mutable.js";
 import type { ServiceState } from "./service-state.js";
 
@@ -8,11 +9,8 @@
     address: string,
     changes: Partial<BackendServerState>,
 ): void => {
-    const index = service.serverIndexes.get(address);
-    const server = index === undefined ? undefined : service.servers[index];
-    if (index !== undefined && server !== undefined) {
-        const servers = service.servers.slice();
-        servers[index] = { ...server, ...changes };
-        service.servers = servers;
+    const server = editServer(service, address);
+    if (server !== undefined) {
+        Object.assign(server, changes);
     }
 };
