fix(caller): check no body of a stored response that was not kept

Cause: the daemon answers the repeat of a key with status 200 and without the body when the first answer was too long; the content check would call that damaged. Many calls in flight also made Node.js warn about a leak of listeners. Change: such answers are not compared; the limit of listeners is lifted for the signal that ends a run. Conclusion: the reason header decides whether there is a body to check.

--- a/stand-ins/caller/src/caller.ts
+++ b/stand-ins/caller/src/caller.ts
@@ -1,4 +1,5 @@
 import { createHash, randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import { Agent } from "node:http";
 import type { IncomingHttpHeaders } from "node:http";
 import { setImmediate as nextTurn, setTimeout as delay } from "node:timers/promises";
@@ -67,6 +68,8 @@
         this.settings = opts;
         this.entries = opts.entries;
         this.random = new RandomSource({ seed: opts.seed });
+        // Each call in flight listens for the end of the run.
+        setMaxListeners(0, this.givenUp.signal);
     }
 
     /** Replaces the entries, as the platform's balancer does when an entry is no longer ready. */
@@ -185,6 +188,7 @@
     ): void {
         const { sent } = opts;
         const toUnix = (atMs: number) => performance.timeOrigin + atMs;
+        const reason = readHeader(sent.headers, "marigoldstall-reason");
         const outcome = readOutcome(sent.headers, sent.status);
         this.calls.push({
             className: call.callClass.name,
@@ -199,9 +203,9 @@
             warmUp: call.dueAtMs < this.startedAtMs + (this.settings.warmUpMs ?? 0),
             outcome,
             status: sent.status,
-            reason: readHeader(sent.headers, "marigoldstall-reason"),
+            reason,
             requestId: readHeader(sent.headers, "request-id"),
-            answer: outcome === "completed" && sent.status === 200
+            answer: outcome === "completed" && sent.status === 200 && !(reason ?? "").endsWith("RESPONSE_NOT_KEPT")
                 ? checkAnswer(sent.body, { ...call, method: call.callClass.method })
                 : "none",
             errorCode: sent.errorCode,
