--- a/tool/cli/src/read-stream.ts
+++ b/tool/cli/src/read-stream.ts
@@ -17,7 +17,8 @@
 /** Reads the `configuration` stream to its end. */
 export const readStream = async (log: LogClient): Promise<Result<StreamContent, MarigoldstallError>> => {
     let fold = EMPTY_FOLD;
-    // A snapshot moves the fold back, so that records are judged twice; the later verdict counts.
+    // A snapshot that is adopted moves the fold back, so that records are judged twice. The later verdict counts, but
+    // for the snapshot itself, which is the only trace of versions whose records were removed.
     const verdicts = new Map<number, FoldVerdict>();
     for (let reads = 0; reads < MAX_READS; reads += 1) {
         const from = fold.nextOffset;
@@ -27,7 +28,11 @@
         }
         const result = foldRead(fold, { ...read.value, from });
         fold = result.fold;
-        result.verdicts.forEach(verdict => verdicts.set(verdict.offset, verdict));
+        for (const verdict of result.verdicts) {
+            if (verdicts.get(verdict.offset)?.type !== "snapshot-adopted") {
+                verdicts.set(verdict.offset, verdict);
+            }
+        }
         if (result.isCaughtUp) {
             break;
         }
--- a/tool/cli/test/tool.test.ts
+++ b/tool/cli/test/tool.test.ts
@@ -1,4 +1,4 @@
-import { readTargets } from "@marigoldstall/config.targets";
+import { digestTargets, readTargets } from "@marigoldstall/config.targets";
 import { COMMANDS } from "@marigoldstall/tool.cli";
 import { expect } from "chai";
 import { ToolFixture } from "./tool-fixture.js";
@@ -209,6 +209,27 @@
         });
     });
 
+    it("shows and lists the version of a snapshot after retention removed the version's own record", async () => {
+        await fixture.run("targets", "publish", "t.yaml");
+        const targets = readTargets(TARGETS, { file: "t.yaml" })._unsafeUnwrap();
+        const state = {
+            version: 1,
+            offset: 0,
+            publishId: "1-id1",
+            author: "Ana",
+            digest: digestTargets(targets),
+            targets,
+        };
+        await fetch(`http://${fixture.log.address}/streams/configuration/records`, {
+            method: "POST",
+            body: JSON.stringify({ snapshot: { throughOffset: 0, state } }),
+        });
+        fixture.log.setFaults({ cutBelowOffset: 1 });
+        expect((await fixture.run("targets", "show")).out).to.include("# version 1 by Ana (1-id1), read from the log");
+        expect((await fixture.run("targets", "history")).out).to.include("snapshot   version 1 by Ana");
+        expect((await fixture.run("targets", "publish", "t2.yaml")).out).to.include("accepted: version 2");
+    });
+
     describe("status", () => {
         it("adds up all daemons and ends with 0 when each class meets its target", async () => {
             fixture.statuses.set("entry-1", { classes: [REPORT] });
