fix(daemon.runtime): close gaps in outcomes, silence checks and the shutdown

A review of the request path found answers of Node.js without an outcome (no Host, unknown Expect), HTTP/1.0 callers that could take a cut response for a whole one, callers that could make a backend server look failed by naming Host as hop-by-hop or by headers just below the limit, slow uploads taken for silent connections, responses that stop in the middle and hang forever, and requests that could arrive while a stopping daemon waited for claims. Each is refused with an outcome or bounded; probes obey the limits that the measuring slice states. The requests that arrive late in a shutdown have no test. Conclusion: a response that stops after its deadline ends the caller's connection.

--- a/daemon/runtime/src/attempt.ts
+++ b/daemon/runtime/src/attempt.ts
@@ -21,6 +21,8 @@
     readonly request: CallerRequest;
     readonly pool: BackendPool;
     sentAtMs: number | undefined;
+    /** When the whole request, body included, was handed to the connection. */
+    private waitingSinceMs: number | undefined;
     response: IncomingMessage | undefined;
     /** A check of the silent connection was asked for. */
     checkWanted = false;
@@ -52,9 +54,25 @@
         return !this.ended && this.sentAtMs !== undefined && this.response === undefined;
     }
 
-    /** Whether the connection received nothing since the request was sent. */
-    get isSilent(): boolean {
-        return this.awaitsResponse && (this.connection?.lastReceivedAtMs ?? 0) <= (this.sentAtMs ?? 0);
+    /** How long the connection has received nothing although the whole request was sent; 0 when it received bytes. */
+    silentMs(nowMs: number): number {
+        if (!this.awaitsResponse || this.waitingSinceMs === undefined) {
+            return 0;
+        }
+        const silent = (this.connection?.lastReceivedAtMs ?? 0) <= (this.sentAtMs ?? 0);
+        return silent ? nowMs - this.waitingSinceMs : 0;
+    }
+
+    /** Whether the response stopped in the middle, after the deadline, though the caller is ready to take more. */
+    isStalled(nowMs: number): boolean {
+        return !this.ended && this.relayed && this.response?.isPaused() === false
+            && nowMs >= this.request.deadlineAtMs
+            && nowMs - (this.connection?.lastReceivedAtMs ?? nowMs) >= this.effect.silenceLimitMs;
+    }
+
+    /** Ends a stalled attempt. */
+    closeStalled(): void {
+        this.failAfterSend("body-cut");
     }
 
     start(): void {
@@ -116,8 +134,9 @@
             this.listener.failed(this, "connection-stale");
             return;
         }
-        this.askToCancel(confirmed => {
-            if (this.effect.requireLiveConnection) {
+        const mustKnow = this.effect.requireLiveConnection;
+        this.askToCancel(mustKnow ? "new" : "any", confirmed => {
+            if (mustKnow) {
                 this.listener.failed(this, confirmed ? "cancel-confirmed" : "reset");
             }
         });
@@ -156,12 +175,23 @@
         this.sentAtMs = nowMs;
         this.instanceIdAtSend = this.pool.instanceId;
         connection.expectResponse(() => this.response?.complete === true);
-        const outgoing = httpRequest({
-            agent: connection.agent,
-            method: request.message.method,
-            path: request.path,
-            headers: this.headers(Math.max(1, Math.floor(request.deadlineAtMs - nowMs))),
-        });
+        let outgoing: ClientRequest;
+        try {
+            outgoing = httpRequest({
+                agent: connection.agent,
+                method: request.message.method,
+                path: request.path,
+                headers: this.headers(Math.max(1, Math.floor(request.deadlineAtMs - nowMs))),
+            });
+        }
+        catch {
+            // Node.js refuses a path or header that its parser let pass. Nothing was sent.
+            connection.destroy();
+            this.end(() => {
+                this.listener.failed(this, "connection-stale");
+            });
+            return;
+        }
         this.outgoing = outgoing;
         outgoing.on("response", response => {
             this.onResponse(response);
@@ -176,9 +206,11 @@
         const { message, requestId, bodyComplete, bodyBytes, statedBytes } = this.request;
         const headers = forwardedHeaders(message.rawHeaders, {
             connection: message.headers.connection,
-            dropContentLength: true,
+            isRequest: true,
         });
         headers.push(
+            "Host",
+            message.headers.host ?? "",
             "Request-Id",
             requestId,
             "Request-Timeout-Ms",
@@ -203,6 +235,7 @@
     private sendBody(outgoing: ClientRequest): void {
         const { request } = this;
         if (request.bodyComplete) {
+            this.waitingSinceMs = this.sentAtMs;
             if (request.bodyBytes === 0) {
                 outgoing.end();
             }
@@ -234,6 +267,7 @@
         });
         message.on("end", () => {
             request.bodyComplete = true;
+            this.waitingSinceMs = this.clock.atMs();
             if (!this.ended) {
                 outgoing.end();
             }
@@ -252,13 +286,12 @@
             this.failAfterSend("reset");
             return;
         }
-        // Without a stated length the end of the connection would end the body, and a cut one would look whole.
         const statusCode = response.statusCode ?? 0;
+        // Without a stated length the end of the connection would end the body, and a cut one would look whole.
         const hasNoBody = this.request.message.method === "HEAD" || statusCode === 204 || statusCode === 304;
-        if (
-            !hasNoBody && response.headers["content-length"] === undefined
-            && response.headers["transfer-encoding"] === undefined
-        ) {
+        const hasNoEnd = !hasNoBody && response.headers["content-length"] === undefined
+            && response.headers["transfer-encoding"] === undefined;
+        if (statusCode < 200 || statusCode > 599 || hasNoEnd) {
             this.connection?.destroy();
             this.failAfterSend("reset");
             return;
@@ -296,25 +329,25 @@
             }
             if (!this.effect.requireLiveConnection) {
                 if (failure === "silent") {
-                    this.askToCancel(() => undefined);
+                    this.askToCancel("any", () => undefined);
                 }
                 this.listener.failed(this, failure);
                 return;
             }
-            this.askToCancel(confirmed => {
+            this.askToCancel("new", confirmed => {
                 this.listener.failed(this, confirmed ? "cancel-confirmed" : failure);
             });
         });
     }
 
     /** Calls back with true only if the instance to which the request was sent states that it will not run it. */
-    private askToCancel(callback: (confirmed: boolean) => void): void {
+    private askToCancel(mode: "any" | "new", callback: (confirmed: boolean) => void): void {
         const { instanceIdAtSend } = this;
         this.pool.exchange({
             method: "DELETE",
             path: `/_requests/${encodeURIComponent(this.request.requestId)}`,
             timeoutMs: CANCEL_TIMEOUT_MS,
-            mode: "new",
+            mode,
         }, result => {
             const state = (result?.body as { readonly state?: unknown; } | undefined)?.state;
             callback(
--- a/daemon/runtime/src/caller-port.ts
+++ b/daemon/runtime/src/caller-port.ts
@@ -11,6 +11,9 @@
 
 // The part of the body that the fingerprint of an idempotency key covers.
 const FINGERPRINT_BYTES = 65_536;
+// Room for the headers that the daemon adds. A backend server with the same limit would otherwise refuse a request
+// that the daemon let pass, and look as if it failed.
+const ADDED_HEADER_BYTES = 512;
 const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
@@ -40,7 +43,9 @@
         this.hooks = opts.hooks;
         this.requestIdPrefix = opts.requestIdPrefix;
         this.server = createServer({
-            maxHeaderSize: opts.limits.headerBytes,
+            maxHeaderSize: opts.limits.headerBytes - ADDED_HEADER_BYTES,
+            // Node.js would answer without an outcome.
+            requireHostHeader: false,
             headersTimeout: HEADERS_TIMEOUT_MS,
             // The sweep limits the time of a body, so that the caller gets an answer with an outcome.
             requestTimeout: 0,
@@ -53,6 +58,13 @@
         this.server.on("connection", socket => {
             this.countConnection(socket);
         });
+        this.server.on("checkExpectation", (message: IncomingMessage, response: ServerResponse) => {
+            const requestId = this.createRequestId();
+            this.answerRejection(message, response, { requestId, rejection: REJECTIONS.expectation });
+        });
+        this.server.on("connect", (message: IncomingMessage, socket) => {
+            this.refuseRaw(socket as Socket, REJECTIONS.malformedRequest);
+        });
         this.server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
             this.refuseMalformed(error, socket as Socket);
         });
@@ -99,8 +111,11 @@
                 }
                 continue;
             }
-            const stalled = !request.bodyComplete || request.response.writableNeedDrain;
-            if (stalled && !request.callerGone && nowMs - request.progressAtMs > bodyTimeoutMs) {
+            const sendsSlowly = request.bodyTaken && !request.bodyComplete && !request.message.isPaused();
+            if (
+                (sendsSlowly || request.response.writableNeedDrain) && !request.callerGone
+                && nowMs - request.progressAtMs > bodyTimeoutMs
+            ) {
                 request.response.destroy();
             }
         }
@@ -110,7 +125,7 @@
         if (this.refused.has(message.socket)) {
             return;
         }
-        const requestId = `${this.requestIdPrefix}${(this.nextId++).toString(36)}`;
+        const requestId = this.createRequestId();
         if (this.hooks.isStopping()) {
             response.shouldKeepAlive = false;
         }
@@ -156,6 +171,12 @@
         this.readBody(request);
     }
 
+    private createRequestId(): string {
+        const id = this.nextId;
+        this.nextId += 1;
+        return this.requestIdPrefix + id.toString(36);
+    }
+
     private readBody(request: CallerRequest): void {
         const { message } = request;
         const isKeyed = request.idempotencyKey !== undefined && !request.targets.repeatable;
@@ -263,7 +284,7 @@
     /** Answers on a connection that has no request object. */
     private refuseRaw(socket: Socket, rejection: Rejection): void {
         this.hooks.rejected(rejection);
-        const requestId = `${this.requestIdPrefix}${(this.nextId++).toString(36)}`;
+        const requestId = this.createRequestId();
         const body = JSON.stringify({ outcome: "not-run", reason: rejection.reasonCode, requestId });
         const lines = [
             `HTTP/1.1 ${rejection.statusCode} ${STATUS_CODES[rejection.statusCode] ?? ""}`,
--- a/daemon/runtime/src/core.ts
+++ b/daemon/runtime/src/core.ts
@@ -62,7 +62,12 @@
         });
         this.current = state;
         for (const effect of effects) {
-            this.runEffect(effect);
+            try {
+                this.runEffect(effect);
+            }
+            catch (error) {
+                this.onError(error, event);
+            }
         }
     }
 
--- a/daemon/runtime/src/daemon.ts
+++ b/daemon/runtime/src/daemon.ts
@@ -56,6 +56,7 @@
     private core: Core | undefined;
     private confirmConfiguration = (): void => undefined;
     private portState: "closed" | "opening" | "open" | "stopped" = "closed";
+    private portProblem = "the caller port is not open";
     private stopping: Promise<void> | undefined;
 
     constructor(settings: DaemonSettings, opts: DaemonOptions = {}) {
@@ -143,6 +144,9 @@
             onError: (error, event) => {
                 this.metrics.eventErrors.inc({ event: event.type });
                 this.note(`event ${event.type} failed: ${error instanceof Error ? error.stack : String(error)}`);
+                if (event.type === "request-arrived") {
+                    this.path.fail(event.request.requestId);
+                }
             },
             state: createRootState({
                 self: {
@@ -202,12 +206,16 @@
         this.portState = "stopped";
         const core = this.core as Core;
         core.dispatch({ type: "stop-started" });
-        while (this.port.requests.size > 0) {
-            await sleep(STOP_POLL_MS);
-        }
-        const untilMs = this.clock.atMs() + SETTLE_LIMIT_MS;
-        while (this.clock.atMs() < untilMs && !this.isSettled(core.state)) {
+        let busyAtMs = this.clock.atMs();
+        // Requests may still arrive on open connections while claims settle; no connection is closed under one.
+        while (
+            this.port.requests.size > 0
+            || (this.clock.atMs() - busyAtMs < SETTLE_LIMIT_MS && !this.isSettled(core.state))
+        ) {
             await sleep(STOP_POLL_MS);
+            if (this.port.requests.size > 0) {
+                busyAtMs = this.clock.atMs();
+            }
         }
         this.note("stopped");
         this.abort.abort();
@@ -246,7 +254,8 @@
         }, (error: unknown) => {
             // Tried again each second, as the port may still be held by the process that this one replaces.
             this.portState = this.portState === "stopped" ? "stopped" : "closed";
-            this.note(`the caller port cannot be opened: ${String(error)}`);
+            this.portProblem = `the caller port cannot be opened: ${String(error)}`;
+            this.note(this.portProblem);
         });
     }
 
@@ -267,7 +276,7 @@
             reasons.push(...configuration.reasons);
         }
         if (this.portState !== "open") {
-            reasons.push("the caller port is not open");
+            reasons.push(this.portProblem);
         }
         return reasons;
     }
--- a/daemon/runtime/src/forwarded-headers.ts
+++ b/daemon/runtime/src/forwarded-headers.ts
@@ -25,7 +25,7 @@
 /** End-to-end headers of a message as a flat list of names and values, with room for the caller to add more. */
 export const forwardedHeaders = (
     rawHeaders: readonly string[],
-    opts: { readonly connection: string | undefined; readonly dropContentLength: boolean; },
+    opts: { readonly connection: string | undefined; readonly isRequest: boolean; },
 ): string[] => {
     const named = opts.connection === undefined || /^(?:close|keep-alive)$/i.test(opts.connection)
         ? undefined
@@ -34,10 +34,9 @@
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index] as string;
         const lowerCase = name.toLowerCase();
-        if (
-            DROPPED.has(lowerCase) || named?.has(lowerCase) === true
-            || (opts.dropContentLength && lowerCase === "content-length")
-        ) {
+        // The daemon states the length and the host of a request itself, whatever the caller names as hop-by-hop.
+        const isOwn = opts.isRequest && (lowerCase === "content-length" || lowerCase === "host");
+        if (isOwn || DROPPED.has(lowerCase) || named?.has(lowerCase) === true) {
             continue;
         }
         headers.push(name, rawHeaders[index + 1] as string);
--- a/daemon/runtime/src/parse-caller-request.ts
+++ b/daemon/runtime/src/parse-caller-request.ts
@@ -44,8 +44,12 @@
 ): Result<ParsedRequest, Rejection> => {
     const url = message.url ?? "";
     const { headers } = message;
+    // An HTTP/1.0 caller cannot tell a response that was cut short from a whole one.
+    if (message.httpVersion !== "1.1") {
+        return err(REJECTIONS.httpVersion);
+    }
     const slash = url.indexOf("/", 1);
-    if (!url.startsWith("/") || url.includes("#")) {
+    if (!url.startsWith("/") || url.includes("#") || headers.host === undefined) {
         return err(REJECTIONS.malformedRequest);
     }
     const queryStart = url.indexOf("?");
--- a/daemon/runtime/src/rejections.ts
+++ b/daemon/runtime/src/rejections.ts
@@ -9,6 +9,8 @@
 /** Rejections of the caller port itself. All of them mean that the request did not run. */
 export const REJECTIONS = {
     malformedRequest: reject(400, "MALFORMED_REQUEST"),
+    expectation: reject(417, "EXPECTATION_NOT_SUPPORTED"),
+    httpVersion: reject(505, "HTTP_VERSION_NOT_SUPPORTED"),
     headersTooLarge: reject(431, "HEADERS_TOO_LARGE"),
     unknownService: reject(404, "UNKNOWN_SERVICE"),
     unknownClass: reject(404, "UNKNOWN_CLASS"),
--- a/daemon/runtime/src/relay-response.ts
+++ b/daemon/runtime/src/relay-response.ts
@@ -21,7 +21,7 @@
     const notRun = upstream.headers["not-run"] === "true";
     const headers = forwardedHeaders(upstream.rawHeaders, {
         connection: upstream.headers.connection,
-        dropContentLength: false,
+        isRequest: false,
     });
     const keepsResponse = request.idempotencyKey !== undefined && !request.targets.repeatable;
     const storedHeaders: [string, string][] = [];
--- a/daemon/runtime/src/request-path.ts
+++ b/daemon/runtime/src/request-path.ts
@@ -17,9 +17,6 @@
 
 const FINGERPRINT_BYTES = 65_536;
 const PROBE_TIMEOUT_MS = 1_000;
-// A probe unit allows one probe in any one second. A probe that could not leave at once is given up, because the
-// next one may follow after exactly a second.
-const PROBE_DELAY_MS = 20;
 const POOL_IDLE_MS = 4_000;
 // VMs are replaced all the time; pools of addresses that nobody uses any more must not pile up.
 const POOL_FORGET_MS = 600_000;
@@ -162,24 +159,31 @@
         });
     }
 
+    /** Ends a request that the reducer failed to handle. What was done for it is not known. */
+    fail(requestId: string): void {
+        const request = this.port().requests.get(requestId);
+        if (request !== undefined) {
+            const reasonCode = "ERR_MARIGOLDSTALL_INTERNAL";
+            this.answer(request, { outcome: "unknown", statusCode: 500, reasonCode, retryAfterMs: undefined });
+        }
+    }
+
     closeConnections(address: string): void {
         this.pools.get(address)?.closeIdle({ olderThanMs: 0 });
     }
 
-    probe(address: string): void {
+    /** Sends the probe that a probe unit allows. */
+    probe(effect: EffectOf<"send-probe">): void {
+        const { address } = effect;
         const pool = this.pool(address);
         const silent = this.silentAttempts().filter(attempt => attempt.pool === pool);
         const path = silent.length > 0 ? "/_health" : "/_load";
-        const decidedAtMs = this.clock.atMs();
-        const decidedWallMs = this.clock.wallMs();
         pool.exchange({
             method: "GET",
             path,
             timeoutMs: PROBE_TIMEOUT_MS,
             mode: silent.length > 0 ? "new" : "any",
-            mayStillSend: () =>
-                this.clock.atMs() - decidedAtMs <= PROBE_DELAY_MS
-                && this.clock.wallMs() - decidedWallMs <= PROBE_DELAY_MS,
+            mayStillSend: () => this.clock.atMs() <= effect.notAfterAtMs && this.clock.wallMs() < effect.beforeWallMs,
         }, result => {
             this.metrics.probes.inc({ result: result?.statusCode === 200 ? "answered" : "failed" });
             const body = (result?.statusCode === 200 ? result.body : undefined) as
@@ -197,7 +201,7 @@
             });
             if (result !== undefined) {
                 for (const attempt of silent) {
-                    if (attempt.isSilent) {
+                    if (attempt.silentMs(this.clock.atMs()) > 0) {
                         attempt.closeSilent();
                     }
                 }
@@ -211,8 +215,14 @@
      */
     checkSilence(): readonly string[] {
         const addresses = new Set<string>();
+        const nowMs = this.clock.atMs();
+        for (const attempt of [...this.attempts.values()]) {
+            if (attempt.isStalled(nowMs)) {
+                attempt.closeStalled();
+            }
+        }
         for (const attempt of this.silentAttempts()) {
-            const suspectAtMs = (attempt.sentAtMs ?? 0) + attempt.effect.silenceLimitMs;
+            const suspectAtMs = nowMs - attempt.silentMs(nowMs) + attempt.effect.silenceLimitMs;
             if (attempt.pool.lastReceivedAtMs > suspectAtMs) {
                 attempt.closeSilent();
             }
@@ -244,7 +254,7 @@
         const nowMs = this.clock.atMs();
         const silent: Attempt[] = [];
         for (const attempt of this.attempts.values()) {
-            if (attempt.isSilent && nowMs - (attempt.sentAtMs ?? nowMs) >= attempt.effect.silenceLimitMs) {
+            if (attempt.silentMs(nowMs) >= attempt.effect.silenceLimitMs) {
                 silent.push(attempt);
             }
         }
--- a/daemon/runtime/src/run-effect.ts
+++ b/daemon/runtime/src/run-effect.ts
@@ -36,7 +36,7 @@
             path.closeConnections(effect.address);
             return;
         case "send-probe":
-            path.probe(effect.address);
+            path.probe(effect);
             return;
         case "send-heartbeat":
             fleet.sendHeartbeat(effect);
--- a/daemon/runtime/src/start-loops.ts
+++ b/daemon/runtime/src/start-loops.ts
@@ -9,8 +9,9 @@
 const VM_LIST_INTERVAL_MS = 1_000;
 const TICK_INTERVAL_MS = 100;
 const SECOND_MS = 1_000;
-// A long poll that is answered only by new records costs the log two requests a minute from each daemon.
-const LOG_WAIT_MS = 20_000;
+// A connection to the log that went silent is given up after this time and the client's limit of 5 s, so that a
+// daemon misses records for less than 10 s. Without records each daemon sends a read every 4 s a stream.
+const LOG_WAIT_MS = 4_000;
 const LOG_RETRY_MS = 500;
 const READ_LIMIT = 500;
 
--- a/daemon/runtime/test/backend-faults.test.ts
+++ b/daemon/runtime/test/backend-faults.test.ts
@@ -147,6 +147,33 @@
         expect(backend.received).to.have.length(2);
     }).timeout(40_000);
 
+    it("breaks the caller's connection when a response stops in the middle and its deadline has passed", async () => {
+        await start((request, response, backend) => {
+            request.resume();
+            response.writeHead(200, { ...backend.headers(request), "Content-Length": 1_000 });
+            response.write("x".repeat(500));
+        });
+        const answer = await sendRequest(caller, { path: CHECK, headers: { "Request-Timeout-Ms": "300" } });
+        expect(answer.whole).to.equal(false);
+    });
+
+    it("does not take a connection for silent while the caller is still sending the body", async () => {
+        const [backend] = await start((request, response, self) => {
+            self.answer(request, response);
+        }) as [TestBackend];
+        const body = new ReadableStream({
+            async start(controller): Promise<void> {
+                controller.enqueue(new Uint8Array(100_000));
+                await new Promise(resolve => setTimeout(resolve, 2_500));
+                controller.close();
+            },
+        });
+        const answer = await fetch(`http://${caller}${CHECK}`, { method: "POST", body, duplex: "half" } as RequestInit);
+        expect(await answer.text()).to.equal("POST /status/1 100000");
+        expect(backend.healthChecks).to.deep.equal([]);
+        expect(backend.received).to.have.length(1);
+    });
+
     it("sends a shed request elsewhere, also a non-repeatable one", async () => {
         let sheds = 0;
         const shedOnce: TestBackend["handler"] = (request, response, self) => {
--- a/daemon/runtime/test/caller-port.test.ts
+++ b/daemon/runtime/test/caller-port.test.ts
@@ -64,6 +64,10 @@
         ["a length and chunks", `${line}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`, 400],
         ["a broken chunk", `${line}Transfer-Encoding: chunked\r\n\r\nzz\r\n`, 400],
         ["oversized headers", `${line}X: ${"y".repeat(20_000)}\r\n\r\n`, 431],
+        ["no host", "GET /statusdesk/status HTTP/1.1\r\nConnection: close\r\n\r\n", 400],
+        ["HTTP/1.0", "GET /statusdesk/status HTTP/1.0\r\nHost: x\r\n\r\n", 505],
+        ["an unknown expectation", `${line}Expect: tea\r\nConnection: close\r\n\r\n`, 417],
+        ["a tunnel", "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", 400],
         ["no HTTP at all", "hello\r\n\r\n", 400],
     ];
     it("refuses malformed HTTP with an outcome, and goes on serving others", async () => {
@@ -103,8 +107,16 @@
         });
         const answer = await sendRequest(caller, {
             path: "/statusdesk/status",
-            headers: { "Connection": "close, X-Hop", "X-Hop": "1", "X-Kept": "yes", "Request-Id": "forged" },
+            headers: {
+                "Connection": "close, X-Hop, Host",
+                "X-Hop": "1",
+                "X-Kept": "yes",
+                "Request-Id": "forged",
+                "Host": "status.example",
+            },
         });
+        // Without a host the backend server would refuse the request, and look as if it failed.
+        expect(seen["host"]).to.equal("status.example");
         expect(seen).to.include({ "x-kept": "yes", "marigoldstall-attempt": "1" });
         expect(seen).not.to.have.any.keys("x-hop");
         expect(seen["request-id"]).to.equal(answer.headers["request-id"]);
