--- a/daemon/state/test/reduce-root.test.ts
+++ b/daemon/state/test/reduce-root.test.ts
@@ -28,6 +28,12 @@
     })),
 };
 
+/** UUIDv7 whose embedded time is `wallMs`. */
+const keyAt = (wallMs: number): string => {
+    const hex = wallMs.toString(16).padStart(12, "0");
+    return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000001`;
+};
+
 /** One daemon whose log takes effect at once. */
 class Harness {
     readonly events: RootEvent[] = [];
@@ -155,6 +161,62 @@
         expect(types(harness.arrive("r1"))).to.include("start-attempt");
     });
 
+    describe("requests with an idempotency key", () => {
+        it("sends one only after its claim was granted, and settles the claim with the response", () => {
+            const key = keyAt(WALL_MS + harness.atMs);
+            const effects = harness.arrive("r1", key);
+            const start = effects.find(effect => effect.type === "start-attempt");
+            if (start?.type !== "start-attempt") {
+                throw new Error(`the request was not sent: ${types(effects).join(", ")}`);
+            }
+            expect(start.requireLiveConnection).to.equal(true);
+            expect(types(harness.complete(start.attemptId, "r1"))).to.include.members([
+                "relay-attempt",
+                "finish-request",
+            ]);
+            const repeat = harness.arrive("r2", key);
+            const answer = repeat.find(effect => effect.type === "answer-caller");
+            expect(types(repeat)).not.to.include("start-attempt");
+            expect(answer).to.deep.include({ outcome: "completed", statusCode: 200 });
+        });
+
+        it("does not send one whose key is refused, so that `not-run` is true", () => {
+            const effects = harness.arrive("r1", keyAt(WALL_MS - 3_600_000));
+            expect(types(effects)).to.include("answer-caller");
+            expect(types(effects)).not.to.include("start-attempt");
+        });
+
+        it("releases the key when the request surely did not run, so that a repeat runs", () => {
+            const key = keyAt(WALL_MS + harness.atMs);
+            let effects = harness.arrive("r1", key);
+            for (let attempt = 0; attempt < 20; attempt += 1) {
+                const start = effects.find(effect => effect.type === "start-attempt");
+                if (start?.type !== "start-attempt") {
+                    break;
+                }
+                harness.atMs += 1;
+                effects = harness.send({
+                    type: "attempt-failed",
+                    attemptId: start.attemptId,
+                    failure: "connection-stale",
+                });
+            }
+            expect(effects.find(effect => effect.type === "reject-request")).to.include({ outcome: "not-run" });
+            expect(types(harness.arrive("r2", key))).to.include("start-attempt");
+        });
+
+        it("does not run one whose caller left while the claim was waiting", () => {
+            harness.arrive("r1", keyAt(WALL_MS + harness.atMs + 7_000));
+            expect(types(harness.send({ type: "request-cancelled", requestId: "r1" }))).to.deep.equal([
+                "finish-request",
+            ]);
+            for (let tick = 0; tick < 100; tick += 1) {
+                harness.atMs += 100;
+                expect(types(harness.send({ type: "tick", checkAddresses: [] }))).not.to.include("start-attempt");
+            }
+        });
+    });
+
     it("passes evidence of a peer to routing, which then sends nothing to the leaving backend server", () => {
         const first = harness.arrive("r0").find(effect => effect.type === "start-attempt");
         harness.complete(first?.type === "start-attempt" ? first.attemptId : "", "r0");
@@ -168,6 +230,7 @@
     });
 
     it("gives the same states and effects when its events are replayed", () => {
+        harness.arrive("r1", keyAt(WALL_MS + harness.atMs));
         harness.arrive("r2");
         let state = harness.initial;
         for (const event of harness.events) {
