fix(daemon.runtime): wait for answers to leave before a stop closes connections

A request ends when its answer is handed to Node.js, so a stopping daemon could close a connection whose last bytes were still buffered. The shutdown now waits for the answers themselves. The ownership stream is read at most four times a second, as each read returned at the next append of any daemon. The new test of a slow caller guards the shutdown in general: it passes without the fix too, as the window is shorter than it can hold open.

--- a/daemon/runtime/src/caller-port.ts
+++ b/daemon/runtime/src/caller-port.ts
@@ -20,6 +20,8 @@
 /** The port on which callers send requests. */
 export class CallerPort {
     readonly requests = new Map<string, CallerRequest>();
+    /** Answers that were not yet handed to the operating system whole; a request ends before its answer does. */
+    openAnswers = 0;
     private readonly limits: RequestLimits;
     private readonly clock: Clock;
     private readonly hooks: CallerPortHooks;
@@ -126,6 +128,10 @@
             return;
         }
         const requestId = this.createRequestId();
+        this.openAnswers += 1;
+        response.on("close", () => {
+            this.openAnswers -= 1;
+        });
         if (this.hooks.isStopping()) {
             response.shouldKeepAlive = false;
         }
--- a/daemon/runtime/src/daemon.ts
+++ b/daemon/runtime/src/daemon.ts
@@ -209,11 +209,11 @@
         let busyAtMs = this.clock.atMs();
         // Requests may still arrive on open connections while claims settle; no connection is closed under one.
         while (
-            this.port.requests.size > 0
+            this.port.openAnswers > 0
             || (this.clock.atMs() - busyAtMs < SETTLE_LIMIT_MS && !this.isSettled(core.state))
         ) {
             await sleep(STOP_POLL_MS);
-            if (this.port.requests.size > 0) {
+            if (this.port.openAnswers > 0) {
                 busyAtMs = this.clock.atMs();
             }
         }
--- a/daemon/runtime/src/start-loops.ts
+++ b/daemon/runtime/src/start-loops.ts
@@ -13,6 +13,9 @@
 // daemon misses records for less than 10 s. Without records each daemon sends a read every 4 s a stream.
 const LOG_WAIT_MS = 4_000;
 const LOG_RETRY_MS = 500;
+// Every daemon appends to the ownership stream every 2 s. Waiting after a read takes several records at once, which
+// keeps the number of reads independent of the size of the fleet; rights do not depend on how fresh a read is.
+const OWNERSHIP_PAUSE_MS = 250;
 const READ_LIMIT = 500;
 
 interface TailOptions {
@@ -71,7 +74,7 @@
             tailOpts.onRead({ ...result.value, from, startedAtMs });
             // The first read after a failure returns at once, so that the slices learn soon that the log is back.
             waitMs = LOG_WAIT_MS;
-            return 0;
+            return isConfiguration || result.value.records.length === 0 ? 0 : OWNERSHIP_PAUSE_MS;
         };
         return Effect.promise(readOnce).pipe(
             Effect.flatMap(delayMs => delayMs === 0 ? Effect.void : Effect.sleep(delayMs)),
--- a/daemon/runtime/test/lifecycle.test.ts
+++ b/daemon/runtime/test/lifecycle.test.ts
@@ -1,5 +1,7 @@
+import { selectOwnershipHealth } from "@marigoldstall/fleet.ownership";
 import { expect } from "chai";
 import { Agent } from "node:http";
+import { connect } from "node:net";
 import type { Answer } from "./support/answer.js";
 import { eventually } from "./support/eventually.js";
 import { sendRequest } from "./support/send-request.js";
@@ -81,6 +83,45 @@
         await stopping;
     });
 
+    it("does not cut a response that a slow caller is still reading", async () => {
+        // Above what the operating system buffers, so that part of the answer waits in the daemon.
+        const bytes = 16_000_000;
+        const burstBytes = 1_000_000;
+        site = await TestSite.start({
+            backends: [
+                new TestBackend((request, response, backend) => {
+                    request.resume();
+                    response.writeHead(200, { ...backend.headers(request), "Content-Length": bytes });
+                    response.end(Buffer.alloc(bytes));
+                }),
+            ],
+        });
+        const daemon = await site.startReadyDaemon();
+        // Without the log the daemon hands over nothing, and would stop as soon as no request is left.
+        site.log.setFaults({ outage: "refuse" });
+        await eventually(() => !selectOwnershipHealth(daemon.state.ownership, performance.now()).logAvailable, {
+            what: "the daemon knows that the log is down",
+        });
+        const [host, port] = daemon.addresses.caller.split(":");
+        const socket = connect(Number(port), host as string, () => {
+            socket.write(`GET ${CHECK} HTTP/1.1\r\nHost: x\r\n\r\n`);
+        });
+        let received = 0;
+        let pauseAtBytes = burstBytes;
+        socket.on("data", chunk => {
+            received += chunk.length;
+            if (received >= pauseAtBytes) {
+                pauseAtBytes += burstBytes;
+                socket.pause();
+                setTimeout(() => socket.resume(), 150);
+            }
+        });
+        await eventually(() => received > 0, { what: "the response begins" });
+        await daemon.stop();
+        await eventually(() => received >= bytes, { what: "the response arrives whole" });
+        socket.destroy();
+    });
+
     it("gets the configuration from a peer when the log is down at its start", async () => {
         site = await TestSite.start();
         const first = await site.startReadyDaemon("entry-1");
