feat(demo): list why calls were not completed

Cause: the table gives the number of calls that did not run or whose outcome is unknown, but not the cause. Change: counts per class, outcome and reason.

--- a/demo/src/run-demo.ts
+++ b/demo/src/run-demo.ts
@@ -8,6 +8,7 @@
 import { watchEntries } from "./entry-watch.js";
 import { FaultScript } from "./fault-script.js";
 import { formatClassTable } from "./format-class-table.js";
+import { formatReasons } from "./format-reasons.js";
 import { publishTargets } from "./publish-targets.js";
 import { readVersions } from "./read-versions.js";
 import { runScript } from "./run-script.js";
@@ -81,6 +82,7 @@
             },
         });
         print(`\n${formatClassTable(report.classes, { targets })}\n`);
+        print(`${formatReasons(report.calls)}\n`);
         for (const { number, title, verdict, detail } of results) {
             print(`${verdict.padEnd("not checked".length)}  ${number}. ${title}: ${detail}`);
         }
