--- a/daemon/cli/test/marigoldstalld.test.ts
+++ b/daemon/cli/test/marigoldstalld.test.ts
@@ -1,3 +1,4 @@
+import { BackendServer } from "@marigoldstall-private/backend-server";
 import { LogStandIn } from "@marigoldstall-private/log";
 import { VmListStandIn } from "@marigoldstall-private/vm-list";
 import { expect } from "chai";
@@ -12,6 +13,20 @@
 
 const MAIN = fileURLToPath(new URL("../lib/main.js", import.meta.url));
 
+const TARGETS = {
+    site: "test",
+    measuring: { probesPerSecond: 5 },
+    classes: [{
+        name: "check",
+        service: "statusdesk",
+        urgency: "urgent",
+        repeatable: true,
+        lateness: { percentile: 99, withinMs: 1000 },
+        turnedAwayAtMostPercent: 1,
+        match: [{ methods: ["GET"], pathPrefix: "/status" }],
+    }],
+};
+
 interface Run {
     readonly child: ChildProcess;
     readonly output: () => string;
@@ -110,6 +125,58 @@
         taken.close();
     });
 
+    it("cuts no request when it gets SIGTERM twice under load", async () => {
+        const backend = await BackendServer.start({
+            service: "statusdesk",
+            serviceTime: { distribution: "constant", meanMs: 50 },
+        });
+        vmList.add({
+            vmId: "statusdesk-1",
+            role: "statusdesk",
+            address: backend.address,
+            availabilityZone: "bezigrad",
+            state: "live",
+        });
+        await fetch(`http://${log.address}/streams/configuration/records`, {
+            method: "POST",
+            body: JSON.stringify({ publishId: "p1", version: 1, parentVersion: 0, author: "test", targets: TARGETS }),
+        });
+        const ports = await writeSettings();
+        const { child, exited } = run("--settings", file);
+        const isReady = (): Promise<boolean> =>
+            fetch(`http://127.0.0.1:${ports[2]}/readyz`).then(answer => answer.status === 200, () => false);
+        while (!await isReady()) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        const statusCodes: (number | string)[] = [];
+        let sending = true;
+        const load = [1, 2, 3].map(async () => {
+            while (sending) {
+                // Without keep-alive, as a caller behind the balancer gets a new connection when one is closed.
+                statusCodes.push(
+                    await fetch(`http://127.0.0.1:${ports[0]}/statusdesk/status`, {
+                        headers: { Connection: "close" },
+                    }).then(async answer => {
+                        await answer.text();
+                        return answer.status;
+                    }, String),
+                );
+            }
+        });
+        while (statusCodes.length < 5) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        child.kill("SIGTERM");
+        await new Promise(resolve => setTimeout(resolve, 100));
+        child.kill("SIGTERM");
+        // The balancer notices within the 300 ms of notice and sends no more.
+        sending = false;
+        await Promise.all(load);
+        expect(await exited).to.equal(0);
+        expect(statusCodes.filter(statusCode => statusCode !== 200)).to.deep.equal([]);
+        await backend.close();
+    });
+
     it("stops with 0 on SIGTERM, and a second one changes nothing", async () => {
         const ports = await writeSettings();
         const { child, exited, output } = run("--settings", file);
