--- a/bench/src/policies.ts
+++ b/bench/src/policies.ts
@@ -185,6 +185,7 @@
                 const site = await prepareSite({
                     layout: luznik,
                     seed,
+                    stopNoticeMs: 0,
                     daemonCommand: [process.execPath, "daemon/cli/lib/main.js", "--policy", policy],
                     serviceTime: { distribution: "exponential", meanMs: MEAN_MS },
                 });
--- a/bench/src/write-measurement.ts
+++ b/bench/src/write-measurement.ts
@@ -1,4 +1,5 @@
 import { mkdirSync, writeFileSync } from "node:fs";
+import { loadavg } from "node:os";
 import { join } from "node:path";
 
 const DIRECTORY = "docs/measurements";
@@ -23,6 +24,10 @@
         `Written by \`npm run bench -- ${name}\`.`,
         "",
         ...opts.conditions.map(condition => `- ${condition}`),
+        `- load average at the end: ${
+            loadavg().map(load => load.toFixed(1)).join(" ")
+        }; above the number of cores, other `
+        + "work delays every process here and latencies are not to be trusted",
         "",
         formatRow(opts.header),
         formatRow(opts.header.map(() => "---")),
