--- a/requests/ledger/src/advance-request.ts
+++ b/requests/ledger/src/advance-request.ts
@@ -14,8 +14,13 @@
     if (governing === "too-old") {
         return endClaiming(state, { request, answer: callerAnswers.keyTooOld, isDecided: false, atMs });
     }
+    const { inProgressSinceMs } = request;
+    const isWaitOver = inProgressSinceMs !== undefined && atMs - inProgressSinceMs >= ledgerTiming.inProgressWaitMs;
     const undecidedMs = atMs - request.undecidedSinceMs;
     const isOver = atMs >= request.deadlineAtMs;
+    if (isWaitOver || (inProgressSinceMs !== undefined && isOver)) {
+        return endClaiming(state, { request, answer: callerAnswers.keyInProgress, isDecided: false, atMs });
+    }
     if (governing?.endMs !== undefined && (isOver || undecidedMs >= ledgerTiming.endedOwnerMs)) {
         return endClaiming(state, { request, answer: callerAnswers.keyOwnerGone, isDecided: false, atMs });
     }
--- a/requests/ledger/src/answer-claim.ts
+++ b/requests/ledger/src/answer-claim.ts
@@ -4,6 +4,7 @@
 import { callerAnswers } from "./caller-answers.js";
 import type { ClaimReply } from "./claim-reply.js";
 import { endClaiming } from "./end-claiming.js";
+import type { KeyedRequest } from "./keyed-request.js";
 import type { LedgerEvent } from "./ledger-event.js";
 import { ledgerReason } from "./ledger-reason.js";
 import type { LedgerState } from "./ledger-state.js";
@@ -45,6 +46,11 @@
     }
 };
 
+// An earlier request with the same key usually ends soon, and its response answers this one as well.
+const isWorthWaiting = (request: KeyedRequest, atMs: number): boolean =>
+    atMs < request.deadlineAtMs
+    && atMs - (request.inProgressSinceMs ?? atMs) < ledgerTiming.inProgressWaitMs;
+
 /** Acts on an owner's answer to a claim. Answers for requests that have ended change nothing. */
 export const answerClaim = (
     state: LedgerState,
@@ -61,6 +67,15 @@
         const retrying = { ...request, nextSendAtMs, isOwnerMissing: request.isOwnerMissing || isWrongOwner };
         return { state: { ...state, requests: HashMap.set(state.requests, requestId, retrying) }, effects: [] };
     }
+    if (reply.type === "in-progress" && isWorthWaiting(request, atMs)) {
+        const waiting = {
+            ...request,
+            undecidedSinceMs: atMs,
+            inProgressSinceMs: request.inProgressSinceMs ?? atMs,
+            nextSendAtMs: atMs + ledgerTiming.claimRetryMs,
+        };
+        return { state: { ...state, requests: HashMap.set(state.requests, requestId, waiting) }, effects: [] };
+    }
     if (reply.type !== "granted") {
         return endClaiming(state, { request, answer: answerFor(reply), isDecided: true, atMs });
     }
--- a/requests/ledger/src/arrive-request.ts
+++ b/requests/ledger/src/arrive-request.ts
@@ -31,6 +31,7 @@
         claimsSent: 0,
         nextSendAtMs: atMs,
         undecidedSinceMs: atMs,
+        inProgressSinceMs: undefined,
         isOwnerMissing: false,
     };
     if (keyTimeMs === undefined) {
--- a/requests/ledger/src/keyed-request.ts
+++ b/requests/ledger/src/keyed-request.ts
@@ -18,6 +18,8 @@
     readonly nextSendAtMs: number;
     /** Since when no daemon has answered with a decision. */
     readonly undecidedSinceMs: number;
+    /** Since when the owner has said that an earlier request with the same key is in progress. */
+    readonly inProgressSinceMs: number | undefined;
     /** An owner that answered with `wrongOwner` or a lookup without result, and not a daemon that is silent. */
     readonly isOwnerMissing: boolean;
 }
--- a/requests/ledger/src/ledger-timing.ts
+++ b/requests/ledger/src/ledger-timing.ts
@@ -15,6 +15,8 @@
     settleGiveUpMs: 120_000,
     /** Time for the settlement after the request's deadline, before a key is reported as unknown. */
     settleGraceMs: 15_000,
+    /** How long a request waits for the outcome of an earlier one with the same key. */
+    inProgressWaitMs: 5_000,
     /** The owner of an ended term that does not answer for so long is taken to be gone. */
     endedOwnerMs: 2_000,
     /** How long a request waits while no daemon is known to decide about its key. */
