test(routing): find hedges to a tried address and wrong counts of patient work

Cause: names two faults that the property over random orders of events did not find. Change: it checks that a hedge goes to another backend server and that the counts in the state are 0 at the end.

--- a/routing/state/test/random-world.ts
+++ b/routing/state/test/random-world.ts
@@ -242,6 +242,8 @@
         for (const server of selectBackendServers(this.harness.state, this.harness.atMs)) {
             expect(server.ownInFlight, server.address).to.equal(0);
         }
+        expect(this.harness.state.services[0]?.patientInFlight, "patient requests in flight").to.equal(0);
+        expect(this.harness.state.services[0]?.inFlightIds, "requests in flight").to.deep.equal([]);
         expect(this.harness.state.requests.values(), "requests left over").to.deep.equal([]);
     }
 
@@ -305,6 +307,9 @@
         const last = earlier.at(-1);
         if (last !== undefined && earlier.some(other => other.state === "open")) {
             this.hedgedAtMs.push(atMs);
+            expect(earlier.map(other => other.address), "hedge where the request already is").to.not.include(
+                effect.address,
+            );
             this.checkBudget(this.hedgedAtMs, this.urgentArrivedAtMs, { share: 0.05, floor: 1 });
             this.counts.hedges += 1;
         }
