--- a/bench/src/policies.ts
+++ b/bench/src/policies.ts
@@ -41,7 +41,7 @@
     );
     return {
         atMs: performance.timeOrigin + performance.now(),
-        records: (await site.records()).filter(record => record.service === SERVICE),
+        records: await site.records(),
         processorMs: site.daemons.reduce((sum, daemon) => sum + readProcessorTime(site.processOf(daemon).pid), 0),
         controlBytes: bytes.some(count => count === undefined)
             ? undefined
@@ -106,13 +106,14 @@
         throw new Error("the caller reported no class");
     }
     const elapsedSeconds = (after.atMs - before.atMs) / 1000;
-    const runs = after.records.flatMap(record => record.runs);
-    const refusals = after.records.flatMap(record => record.refusals);
+    const records = after.records.filter(record => record.service === SERVICE);
+    const runs = records.flatMap(record => record.runs);
+    const refusals = records.flatMap(record => record.refusals);
     const probes = after.records.flatMap(record => record.probes).filter(probe => probe.atMs >= before.atMs).length;
     const controlBytes = after.controlBytes === undefined || before.controlBytes === undefined
         ? "not measured"
         : ((after.controlBytes - before.controlBytes) / elapsedSeconds / site.daemons.length).toFixed(0);
-    const bound = simulateBound(report, { records: after.records, stragglerVmId: straggler?.vmId });
+    const bound = simulateBound(report, { records, stragglerVmId: straggler?.vmId });
     const label = [String(opts.loadPercent), String(opts.seed)];
     return [
         [
