feat(bench): measure the cost of the control work

Cause: no figure showed how the control work grows with daemons, backend servers, services and keys. Conclusion: the case is ready to be run.

--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -1,8 +1,9 @@
 import { Argument, Command } from "commander";
+import { controlCost } from "./control-cost.js";
 import { passThrough } from "./pass-through.js";
 import { policies } from "./policies.js";
 
-const CASES = { "pass-through": passThrough, policies };
+const CASES = { "control-cost": controlCost, "pass-through": passThrough, policies };
 
 const command = new Command("bench")
     .description("Measures one case and writes docs/measurements/CASE.md.")
