fix(bench): warm up before control costs are measured

Cause: a trial counted compilation in the first cases (fleet/rpc 924 us at 13 daemons, 541 us at 400) and the making of the VM list in its reduction. Change: longer warm-ups, lists made once, heap of several copies of the targets.

--- a/bench/src/control-cost.ts
+++ b/bench/src/control-cost.ts
@@ -1,5 +1,6 @@
 import { createMembershipState, reduceMembership } from "@marigoldstall/fleet.membership";
 import type { Heartbeat } from "@marigoldstall/fleet.membership";
+import { loadavg } from "node:os";
 import type { BenchOptions } from "./bench-options.js";
 import type { CostRow } from "./cost-row.js";
 import { describeConditions } from "./describe-conditions.js";
@@ -93,6 +94,7 @@
         title: "Cost of the control work",
         conditions: [
             ...conditions,
+            `load average at the end: ${loadavg().map(load => load.toFixed(1)).join(" ")}`,
             `seed: ${seed}; one run, ${((performance.now() - startMs) / 1000).toFixed(0)} s in all`,
         ],
         header: ["part", "at", "quantity", "value"],
--- a/bench/src/measure-configuration.ts
+++ b/bench/src/measure-configuration.ts
@@ -7,6 +7,7 @@
 
 const WARM_UP_PUBLISHES = 10;
 const PUBLISHES = 30;
+const COPIES = 20;
 
 /** Cost of reading one published version, from JSON to the version in force. */
 export const measureConfiguration = async (
@@ -48,7 +49,8 @@
     if (state.fold.accepted?.version !== WARM_UP_PUBLISHES + PUBLISHES) {
         throw new Error("a version was not accepted");
     }
-    const heap = measureHeap(() => JSON.parse(JSON.stringify(targets)));
+    const text = JSON.stringify(targets);
+    const heap = measureHeap(() => Array.from({ length: COPIES }, () => JSON.parse(text) as unknown)) / COPIES;
     const part = "configuration";
     const at = `${classes} classes`;
     return [
--- a/bench/src/measure-idle-site.ts
+++ b/bench/src/measure-idle-site.ts
@@ -11,6 +11,7 @@
 
 const SETTLE_MS = 10_000;
 const IDLE_MS = 20_000;
+const WARM_UP_MS = 5_000;
 const LOAD_MS = 8_000;
 const SECOND_MS = 1000;
 const LOADS = [
@@ -100,22 +101,25 @@
     // The work of a keyed request is spread over the entry daemon and the owner of the key.
     const daemons = load.repeatable ? [opts.daemon] : site.daemons;
     const used = () => sum(daemons.map(daemon => readProcessorTime(site.processOf(daemon).pid)));
+    const call = (durationMs: number) =>
+        runCaller({
+            entries: [opts.daemon.callerAddress],
+            classes: [{
+                name: load.title,
+                method: load.method,
+                path: load.repeatable ? `/${load.service}/status` : `/${load.service}/dispatches`,
+                ratePerSecond: load.ratePerSecond,
+                repeatable: load.repeatable,
+                bodyBytes: load.repeatable ? 0 : 400,
+                responseBytes: 600,
+            }],
+            seed: opts.seed,
+            durationMs,
+        });
+    await call(WARM_UP_MS);
     const startMs = performance.now();
     const before = used();
-    const { classes } = await runCaller({
-        entries: [opts.daemon.callerAddress],
-        classes: [{
-            name: load.title,
-            method: load.method,
-            path: load.repeatable ? `/${load.service}/status` : `/${load.service}/dispatches`,
-            ratePerSecond: load.ratePerSecond,
-            repeatable: load.repeatable,
-            bodyBytes: load.repeatable ? 0 : 400,
-            responseBytes: 600,
-        }],
-        seed: opts.seed,
-        durationMs: LOAD_MS,
-    });
+    const { classes } = await call(LOAD_MS);
     const idleMs = opts.idleMsPerSecond * daemons.length * (performance.now() - startMs) / SECOND_MS;
     const [report] = classes;
     if (report === undefined || report.completed === 0) {
--- a/bench/src/measure-routing.ts
+++ b/bench/src/measure-routing.ts
@@ -33,10 +33,12 @@
     state: RoutingState = createRoutingState({ vmId: "entry-1", availabilityZone: "bezigrad" });
     private readonly generator: ReturnType<typeof xoroshiro128plus>;
     private readonly opts: Options;
+    private readonly vmList: VmList;
     private requests = 0;
 
     constructor(opts: Options) {
         this.opts = opts;
+        this.vmList = planVmList({ ...opts, entryVms: 0, asOfMs: 0 });
         this.generator = xoroshiro128plus(opts.seed);
         this.send({ type: "targets-changed", atMs: 0, targets: planTargets(opts) });
         this.list();
@@ -49,9 +51,7 @@
     }
 
     list(): void {
-        const { backendServers, services } = this.opts;
-        const vmList = planVmList({ backendServers, services, entryVms: 0, asOfMs: this.atMs });
-        this.send({ type: "vm-list-read", atMs: this.atMs, vmList });
+        this.send({ type: "vm-list-read", atMs: this.atMs, vmList: { ...this.vmList, asOfMs: this.atMs } });
     }
 
     tick(): void {
