feat(bench): measure the shares under views from heartbeats

Cause: the ownership model was given all members, while views of 200 daemons name only 120 to 155 of them.

--- a/bench/src/control-cost.ts
+++ b/bench/src/control-cost.ts
@@ -6,6 +6,7 @@
 import { describeConditions } from "./describe-conditions.js";
 import { fleetMember } from "./fleet-member.js";
 import { measureConfiguration } from "./measure-configuration.js";
+import { measureFleet } from "./measure-fleet.js";
 import { measureIdleSite } from "./measure-idle-site.js";
 import { measureKeys } from "./measure-keys.js";
 import { measureMembership } from "./measure-membership.js";
@@ -16,6 +17,7 @@
 import { writeMeasurement } from "./write-measurement.js";
 
 const DAEMONS = [13, 50, 200, 400];
+const FLEETS = [13, 50, 200];
 const BACKEND_SERVERS = [10, 100, 500, 1000, 2200];
 const SERVICES = [4, 16, 64];
 const KEYS = [1_000, 10_000, 100_000];
@@ -69,6 +71,9 @@
         }
         add(await measureOwnership(daemons, { seed }));
     }
+    for (const daemons of FLEETS) {
+        add(await measureFleet(daemons, { seed }));
+    }
     for (const services of SERVICES) {
         const pressed = pressedHeartbeat(services, heartbeat?.beats ?? []);
         if (pressed !== undefined) {
@@ -106,6 +111,8 @@
             "membership, ownership: the real reducers of all daemons of a fleet in one process, against each other, in "
             + "simulated time, without a network and without a fault; the figure of one daemon is the mean. HTTP, HMAC "
             + "and schema work is not in these figures, except in those over fleet/rpc.",
+            "ownership: each daemon is given all members. shares under real views: the root reducers, where members come "
+            + "from the heartbeats of the model only; heartbeats, promises and appends arrive at once.",
             "heartbeats over fleet/rpc: both ends in one process. A daemon is the client of 3 and on average the server "
             + "of 3 calls a second, so its work is that of both ends of 3 calls.",
             "routing: the VM list comes from an HTTP server in the same process that sends a fixed text, so its work is "
