test(ledger): check the cost of a claim by counts instead of times

Cause: the check that a claim does not slow down with the number of stored keys compared wall-clock times, which depend on the load of the machine. Change: the test observes the state and counts two things that are the same on each run: the slots of the objects that a claim does not share with the state before it, and the reads of fields of objects in the state. With more than 10 times the keys neither may double; the times were allowed a factor of 5.

--- a/requests/ledger/test/owner-ledger.test.ts
+++ b/requests/ledger/test/owner-ledger.test.ts
@@ -1,6 +1,8 @@
 import { ledgerReason, selectLedgerCounts } from "@marigoldstall/requests.ledger";
 import { expect } from "chai";
+import type { ClaimCost } from "./claim-cost.js";
 import { LedgerDriver } from "./ledger-driver.js";
+import { StateObserver } from "./state-observer.js";
 
 const response = (bytes = 10) => ({ statusCode: 201, headers: [], bodyBase64: "x".repeat(bytes) });
 const granted = { type: "granted" };
@@ -232,26 +234,36 @@
             });
         });
 
-        it("does not slow down with the number of stored keys", () => {
-            const driver = owning({ keyCountLimit: 200_000 });
+        // Guards against a claim that copies or scans the table of keys.
+        it("does not do more work for a claim when it stores more keys", () => {
+            const driver = owning();
+            const observer = new StateObserver();
             let tail = 0;
-            const timeClaims = (): number => {
-                const startMs = performance.now();
-                for (const endTail = tail + 1_000; tail < endTail; tail += 1) {
+            const claim = (count: number): void => {
+                for (const endTail = tail + count; tail < endTail; tail += 1) {
                     driver.claim({ key: LedgerDriver.key(tail % 10_000, tail) });
                 }
-                return performance.now() - startMs;
             };
-            const bestOfThreeMs = (): number => Math.min(timeClaims(), timeClaims(), timeClaims());
-            timeClaims();
-            const fewMs = bestOfThreeMs();
-            while (tail < 42_000) {
-                timeClaims();
-            }
-            const manyMs = bestOfThreeMs();
-            expect(selectLedgerCounts(driver.state).granted).to.equal(45_000);
-            // A cost in proportion to the more than 10-fold number of keys would be above this factor.
-            expect(manyMs).to.be.below(5 * fewMs);
+            const measureClaims = (): ClaimCost => {
+                observer.observe(driver.state);
+                observer.fieldReads = 0;
+                let newSlots = 0;
+                for (let index = 0; index < 100; index += 1) {
+                    claim(1);
+                    newSlots += observer.observe(driver.state);
+                }
+                return { newSlots, fieldReads: observer.fieldReads };
+            };
+            claim(300);
+            const few = measureClaims();
+            claim(5_500);
+            const many = measureClaims();
+            expect(selectLedgerCounts(driver.state).granted).to.equal(6_000);
+            expect(few.newSlots).to.be.above(0);
+            expect(few.fieldReads).to.be.above(0);
+            // The tree of keys is a level deeper; a cost in proportion to the keys would be more than 10-fold.
+            expect(many.newSlots).to.be.below(2 * few.newSlots);
+            expect(many.fieldReads).to.be.below(2 * few.fieldReads);
         });
     });
 });
