refactor(packages): share schema checks and JSON bodies through own packages

Cause: config/targets depended on config/settings only for the checks of values and YAML files, and three stand-ins each held the same read-json.ts, send-json.ts and bad-body-error.ts. Change: the checks are in @marigoldstall/config.schema, the JSON bodies in @marigoldstall-private/http. Conclusion: no behaviour changes; targets no longer depend on settings.

--- a/config/settings/src/control-key-field.ts
+++ b/config/settings/src/control-key-field.ts
@@ -1,4 +1,4 @@
-import { field } from "./field.js";
+import { field } from "@marigoldstall/config.schema";
 
 const MIN_CHARACTERS = 32;
 const MAX_CHARACTERS = 1024;
--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -1,17 +1,8 @@
-export { checkValue } from "./check-value.js";
-export type { CheckYamlOptions } from "./check-yaml-options.js";
-export { checkYaml } from "./check-yaml.js";
 export type { DaemonSettings } from "./daemon-settings.js";
 export { DEFAULT_REQUEST_LIMITS } from "./default-request-limits.js";
 export { DEFAULT_STOP_NOTICE_MS } from "./default-stop-notice-ms.js";
-export { field } from "./field.js";
-export type { FileProblem } from "./file-problem.js";
-export type { InvalidFileErrorOptions } from "./invalid-file-error-options.js";
-export { InvalidFileError } from "./invalid-file-error.js";
-export { isAddress } from "./is-address.js";
 export { readDaemonSettings } from "./read-daemon-settings.js";
 export type { ReadSettingsOptions } from "./read-settings-options.js";
 export { readToolSettings } from "./read-tool-settings.js";
 export type { RequestLimits } from "./request-limits.js";
 export type { ToolSettings } from "./tool-settings.js";
-export type { ValueProblem } from "./value-problem.js";
--- a/config/settings/src/read-daemon-settings.ts
+++ b/config/settings/src/read-daemon-settings.ts
@@ -1,14 +1,12 @@
+import { checkYaml, field } from "@marigoldstall/config.schema";
+import type { InvalidFileError, ValueProblem } from "@marigoldstall/config.schema";
 import * as Schema from "effect/Schema";
 import type { Result } from "neverthrow";
-import { checkYaml } from "./check-yaml.js";
 import { controlKeyField } from "./control-key-field.js";
 import type { DaemonSettings } from "./daemon-settings.js";
 import { DEFAULT_REQUEST_LIMITS } from "./default-request-limits.js";
 import { DEFAULT_STOP_NOTICE_MS } from "./default-stop-notice-ms.js";
-import { field } from "./field.js";
-import type { InvalidFileError } from "./invalid-file-error.js";
 import type { ReadSettingsOptions } from "./read-settings-options.js";
-import type { ValueProblem } from "./value-problem.js";
 
 const HOUR_MS = 3_600_000;
 const DAY_MS = 24 * HOUR_MS;
--- a/config/settings/src/read-tool-settings.ts
+++ b/config/settings/src/read-tool-settings.ts
@@ -1,8 +1,7 @@
+import { checkYaml, field } from "@marigoldstall/config.schema";
+import type { InvalidFileError } from "@marigoldstall/config.schema";
 import type { Result } from "neverthrow";
-import { checkYaml } from "./check-yaml.js";
 import { controlKeyField } from "./control-key-field.js";
-import { field } from "./field.js";
-import type { InvalidFileError } from "./invalid-file-error.js";
 import type { ReadSettingsOptions } from "./read-settings-options.js";
 import type { ToolSettings } from "./tool-settings.js";
 
--- a/config/targets/src/cross-check-targets.ts
+++ b/config/targets/src/cross-check-targets.ts
@@ -1,4 +1,4 @@
-import type { ValueProblem } from "@marigoldstall/config.settings";
+import type { ValueProblem } from "@marigoldstall/config.schema";
 import type { Targets } from "@marigoldstall/core.types";
 
 // Daemons fetch a configuration from each other in one call, whose body is at most 256 KiB.
--- a/config/targets/src/parse-targets.ts
+++ b/config/targets/src/parse-targets.ts
@@ -1,4 +1,4 @@
-import { checkValue } from "@marigoldstall/config.settings";
+import { checkValue } from "@marigoldstall/config.schema";
 import { MarigoldstallError } from "@marigoldstall/core.error";
 import type { Targets } from "@marigoldstall/core.types";
 import { err, ok } from "neverthrow";
--- a/config/targets/src/read-targets.ts
+++ b/config/targets/src/read-targets.ts
@@ -1,5 +1,5 @@
-import { checkYaml } from "@marigoldstall/config.settings";
-import type { InvalidFileError } from "@marigoldstall/config.settings";
+import { checkYaml } from "@marigoldstall/config.schema";
+import type { InvalidFileError } from "@marigoldstall/config.schema";
 import type { Targets } from "@marigoldstall/core.types";
 import type { Result } from "neverthrow";
 import { crossCheckTargets } from "./cross-check-targets.js";
--- a/config/targets/src/targets-schema.ts
+++ b/config/targets/src/targets-schema.ts
@@ -1,4 +1,4 @@
-import { field } from "@marigoldstall/config.settings";
+import { field } from "@marigoldstall/config.schema";
 import type { Targets } from "@marigoldstall/core.types";
 import * as Schema from "effect/Schema";
 
--- a/stand-ins/backend-server/src/backend-host.ts
+++ b/stand-ins/backend-server/src/backend-host.ts
@@ -1,9 +1,9 @@
+import { sendJson } from "@marigoldstall-private/http";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { BackendServer } from "./backend-server.js";
 import type { BackendSettings } from "./backend-settings.js";
-import { sendJson } from "./send-json.js";
 import { serveControl } from "./serve-control.js";
 
 const SERVER_PATH = /^\/servers\/([^/]+)(\/_[a-z]+)$/;
--- a/stand-ins/backend-server/src/backend-server.ts
+++ b/stand-ins/backend-server/src/backend-server.ts
@@ -1,3 +1,4 @@
+import { sendJson } from "@marigoldstall-private/http";
 import { createHash, randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BackendFaultSettings } from "./backend-fault-settings.js";
@@ -14,7 +15,6 @@
 import { RandomSource } from "./random-source.js";
 import { Recorder } from "./recorder.js";
 import type { RefusalReason } from "./refusal-reason.js";
-import { sendJson } from "./send-json.js";
 import { serveControl } from "./serve-control.js";
 
 const DEFAULTS = {
--- a/stand-ins/backend-server/src/serve-control.ts
+++ b/stand-ins/backend-server/src/serve-control.ts
@@ -1,11 +1,9 @@
+import { BadBodyError, readJson, sendJson } from "@marigoldstall-private/http";
 import * as Schema from "effect/Schema";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { BackendFaults } from "./backend-faults.js";
 import type { BackendServer } from "./backend-server.js";
-import { BadBodyError } from "./bad-body-error.js";
 import { FaultSocket } from "./fault-socket.js";
-import { readJson } from "./read-json.js";
-import { sendJson } from "./send-json.js";
 
 const MAX_BODY_BYTES = 65_536;
 const decodeFaults = Schema.decodeUnknownSync(BackendFaults, { onExcessProperty: "error" });
--- a/stand-ins/log/src/log-stand-in.ts
+++ b/stand-ins/log/src/log-stand-in.ts
@@ -1,9 +1,9 @@
+import { BadBodyError, readJson, sendJson } from "@marigoldstall-private/http";
 import * as Schema from "effect/Schema";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { BadBodyError } from "./bad-body-error.js";
 import { FaultTable } from "./fault-table.js";
 import type { LogFaultSettings } from "./log-fault-settings.js";
 import { LogFaults } from "./log-faults.js";
@@ -11,8 +11,6 @@
 import type { LogRecord } from "./log-record.js";
 import { LogStream } from "./log-stream.js";
 import { RateLimit } from "./rate-limit.js";
-import { readJson } from "./read-json.js";
-import { sendJson } from "./send-json.js";
 
 const MAX_BODY_BYTES = 1_048_576;
 const DEFAULT_APPENDS_PER_SECOND = 400;
--- a/stand-ins/vm-list/src/vm-list-stand-in.ts
+++ b/stand-ins/vm-list/src/vm-list-stand-in.ts
@@ -1,11 +1,9 @@
+import { BadBodyError, readJson, sendJson } from "@marigoldstall-private/http";
 import * as Schema from "effect/Schema";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { BadBodyError } from "./bad-body-error.js";
 import { ListedVm } from "./listed-vm.js";
-import { readJson } from "./read-json.js";
-import { sendJson } from "./send-json.js";
 import type { VmEntry } from "./vm-entry.js";
 import type { VmListAnswer } from "./vm-list-answer.js";
 import type { VmListFaultSettings } from "./vm-list-fault-settings.js";
--- a/tool/cli/src/run-tool.ts
+++ b/tool/cli/src/run-tool.ts
@@ -1,4 +1,5 @@
-import { InvalidFileError, readToolSettings } from "@marigoldstall/config.settings";
+import { InvalidFileError } from "@marigoldstall/config.schema";
+import { readToolSettings } from "@marigoldstall/config.settings";
 import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
 import { CommanderError } from "commander";
 import { err, ok } from "neverthrow";
