refactor(stand-ins): share the seeded random numbers

Cause: the backend server and the caller each held RandomSource, with the same generator and seeding. Change: it is in @marigoldstall-private/random. The caller no longer exports it; nothing imported it from there.

--- a/stand-ins/backend-server/src/backend-server.ts
+++ b/stand-ins/backend-server/src/backend-server.ts
@@ -1,4 +1,5 @@
 import { sendJson } from "@marigoldstall-private/http";
+import { RandomSource } from "@marigoldstall-private/random";
 import { createHash, randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BackendFaultSettings } from "./backend-fault-settings.js";
@@ -12,7 +13,6 @@
 import { Listener } from "./listener.js";
 import { LoadReportSource } from "./load-report-source.js";
 import { nowMs } from "./now-ms.js";
-import { RandomSource } from "./random-source.js";
 import { Recorder } from "./recorder.js";
 import type { RefusalReason } from "./refusal-reason.js";
 import { serveControl } from "./serve-control.js";
--- a/stand-ins/backend-server/src/draw-service-time.ts
+++ b/stand-ins/backend-server/src/draw-service-time.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from "./random-source.js";
+import type { RandomSource } from "@marigoldstall-private/random";
 import type { ServiceTimeSettings } from "./service-time-settings.js";
 
 const DEFAULT_SIGMA = 0.5;
--- a/stand-ins/caller/src/caller.ts
+++ b/stand-ins/caller/src/caller.ts
@@ -1,3 +1,4 @@
+import { RandomSource } from "@marigoldstall-private/random";
 import { createHash, randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { Agent } from "node:http";
@@ -10,7 +11,6 @@
 import type { CallerReport } from "./caller-report.js";
 import type { CallerSettings } from "./caller-settings.js";
 import { checkAnswer } from "./check-answer.js";
-import { RandomSource } from "./random-source.js";
 import { sendCall } from "./send-call.js";
 import type { SentCall } from "./sent-call.js";
 import { summarizeClass } from "./summarize-class.js";
--- a/stand-ins/caller/src/index.ts
+++ b/stand-ins/caller/src/index.ts
@@ -9,5 +9,4 @@
 export { Caller } from "./caller.js";
 export { checkAnswer } from "./check-answer.js";
 export type { ClassReport } from "./class-report.js";
-export { RandomSource } from "./random-source.js";
 export { summarizeClass } from "./summarize-class.js";
--- /dev/null
+++ b/stand-ins/random/src/index.ts
@@ -0,0 +1,1 @@
+export { RandomSource } from "./random-source.js";
