docs(comments): say what fields mean without the line above

Cause: some comments referred to the field before them or left open what was meant. Change: eight comments in fleet, requests and routing say it themselves. No code changes. Conclusion: these fields can be read on their own.

--- a/fleet/membership/src/apply-beat.ts
+++ b/fleet/membership/src/apply-beat.ts
@@ -7,7 +7,7 @@
     readonly atMs: number;
     readonly member: Member;
     readonly beat: number;
-    /** Whether the daemon said it itself, rather than a third one about it. */
+    /** Whether the beat came from the daemon itself, not relayed by another one. */
     readonly direct: boolean;
 }
 
--- a/fleet/ownership/src/ownership-timing.ts
+++ b/fleet/ownership/src/ownership-timing.ts
@@ -32,6 +32,6 @@
     pauseMs: 1_500,
     logStaleAfterMs: 10_000,
     appendRetryMs: 1_000,
-    /** Records that nobody has to honour are given up, and judged anew, after this time. */
+    /** An undecided `assign` record that binds neither owner nor guardian is given up, and judged anew, after this. */
     appendGiveUpMs: 5_000,
 } as const;
--- a/requests/ledger/src/key-place.ts
+++ b/requests/ledger/src/key-place.ts
@@ -2,6 +2,6 @@
 export interface KeyPlace {
     readonly share: number;
     readonly keyTimeMs: number;
-    /** Service and key. */
+    /** Service and key, joined into one text. */
     readonly id: string;
 }
--- a/requests/ledger/src/keyed-request.ts
+++ b/requests/ledger/src/keyed-request.ts
@@ -16,7 +16,7 @@
     readonly contacted: readonly DaemonId[];
     readonly claimsSent: number;
     readonly nextSendAtMs: number;
-    /** Since when no daemon has answered with a decision. */
+    /** Start of the time in which no daemon has answered with a decision. */
     readonly undecidedSinceMs: number;
     /** An owner that answered with `wrongOwner` or a lookup without result, and not a daemon that is silent. */
     readonly isOwnerMissing: boolean;
--- a/routing/measuring/src/measuring-effect.ts
+++ b/routing/measuring/src/measuring-effect.ts
@@ -5,6 +5,6 @@
     readonly unit: number;
     /** The shell drops the probe when its monotonic clock is past this before the first byte is written. */
     readonly notAfterAtMs: number;
-    /** The same for its wall clock: the share may belong to another daemon from here on. */
+    /** The shell drops the probe from this wall clock time on, because the share may then belong to another daemon. */
     readonly beforeWallMs: number;
 };
--- a/routing/state/src/class-second.ts
+++ b/routing/state/src/class-second.ts
@@ -8,6 +8,6 @@
     readonly unknown: number;
     /** Latencies of the completed requests, from arrival to the end of the response. */
     readonly latencies: Uint32Array;
-    /** The newest of them, not yet in `latencies`: copying the buckets for each one would cost more than the rest. */
+    /** Newest latencies, not yet in `latencies`: copying the buckets for each one would cost more than the rest. */
     readonly newestLatenciesMs: readonly number[];
 }
--- a/routing/state/src/class-state.ts
+++ b/routing/state/src/class-state.ts
@@ -8,7 +8,7 @@
     readonly seconds: readonly ClassSecond[];
     /** Times from the start of an attempt to its response, with weights that halve about every 3 s. */
     readonly attemptLatencies: Float64Array;
-    /** The newest of them, not yet in `attemptLatencies`. */
+    /** Newest times, not yet in `attemptLatencies`. */
     readonly newestAttemptLatenciesMs: readonly number[];
     readonly attemptLatenciesSecond: number;
     /** p95 of `attemptLatencies`, undefined while they are too few. */
--- a/routing/state/src/tick-service.ts
+++ b/routing/state/src/tick-service.ts
@@ -35,7 +35,7 @@
 const expireInFlight = (draft: RoutingDraft, service: Mutable<ServiceState>, request: RequestState): void => {
     const attempt = request.attempts[0];
     if (!request.classTargets.repeatable && request.giveUpAtMs === undefined && attempt !== undefined) {
-        // Whether it ran matters here: the answer to the cancellation may still tell.
+        // The answer to the cancellation may still tell whether the non-repeatable request ran.
         const giveUpAtMs = draft.atMs + ROUTING_LIMITS.cancellationMs;
         draft.setRequest({ ...request, giveUpAtMs, hedgeAtMs: undefined });
         draft.emit({
