--- a/requests/ledger/src/keyed-request.ts
+++ b/requests/ledger/src/keyed-request.ts
@@ -16,7 +16,7 @@
     readonly contacted: readonly DaemonId[];
     readonly claimsSent: number;
     readonly nextSendAtMs: number;
-    /** Since when no daemon has answered with a decision. */
+    /** Start of the time in which no daemon has answered with a decision. */
     readonly undecidedSinceMs: number;
     /** Since when the owner has said that an earlier request with the same key is in progress. */
     readonly inProgressSinceMs: number | undefined;
