feat(routing): measure how far load reports predict latencies, and wait no longer than a slot takes to free

Cause: with load reports 500 ms old, requests waited at the daemon for backend servers that were free, and all daemons sent to those that the same old reports called free. Ruled out: hedging, retries and the straggler. Change: a running regression of latency on predicted load gives the trust in reports of a service. Untrusted reports give way to the long-run average and make no request wait.

--- a/routing/policy/src/candidate.ts
+++ b/routing/policy/src/candidate.ts
@@ -8,6 +8,8 @@
     readonly ownInFlight: number;
     /** Estimated requests of others there, running or queued. A fraction, because reports are stale. */
     readonly othersLoad: number;
+    /** The part of `othersLoad` that load reports have proved to predict. Only this part makes a request wait. */
+    readonly trustedOthersLoad: number;
     /** Requests that the backend server runs at the same time. */
     readonly slots: number;
     /** Moving average of its latency divided by the service's median of these averages. */
--- a/routing/policy/src/selection-policy.ts
+++ b/routing/policy/src/selection-policy.ts
@@ -20,10 +20,12 @@
         if (candidate.ownInFlight >= limit) {
             return false;
         }
+        // Where load reports prove nothing, the limit on patient requests alone has to keep room for urgent ones: an
+        // average would block patient work for good.
         if (input.urgency !== "patient" || !input.reserveSlot) {
             return true;
         }
         return candidate.slots > 1
-            && candidate.ownInFlight + candidate.othersLoad < candidate.slots - 2 + FREE_BELOW_LOAD;
+            && candidate.ownInFlight + candidate.trustedOthersLoad < candidate.slots - 2 + FREE_BELOW_LOAD;
     }
 }
--- a/routing/policy/src/slot-aware.ts
+++ b/routing/policy/src/slot-aware.ts
@@ -21,7 +21,8 @@
     protected override choose(available: readonly Candidate[], input: SelectionInput): Candidate | undefined {
         const allowance = QUEUE_ALLOWANCE[input.urgency];
         const open = available.filter(candidate =>
-            candidate.ownInFlight + candidate.othersLoad < candidate.slots + allowance
+            input.overdue
+            || candidate.ownInFlight + candidate.trustedOthersLoad < candidate.slots + allowance
         );
         const lowest = Math.min(...open.map(costOf));
         const equals = open.filter(candidate => costOf(candidate) <= lowest + EQUAL_COST_RANGE);
--- a/routing/policy/test/selection-policies.test.ts
+++ b/routing/policy/test/selection-policies.test.ts
@@ -8,6 +8,7 @@
     sameZone: true,
     ownInFlight: 0,
     othersLoad: 0,
+    trustedOthersLoad: 0,
     slots: 2,
     relativeLatency: 1,
     cold: false,
@@ -24,6 +25,7 @@
         candidates,
         urgency: "urgent",
         reserveSlot: true,
+        overdue: false,
         random: 0.5,
         cursor: 0,
         ...changes,
@@ -53,7 +55,10 @@
             }
 
             it("never gives patient work the slot that is reserved for urgent work", () => {
-                const busy = [candidate("x", { ownInFlight: 1 }), candidate("y", { othersLoad: 0.6 })];
+                const busy = [
+                    candidate("x", { ownInFlight: 1 }),
+                    candidate("y", { othersLoad: 0.6, trustedOthersLoad: 0.6 }),
+                ];
                 expect(choose(name, busy, { urgency: "patient" })).to.equal(undefined);
                 expect(choose(name, busy, { urgency: "patient", reserveSlot: false })).to.not.equal(undefined);
             });
@@ -91,9 +96,22 @@
             expect(chosen).to.deep.equal(["x", "y"]);
         });
 
+        const full = [
+            candidate("x", { othersLoad: 4, trustedOthersLoad: 4 }),
+            candidate("y", { othersLoad: 5, trustedOthersLoad: 5 }),
+        ];
+
         it("waits when every backend server is estimated to be full and to have a queue", () => {
-            const full = [candidate("x", { othersLoad: 4 }), candidate("y", { othersLoad: 5 })];
             expect(choose("slot-aware", full)).to.equal(undefined);
         });
+
+        it("does not wait because of load reports that have proved to be stale", () => {
+            const untrusted = full.map(server => ({ ...server, trustedOthersLoad: 0 }));
+            expect(choose("slot-aware", untrusted)).to.equal("x");
+        });
+
+        it("does not let a request wait for longer than a slot would take to free", () => {
+            expect(choose("slot-aware", full, { overdue: true })).to.equal("x");
+        });
     });
 });
--- a/routing/state/bench/model-server.ts
+++ b/routing/state/bench/model-server.ts
@@ -17,16 +17,34 @@
     private readonly events: EventQueue;
     private readonly running = new Set<Job>();
     private queue: Job[] = [];
+    private readonly reportLagMs: number;
+    /** Reports by the time from which on they hold, the newest last; kept for the lag only. */
+    private history: { readonly fromMs: number; readonly load: LoadReport; }[] = [];
 
-    constructor(events: EventQueue, opts: { readonly address: string; readonly availabilityZone: string; }) {
+    constructor(
+        events: EventQueue,
+        opts: { readonly address: string; readonly availabilityZone: string; readonly reportLagMs: number; },
+    ) {
+        this.reportLagMs = opts.reportLagMs;
         this.events = events;
         this.address = opts.address;
         this.availabilityZone = opts.availabilityZone;
         this.instanceId = `${opts.address}/1`;
     }
 
+    /** The load as it was `reportLagMs` ago. */
     report(): LoadReport {
-        return { inFlight: this.running.size, queued: this.queue.length, slots: SLOTS };
+        this.remember();
+        const asOfMs = this.events.nowMs - this.reportLagMs;
+        while ((this.history[1]?.fromMs ?? Infinity) <= asOfMs) {
+            this.history.shift();
+        }
+        return this.history[0]?.load ?? { inFlight: 0, queued: 0, slots: SLOTS };
+    }
+
+    private remember(): void {
+        const load = { inFlight: this.running.size, queued: this.queue.length, slots: SLOTS };
+        this.history.push({ fromMs: this.events.nowMs, load });
     }
 
     submit(job: Job): void {
@@ -39,6 +57,7 @@
         else {
             this.queue.push(job);
         }
+        this.remember();
     }
 
     cancel(id: string): void {
@@ -48,6 +67,7 @@
                 this.release(job);
             }
         }
+        this.remember();
     }
 
     private run(job: Job): void {
@@ -67,5 +87,6 @@
         if (next !== undefined) {
             this.run(next);
         }
+        this.remember();
     }
 }
--- a/routing/state/bench/model-site.ts
+++ b/routing/state/bench/model-site.ts
@@ -12,11 +12,12 @@
     readonly servers: readonly ModelServer[];
     private readonly fault: ReturnType<typeof injectModelFaults>;
 
-    constructor(opts: { readonly servers: number; readonly faults: boolean; }) {
+    constructor(opts: { readonly servers: number; readonly faults: boolean; readonly reportLagMs: number; }) {
         this.servers = Array.from({ length: opts.servers }, (unused, index) =>
             new ModelServer(this.events, {
                 address: `127.0.0.1:${8000 + index}`,
                 availabilityZone: ModelSite.zoneOf(index),
+                reportLagMs: opts.reportLagMs,
             }));
         this.fault = opts.faults ? injectModelFaults(this.events, this.servers) : undefined;
     }
--- a/routing/state/bench/policies-model.ts
+++ b/routing/state/bench/policies-model.ts
@@ -14,6 +14,7 @@
         distributions: { type: "string", default: "exponential,lognormal" },
         scenarios: { type: "string", default: "steady,faults" },
         probes: { type: "string", default: "20" },
+        "report-lag-ms": { type: "string", default: "0" },
         // `attempt` as the stand-in draws them, or `request`.
         "service-times": { type: "string", default: "attempt" },
         daemons: { type: "string", default: "13" },
@@ -25,6 +26,7 @@
 const DRAIN_MS = 30_000;
 const daemons = Number(values.daemons);
 const servers = Number(values.servers);
+const reportLagMs = Number(values["report-lag-ms"]);
 
 const percentile = (sorted: readonly number[], share: number): number =>
     sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN;
@@ -67,7 +69,7 @@
                     sameForAllAttempts: values["service-times"] === "request",
                 }),
             }));
-            const common = { servers, faults, warmUpMs: WARM_UP_MS, endMs: DURATION_MS + DRAIN_MS };
+            const common = { servers, faults, reportLagMs, warmUpMs: WARM_UP_MS, endMs: DURATION_MS + DRAIN_MS };
             const print = (policy: string, results: readonly ModelResult[], centralP99: number | undefined): number => {
                 const [p50, p99, p999, ...others] = describe(results);
                 const ratio = centralP99 === undefined ? "1.00" : (Number(p99) / centralP99).toFixed(2);
--- a/routing/state/bench/run-central-queue.ts
+++ b/routing/state/bench/run-central-queue.ts
@@ -16,7 +16,13 @@
  */
 export const runCentralQueue = (
     workload: ModelWorkload,
-    opts: { readonly servers: number; readonly faults: boolean; readonly warmUpMs: number; readonly endMs: number; },
+    opts: {
+        readonly servers: number;
+        readonly faults: boolean;
+        readonly reportLagMs: number;
+        readonly warmUpMs: number;
+        readonly endMs: number;
+    },
 ): ModelResult => {
     const site = new ModelSite(opts);
     const { events } = site;
--- a/routing/state/bench/run-fleet.ts
+++ b/routing/state/bench/run-fleet.ts
@@ -17,6 +17,7 @@
         readonly daemons: number;
         readonly servers: number;
         readonly faults: boolean;
+        readonly reportLagMs: number;
         readonly probesPerSecond: number;
         readonly seed: number;
         readonly warmUpMs: number;
--- a/routing/state/src/attempt-state.ts
+++ b/routing/state/src/attempt-state.ts
@@ -4,4 +4,6 @@
     readonly address: string;
     readonly startedAtMs: number;
     readonly hedge: boolean;
+    /** Requests at the backend server before this one, as the load reports had it. */
+    readonly predictedLoad: number;
 }
--- a/routing/state/src/build-candidates.ts
+++ b/routing/state/src/build-candidates.ts
@@ -3,6 +3,7 @@
 import { estimateOthersLoad } from "./estimate-others-load.js";
 import { estimateRelativeLatency } from "./estimate-relative-latency.js";
 import { isLeaving } from "./is-leaving.js";
+import { reportTrusts } from "./report-trusts.js";
 import type { RequestState } from "./request-state.js";
 import { ROUTING_LIMITS } from "./routing-limits.js";
 import type { ServiceState } from "./service-state.js";
@@ -29,6 +30,7 @@
     const candidates: Candidate[] = [];
     const tried: Candidate[] = [];
     let trial: Candidate | undefined;
+    const trust = reportTrusts.factor(service.reportTrust);
     for (const server of service.servers) {
         if (!isUsable(server, atMs)) {
             continue;
@@ -40,13 +42,15 @@
         if (onTrial && (!mayTry && !overdue || server.ownInFlight > 0)) {
             continue;
         }
+        const othersLoad = estimateOthersLoad(service, server, { atMs, trust });
         const relativeLatency = estimateRelativeLatency(service, server, atMs);
         const candidate: Candidate = {
             address: server.address,
             availabilityZone: server.availabilityZone,
             sameZone: server.availabilityZone === opts.availabilityZone,
             ownInFlight: server.ownInFlight,
-            othersLoad: estimateOthersLoad(service, server, atMs),
+            othersLoad,
+            trustedOthersLoad: trust * othersLoad,
             slots: server.slots,
             relativeLatency,
             cold: server.coldUntilMs > atMs,
--- a/routing/state/src/copy-service.ts
+++ b/routing/state/src/copy-service.ts
@@ -23,6 +23,7 @@
     medianLatencyMs: service.medianLatencyMs,
     medianAtMs: service.medianAtMs,
     reportsCountAnswered: service.reportsCountAnswered,
+    reportTrust: service.reportTrust,
     pressureLevel: service.pressureLevel,
     peerPressureLevel: service.peerPressureLevel,
     peerPressureAtMs: service.peerPressureAtMs,
--- a/routing/state/src/create-service.ts
+++ b/routing/state/src/create-service.ts
@@ -1,3 +1,4 @@
+import { reportTrusts } from "./report-trusts.js";
 import { rollingCounts } from "./rolling-counts.js";
 import type { ServiceState } from "./service-state.js";
 
@@ -23,6 +24,7 @@
     medianLatencyMs: undefined,
     medianAtMs: -Infinity,
     reportsCountAnswered: true,
+    reportTrust: reportTrusts.initial,
     pressureLevel: 0,
     peerPressureLevel: 0,
     peerPressureAtMs: -Infinity,
--- a/routing/state/src/dispatch-queue.ts
+++ b/routing/state/src/dispatch-queue.ts
@@ -14,6 +14,12 @@
 
 const LEVELS: readonly Urgency[] = ["urgent", "normal", "patient"];
 
+// A slot frees within about half a service time where all are taken. A longer wait means that the load reports are
+// wrong, and the backend servers' own queues are the better place to wait.
+const isOverdue = (service: ServiceState, request: RequestState, atMs: number): boolean =>
+    request.classTargets.urgency !== "patient"
+    && atMs - request.arrivedAtMs >= ROUTING_LIMITS.waitForSlotShare * (service.medianLatencyMs ?? Infinity);
+
 // Starts an attempt of the request if a backend server has room for it.
 const tryStart = (draft: RoutingDraft, service: Mutable<ServiceState>, request: RequestState): boolean => {
     if (request.retrying && !retryBudget.allowsRetry(service, draft.atMs)) {
@@ -33,6 +39,7 @@
         candidates,
         urgency: request.classTargets.urgency,
         reserveSlot: service.reserveSlot,
+        overdue: isOverdue(service, request, draft.atMs),
         random: draft.nextRandom(),
         cursor: service.selections,
     });
--- a/routing/state/src/index.ts
+++ b/routing/state/src/index.ts
@@ -4,6 +4,8 @@
 export type { CreateRoutingStateOptions } from "./create-routing-state-options.js";
 export { createRoutingState } from "./create-routing-state.js";
 export { reduceRouting } from "./reduce-routing.js";
+export type { ReportTrust } from "./report-trust.js";
+export { reportTrusts } from "./report-trusts.js";
 export type { RoutingEffect } from "./routing-effect.js";
 export type { RoutingEvent } from "./routing-event.js";
 export type { RoutingState } from "./routing-state.js";
--- a/routing/state/src/note-latency.ts
+++ b/routing/state/src/note-latency.ts
@@ -1,5 +1,6 @@
 import { editServer } from "./edit-server.js";
 import type { Mutable } from "./mutable.js";
+import { reportTrusts } from "./report-trusts.js";
 import type { ServiceState } from "./service-state.js";
 
 const AVERAGE_WEIGHT = 0.15;
@@ -12,12 +13,16 @@
 export const noteLatency = (
     service: Mutable<ServiceState>,
     address: string,
-    opts: { readonly atMs: number; readonly latencyMs: number; },
+    opts: { readonly atMs: number; readonly latencyMs: number; readonly predictedLoad: number; },
 ): void => {
     const server = editServer(service, address);
     if (server === undefined) {
         return;
     }
+    if (server.latencyMs !== undefined && server.latencyMs > 0) {
+        const latency = opts.latencyMs / server.latencyMs;
+        service.reportTrust = reportTrusts.add(service.reportTrust, { load: opts.predictedLoad, latency });
+    }
     server.latencyMs = server.latencyMs === undefined
         ? opts.latencyMs
         : server.latencyMs + (opts.latencyMs - server.latencyMs) * AVERAGE_WEIGHT;
--- a/routing/state/src/on-attempt-responded.ts
+++ b/routing/state/src/on-attempt-responded.ts
@@ -135,7 +135,11 @@
     else {
         const latencyMs = draft.atMs - attempt.startedAtMs;
         noteSuccess(draft, service, attempt.address);
-        noteLatency(service, attempt.address, { atMs: draft.atMs, latencyMs });
+        noteLatency(service, attempt.address, {
+            atMs: draft.atMs,
+            latencyMs,
+            predictedLoad: attempt.predictedLoad,
+        });
         recordAttemptLatency(service, request.classTargets.name, { atMs: draft.atMs, latencyMs });
         relay(draft, service, request, attempt);
     }
--- a/routing/state/src/routing-limits.ts
+++ b/routing/state/src/routing-limits.ts
@@ -25,6 +25,8 @@
     queuedPerService: 1000,
     // Estimates change with age, so a waiting request is tried again even when no event arrives.
     queueRecheckMs: 10,
+    // Share of the service's median latency.
+    waitForSlotShare: 0.5,
     defaultSlots: 2,
     // A non-repeatable request that ran out of time waits this long for the result of its cancellation.
     cancellationMs: 1000,
--- a/routing/state/src/select-backend-servers.ts
+++ b/routing/state/src/select-backend-servers.ts
@@ -3,6 +3,7 @@
 import { estimateOthersLoad } from "./estimate-others-load.js";
 import { estimateRelativeLatency } from "./estimate-relative-latency.js";
 import { isLeaving } from "./is-leaving.js";
+import { reportTrusts } from "./report-trusts.js";
 import { ROUTING_LIMITS } from "./routing-limits.js";
 import type { RoutingState } from "./routing-state.js";
 import type { ServiceState } from "./service-state.js";
@@ -38,7 +39,10 @@
             instanceId: server.instanceId,
             condition: conditionOf(service, server, atMs),
             ownInFlight: server.ownInFlight,
-            othersLoad: estimateOthersLoad(service, server, atMs),
+            othersLoad: estimateOthersLoad(service, server, {
+                atMs,
+                trust: reportTrusts.factor(service.reportTrust),
+            }),
             slots: server.slots,
             latencyMs: server.latencyMs,
             reportAgeMs: server.reportedAtMs === undefined ? undefined : atMs - server.reportedAtMs,
--- a/routing/state/src/service-state.ts
+++ b/routing/state/src/service-state.ts
@@ -1,5 +1,6 @@
 import type { BackendServerState } from "./backend-server-state.js";
 import type { ClassState } from "./class-state.js";
+import type { ReportTrust } from "./report-trust.js";
 import type { RequestQueue } from "./request-queue.js";
 import type { RollingCount } from "./rolling-count.js";
 
@@ -31,6 +32,7 @@
     readonly medianAtMs: number;
     /** Whether the load report on a response counts the request that it answers. */
     readonly reportsCountAnswered: boolean;
+    readonly reportTrust: ReportTrust;
     readonly pressureLevel: number;
     readonly peerPressureLevel: number;
     readonly peerPressureAtMs: number;
--- a/routing/state/src/start-attempt.ts
+++ b/routing/state/src/start-attempt.ts
@@ -1,4 +1,5 @@
 import { editServer } from "./edit-server.js";
+import { estimateOthersLoad } from "./estimate-others-load.js";
 import { logDecision } from "./log-decision.js";
 import type { Mutable } from "./mutable.js";
 import { requestQueues } from "./request-queues.js";
@@ -38,6 +39,10 @@
     const attemptId = `${request.requestId}.${request.attemptsStarted + 1}`;
     const hedge = opts.kind === "hedge";
     const hedgeAtMs = hedge ? undefined : hedgeTimeOf(service, request, atMs);
+    const server = editServer(service, address);
+    const predictedLoad = server === undefined
+        ? 0
+        : server.ownInFlight + estimateOthersLoad(service, server, { atMs, trust: 1 });
     if (request.phase === "queued") {
         requestQueues.remove(service, request);
         service.inFlightIds = [...service.inFlightIds, request.requestId];
@@ -51,14 +56,13 @@
     draft.setRequest({
         ...request,
         phase: "in-flight",
-        attempts: [...request.attempts, { attemptId, address, startedAtMs: atMs, hedge }],
+        attempts: [...request.attempts, { attemptId, address, startedAtMs: atMs, hedge, predictedLoad }],
         attemptsStarted: request.attemptsStarted + 1,
         retries: request.retries + (request.retrying ? 1 : 0),
         retrying: false,
         triedAddresses: [...request.triedAddresses, address],
         hedgeAtMs,
     });
-    const server = editServer(service, address);
     if (server !== undefined) {
         server.ownInFlight += 1;
     }
--- a/routing/state/src/tick-service.ts
+++ b/routing/state/src/tick-service.ts
@@ -65,6 +65,7 @@
         candidates: candidates.filter(candidate => !request.triedAddresses.includes(candidate.address)),
         urgency: request.classTargets.urgency,
         reserveSlot: service.reserveSlot,
+        overdue: false,
         random: draft.nextRandom(),
         cursor: service.selections,
     });
