--- a/daemon/runtime/src/start-loops.ts
+++ b/daemon/runtime/src/start-loops.ts
@@ -74,7 +74,9 @@
             tailOpts.onRead({ ...result.value, from, startedAtMs });
             // The first read after a failure returns at once, so that the slices learn soon that the log is back.
             waitMs = LOG_WAIT_MS;
-            return isConfiguration || result.value.records.length === 0 ? 0 : OWNERSHIP_PAUSE_MS;
+            // A full page means that more is waiting: a starting daemon catches up without pauses.
+            const { length } = result.value.records;
+            return isConfiguration || length === 0 || length >= READ_LIMIT ? 0 : OWNERSHIP_PAUSE_MS;
         };
         return Effect.promise(readOnce).pipe(
             Effect.flatMap(delayMs => delayMs === 0 ? Effect.void : Effect.sleep(delayMs)),
