--- a/daemon/runtime/src/caller-port.ts
+++ b/daemon/runtime/src/caller-port.ts
@@ -1,6 +1,7 @@
 import type { RequestLimits } from "@marigoldstall/config.settings";
+import { listenOn } from "@marigoldstall/fleet.rpc";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
-import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import type { CallerPortHooks } from "./caller-port-hooks.js";
 import { CallerRequest } from "./caller-request.js";
 import type { Clock } from "./clock.js";
@@ -74,16 +75,7 @@
 
     /** Opens the port and returns its address. */
     async listen(address: string): Promise<string> {
-        const colon = address.lastIndexOf(":");
-        const host = address.slice(0, colon);
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(Number(address.slice(colon + 1)), host.replace(/^\[|\]$/g, ""), () => {
-                this.server.off("error", reject);
-                resolve();
-            });
-        });
-        return `${host}:${(this.server.address() as AddressInfo).port}`;
+        return await listenOn(this.server, address);
     }
 
     /** Takes no new connections. Open ones stay: http.Server.close would cut those that are idle at this moment. */
--- a/daemon/runtime/src/operator-port.ts
+++ b/daemon/runtime/src/operator-port.ts
@@ -1,5 +1,5 @@
+import { listenOn } from "@marigoldstall/fleet.rpc";
 import { createServer, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 
 interface OperatorPortOptions {
     readonly metrics: () => Promise<string>;
@@ -22,16 +22,7 @@
     }
 
     async listen(address: string): Promise<string> {
-        const colon = address.lastIndexOf(":");
-        const host = address.slice(0, colon);
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(Number(address.slice(colon + 1)), host.replace(/^\[|\]$/g, ""), () => {
-                this.server.off("error", reject);
-                resolve();
-            });
-        });
-        return `${host}:${(this.server.address() as AddressInfo).port}`;
+        return await listenOn(this.server, address);
     }
 
     close(): void {
--- a/fleet/rpc/src/index.ts
+++ b/fleet/rpc/src/index.ts
@@ -1,3 +1,4 @@
+export { listenOn } from "./listen-on.js";
 export type { RpcCallOptions } from "./rpc-call-options.js";
 export type { RpcClientOptions } from "./rpc-client-options.js";
 export { RpcClient } from "./rpc-client.js";
--- a/fleet/rpc/src/rpc-server.ts
+++ b/fleet/rpc/src/rpc-server.ts
@@ -1,7 +1,7 @@
 import { MarigoldstallError } from "@marigoldstall/core.error";
 import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { listenOn } from "./listen-on.js";
 import { matchesSignature } from "./matches-signature.js";
 import { NonceCache } from "./nonce-cache.js";
 import { RPC } from "./rpc-constants.js";
@@ -57,16 +57,7 @@
 
     /** Opens the port and returns the address, which differs from the requested one for port 0. */
     async listen(address: string): Promise<string> {
-        const colon = address.lastIndexOf(":");
-        const host = address.slice(0, colon);
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(Number(address.slice(colon + 1)), host.replace(/^\[|\]$/g, ""), () => {
-                this.server.off("error", reject);
-                resolve();
-            });
-        });
-        this.address = `${host}:${(this.server.address() as AddressInfo).port}`;
+        this.address = await listenOn(this.server, address);
         return this.address;
     }
 
