--- a/fleet/membership/src/create-heartbeat.ts
+++ b/fleet/membership/src/create-heartbeat.ts
@@ -2,7 +2,7 @@
 import { isLive } from "./is-live.js";
 import type { MembershipState } from "./membership-state.js";
 
-// These bounds keep a heartbeat near 1 KB for the fleets of today, and below 7 KB/s a daemon for large ones.
+// These bounds keep the size of a heartbeat independent of the size of the fleet; a full one has about 3 KB.
 const MAX_BEATS = 16;
 const MAX_EVIDENCE = 8;
 const MAX_PRESSURE = 16;
