refactor(daemon): state each size limit of short responses and fingerprints once

Cause: the read-through found the limit of the fingerprint in two files that have to agree, and two constants with one value for what counts as a short response. Change: FINGERPRINT_BYTES has a file of its own; MAX_SHORT_BYTES takes the place of two constants in attempt.ts.

--- a/daemon/runtime/src/attempt.ts
+++ b/daemon/runtime/src/attempt.ts
@@ -13,10 +13,9 @@
 
 // Routing waits 1 s for the result of a cancellation.
 const CANCEL_TIMEOUT_MS = 900;
-const MAX_DRAIN_BYTES = 65_536;
 // A response up to this size is relayed once it is whole: one that is cut can then be retried, or answered with a
 // statement of the outcome, instead of being cut at the caller too.
-const MAX_HELD_BYTES = 65_536;
+const MAX_SHORT_BYTES = 65_536;
 
 /** One sending of a caller's request to a backend server. */
 export class Attempt {
@@ -131,7 +130,7 @@
         const isHeld = this.held !== undefined;
         if (
             response !== undefined && !this.relayed && !isHeld
-            && Number(response.headers["content-length"]) <= MAX_DRAIN_BYTES
+            && Number(response.headers["content-length"]) <= MAX_SHORT_BYTES
         ) {
             // A short response that nobody wants is read to its end, so that the connection can be used again.
             response.resume();
@@ -320,7 +319,7 @@
                 this.failAfterSend("body-cut");
             }
         });
-        if (hasNoBody || !(Number(response.headers["content-length"]) <= MAX_HELD_BYTES)) {
+        if (hasNoBody || !(Number(response.headers["content-length"]) <= MAX_SHORT_BYTES)) {
             this.respond();
             return;
         }
--- a/daemon/runtime/src/caller-port.ts
+++ b/daemon/runtime/src/caller-port.ts
@@ -5,13 +5,12 @@
 import type { CallerPortHooks } from "./caller-port-hooks.js";
 import { CallerRequest } from "./caller-request.js";
 import type { Clock } from "./clock.js";
+import { FINGERPRINT_BYTES } from "./fingerprint-bytes.js";
 import { parseCallerRequest } from "./parse-caller-request.js";
 import type { Rejection } from "./rejection.js";
 import { REJECTIONS } from "./rejections.js";
 import { writeAnswer } from "./write-answer.js";
 
-// The part of the body that the fingerprint of an idempotency key covers.
-const FINGERPRINT_BYTES = 65_536;
 // Room for the headers that the daemon adds. A backend server with the same limit would otherwise refuse a request
 // that the daemon let pass, and look as if it failed.
 const ADDED_HEADER_BYTES = 512;
--- a/daemon/runtime/src/request-path.ts
+++ b/daemon/runtime/src/request-path.ts
@@ -7,6 +7,7 @@
 import type { CallerPort } from "./caller-port.js";
 import type { CallerRequest } from "./caller-request.js";
 import type { Clock } from "./clock.js";
+import { FINGERPRINT_BYTES } from "./fingerprint-bytes.js";
 import type { Metrics } from "./metrics.js";
 import { parseLoadReport } from "./parse-load-report.js";
 import { singleHeader } from "./single-header.js";
@@ -15,7 +16,6 @@
 
 type EffectOf<Type extends RootEffect["type"]> = Extract<RootEffect, { readonly type: Type; }>;
 
-const FINGERPRINT_BYTES = 65_536;
 const PROBE_TIMEOUT_MS = 1_000;
 const POOL_IDLE_MS = 4_000;
 // VMs are replaced all the time; pools of addresses that nobody uses any more must not pile up.
