refactor(connections): give the pools of backend connections a package of their own

Cause: the daemon for the users' platform needs the same pools, and a second copy was ruled out. Change: BackendPool, BackendConnection, SocketAgent and the clocks move from daemon.runtime to daemon.connections. The pool takes its limits as options, tells how many connections are idle, and a connection tells that it ended by a reset, which Node.js takes for the regular end of a response without a length.

--- a/daemon/runtime/src/backend-connection.ts
+++ b/daemon/connections/src/backend-connection.ts
@@ -9,12 +9,15 @@
 export class BackendConnection {
     readonly agent: SocketAgent;
     lastReceivedAtMs: number;
+    /** How long the server keeps the connection open without a request, where it says so. */
+    keepAliveMs: number | undefined;
     private readonly socket: Socket;
     private readonly clock: Clock;
     private state: "idle" | "busy" | "closed" = "idle";
     /** Whether the response of the current request has arrived whole, so that any further byte is unexpected. */
     private isResponseWhole: () => boolean = () => true;
     private unexpectedBytes = false;
+    private broken = false;
 
     constructor(opts: {
         readonly socket: Socket;
@@ -43,8 +46,11 @@
             this.isResponseWhole = () => true;
             opts.onFree(this);
         });
-        // http.request reports the errors of a busy connection; an idle one is only forgotten.
-        this.socket.on("error", () => undefined);
+        // http.request reports the errors of a busy connection, but takes a reset for the regular end of a response
+        // without a length; an idle connection is only forgotten.
+        this.socket.on("error", () => {
+            this.broken = true;
+        });
         this.socket.on("close", () => {
             this.state = "closed";
             opts.onClosed(this);
@@ -55,6 +61,11 @@
         return this.state === "idle" && !this.socket.destroyed && this.socket.writable;
     }
 
+    /** Whether it ended by an error, so that a response that ends with it is not whole. */
+    get isBroken(): boolean {
+        return this.broken;
+    }
+
     /** Whether it was opened or received bytes so recently that a request may be sent that must not run twice. */
     isFresh(nowMs: number): boolean {
         return nowMs - this.lastReceivedAtMs <= FRESH_MS;
--- a/daemon/runtime/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -1,13 +1,14 @@
 import { request as httpRequest } from "node:http";
 import { connect, type Socket } from "node:net";
 import { BackendConnection } from "./backend-connection.js";
+import type { BackendPoolOptions } from "./backend-pool-options.js";
 import type { Clock } from "./clock.js";
 import type { ExchangeResult } from "./exchange-result.js";
 import { singleHeader } from "./single-header.js";
 
 // Below the 5 s after which a Node.js server closes an idle connection, which would race with the next request.
-const IDLE_LIMIT_MS = 4_000;
-const CONNECT_TIMEOUT_MS = 1_000;
+const DEFAULT_IDLE_LIMIT_MS = 4_000;
+const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 // Cancellations and health checks must get through when all request connections hang.
 const SPARE_CONNECTIONS = 2;
 const MAX_EXCHANGE_BYTES = 4_096;
@@ -31,14 +32,25 @@
     usedAtMs: number;
     private readonly maxConnections: number;
     private readonly clock: Clock;
+    private readonly idleLimitMs: number;
+    private readonly connectTimeoutMs: number;
+    private readonly instanceIdHeader: string;
+    private readonly onIdleChanged: ((idleConnections: number) => void) | undefined;
+    private readonly onOpened: (() => void) | undefined;
+    private toldIdle = 0;
     private readonly idle: BackendConnection[] = [];
     private readonly open = new Set<BackendConnection>();
     private readonly connecting = new Set<Socket>();
 
-    constructor(opts: { readonly address: string; readonly maxConnections: number; readonly clock: Clock; }) {
+    constructor(opts: BackendPoolOptions) {
         this.address = opts.address;
         this.maxConnections = opts.maxConnections;
         this.clock = opts.clock;
+        this.idleLimitMs = opts.idleLimitMs ?? DEFAULT_IDLE_LIMIT_MS;
+        this.connectTimeoutMs = opts.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+        this.instanceIdHeader = opts.instanceIdHeader ?? "instance-id";
+        this.onIdleChanged = opts.onIdleChanged;
+        this.onOpened = opts.onOpened;
         this.usedAtMs = opts.clock.atMs();
     }
 
@@ -51,6 +63,7 @@
         this.usedAtMs = this.clock.atMs();
         if (opts.mode !== "new") {
             const connection = this.takeIdle(opts.mode);
+            this.tellIdle();
             if (connection !== undefined) {
                 connection.reserve();
                 opts.onReady(connection);
@@ -68,6 +81,7 @@
         connection.giveBack();
         if (connection.usable) {
             this.idle.push(connection);
+            this.tellIdle();
         }
     }
 
@@ -177,9 +191,9 @@
                 catch {
                     body = undefined;
                 }
-                const instanceId = singleHeader(response.headers["instance-id"]);
+                const instanceId = singleHeader(response.headers[this.instanceIdHeader]);
                 this.instanceId = instanceId ?? this.instanceId;
-                finish({ statusCode: response.statusCode ?? 0, instanceId, body });
+                finish({ statusCode: response.statusCode ?? 0, instanceId, headers: response.headers, body });
             });
         });
         request.on("error", () => {
@@ -206,7 +220,7 @@
                 opts.onFailed();
             }
         };
-        socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+        socket.setTimeout(this.connectTimeoutMs, () => {
             socket.destroy();
         });
         socket.on("error", () => undefined);
@@ -221,12 +235,14 @@
                 onFree: freed => {
                     this.lastReceivedAtMs = Math.max(this.lastReceivedAtMs, freed.lastReceivedAtMs);
                     this.idle.push(freed);
+                    this.tellIdle();
                 },
                 onClosed: closed => {
                     this.forget(closed);
                 },
             });
             this.open.add(connection);
+            this.onOpened?.();
             if (wanted) {
                 wanted = false;
                 connection.reserve();
@@ -234,6 +250,7 @@
             }
             else {
                 this.idle.push(connection);
+                this.tellIdle();
             }
         });
         return () => {
@@ -245,7 +262,10 @@
     private takeIdle(mode: "any" | "fresh"): BackendConnection | undefined {
         const nowMs = this.clock.atMs();
         for (let connection = this.idle.pop(); connection !== undefined; connection = this.idle.pop()) {
-            if (!connection.usable || nowMs - connection.lastReceivedAtMs >= IDLE_LIMIT_MS) {
+            if (
+                !connection.usable
+                || nowMs - connection.lastReceivedAtMs >= (connection.keepAliveMs ?? this.idleLimitMs)
+            ) {
                 this.open.delete(connection);
                 connection.destroy();
                 continue;
@@ -264,6 +284,14 @@
         const index = this.idle.indexOf(connection);
         if (index >= 0) {
             this.idle.splice(index, 1);
+            this.tellIdle();
+        }
+    }
+
+    private tellIdle(): void {
+        if (this.idle.length !== this.toldIdle) {
+            this.toldIdle = this.idle.length;
+            this.onIdleChanged?.(this.toldIdle);
         }
     }
 }
--- /dev/null
+++ b/daemon/connections/src/index.ts
@@ -0,0 +1,7 @@
+export { BackendConnection } from "./backend-connection.js";
+export type { BackendPoolOptions } from "./backend-pool-options.js";
+export { BackendPool } from "./backend-pool.js";
+export type { Clock } from "./clock.js";
+export { createClock } from "./create-clock.js";
+export type { ExchangeResult } from "./exchange-result.js";
+export { singleHeader } from "./single-header.js";
--- a/daemon/runtime/src/attempt.ts
+++ b/daemon/runtime/src/attempt.ts
@@ -1,13 +1,10 @@
+import { type BackendConnection, type BackendPool, type Clock, singleHeader } from "@marigoldstall/daemon.connections";
 import type { RoutingEffect } from "@marigoldstall/routing.state";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import type { AttemptListener } from "./attempt-listener.js";
-import type { BackendConnection } from "./backend-connection.js";
-import type { BackendPool } from "./backend-pool.js";
 import type { CallerRequest } from "./caller-request.js";
-import type { Clock } from "./clock.js";
 import { forwardedHeaders } from "./forwarded-headers.js";
 import { relayResponse } from "./relay-response.js";
-import { singleHeader } from "./single-header.js";
 
 type StartAttempt = Extract<RoutingEffect, { readonly type: "start-attempt"; }>;
 
--- a/daemon/runtime/src/caller-port.ts
+++ b/daemon/runtime/src/caller-port.ts
@@ -1,10 +1,10 @@
 import type { RequestLimits } from "@marigoldstall/config.settings";
+import type { Clock } from "@marigoldstall/daemon.connections";
 import { listenOn } from "@marigoldstall/fleet.rpc";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { CallerPortHooks } from "./caller-port-hooks.js";
 import { CallerRequest } from "./caller-request.js";
-import type { Clock } from "./clock.js";
 import { FINGERPRINT_BYTES } from "./fingerprint-bytes.js";
 import { parseCallerRequest } from "./parse-caller-request.js";
 import type { Rejection } from "./rejection.js";
--- a/daemon/runtime/src/caller-request.ts
+++ b/daemon/runtime/src/caller-request.ts
@@ -1,7 +1,7 @@
 import type { ClassTargets } from "@marigoldstall/core.types";
+import type { Clock } from "@marigoldstall/daemon.connections";
 import type { StoredResponse } from "@marigoldstall/requests.ledger";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Clock } from "./clock.js";
 
 /** One request on the caller port, from its headers to the end of its answer. */
 export class CallerRequest {
--- a/daemon/runtime/src/core.ts
+++ b/daemon/runtime/src/core.ts
@@ -1,6 +1,6 @@
+import type { Clock } from "@marigoldstall/daemon.connections";
 import { reduceRoot, type RootEffect, type RootEventBody, type RootState } from "@marigoldstall/daemon.state";
 import { selectNextWakeAtMs } from "@marigoldstall/routing.state";
-import type { Clock } from "./clock.js";
 
 /** Holds the state, feeds events to the root reducer one after the other, and runs the effects in between. */
 export class Core {
--- a/daemon/runtime/src/daemon-options.ts
+++ b/daemon/runtime/src/daemon-options.ts
@@ -1,6 +1,6 @@
 import type { DecisionLog } from "@marigoldstall/core.logger";
+import type { Clock } from "@marigoldstall/daemon.connections";
 import type { SelectionPolicyName } from "@marigoldstall/routing.policy";
-import type { Clock } from "./clock.js";
 
 /** Options of {@link Daemon}. */
 export interface DaemonOptions {
--- a/daemon/runtime/src/daemon.ts
+++ b/daemon/runtime/src/daemon.ts
@@ -1,6 +1,7 @@
 import type { DaemonSettings } from "@marigoldstall/config.settings";
 import { selectConfigurationHealth, selectNextOffset } from "@marigoldstall/config.versions";
 import { DecisionLog } from "@marigoldstall/core.logger";
+import { type Clock, createClock } from "@marigoldstall/daemon.connections";
 import { createRootState, type RootEventBody, type RootState } from "@marigoldstall/daemon.state";
 import {
     createShareHasher,
@@ -13,9 +14,7 @@
 import { selectLedgerCounts } from "@marigoldstall/requests.ledger";
 import { v7 as createUuid } from "uuid";
 import { CallerPort } from "./caller-port.js";
-import type { Clock } from "./clock.js";
 import { Core } from "./core.js";
-import { createClock } from "./create-clock.js";
 import type { DaemonOptions } from "./daemon-options.js";
 import { FleetCalls } from "./fleet-calls.js";
 import { Metrics } from "./metrics.js";
--- a/daemon/runtime/src/index.ts
+++ b/daemon/runtime/src/index.ts
@@ -1,5 +1,4 @@
-export type { Clock } from "./clock.js";
-export { createClock } from "./create-clock.js";
+export { type Clock, createClock } from "@marigoldstall/daemon.connections";
 export type { DaemonOptions } from "./daemon-options.js";
 export type { DaemonStatus } from "./daemon-status.js";
 export { Daemon } from "./daemon.js";
--- a/daemon/runtime/src/parse-caller-request.ts
+++ b/daemon/runtime/src/parse-caller-request.ts
@@ -1,11 +1,11 @@
 import { matchClass } from "@marigoldstall/config.targets";
 import type { Targets } from "@marigoldstall/core.types";
+import { singleHeader } from "@marigoldstall/daemon.connections";
 import { err, ok, type Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import type { ParsedRequest } from "./parsed-request.js";
 import type { Rejection } from "./rejection.js";
 import { REJECTIONS } from "./rejections.js";
-import { singleHeader } from "./single-header.js";
 
 const UUID_V7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
 const MAX_TIMEOUT_MS = 3_600_000;
--- a/daemon/runtime/src/relay-response.ts
+++ b/daemon/runtime/src/relay-response.ts
@@ -1,6 +1,6 @@
+import type { Clock } from "@marigoldstall/daemon.connections";
 import type { IncomingMessage } from "node:http";
 import type { CallerRequest } from "./caller-request.js";
-import type { Clock } from "./clock.js";
 import { forwardedHeaders } from "./forwarded-headers.js";
 
 // Larger responses are kept without their body.
--- a/daemon/runtime/src/request-path.ts
+++ b/daemon/runtime/src/request-path.ts
@@ -1,16 +1,14 @@
 import type { Outcome } from "@marigoldstall/core.types";
+import { BackendPool, type Clock, singleHeader } from "@marigoldstall/daemon.connections";
 import type { RootEffect, RootEventBody } from "@marigoldstall/daemon.state";
 import { createHash } from "node:crypto";
 import type { AttemptListener } from "./attempt-listener.js";
 import { Attempt } from "./attempt.js";
-import { BackendPool } from "./backend-pool.js";
 import type { CallerPort } from "./caller-port.js";
 import type { CallerRequest } from "./caller-request.js";
-import type { Clock } from "./clock.js";
 import { FINGERPRINT_BYTES } from "./fingerprint-bytes.js";
 import type { Metrics } from "./metrics.js";
 import { parseLoadReport } from "./parse-load-report.js";
-import { singleHeader } from "./single-header.js";
 import { writeAnswer } from "./write-answer.js";
 import { writeStoredResponse } from "./write-stored-response.js";
 
--- a/daemon/runtime/src/start-loops.ts
+++ b/daemon/runtime/src/start-loops.ts
@@ -1,9 +1,9 @@
+import type { Clock } from "@marigoldstall/daemon.connections";
 import type { LogRead, RootEventBody } from "@marigoldstall/daemon.state";
 import type { LogClient } from "@marigoldstall/platform.log-client";
 import type { VmListClient } from "@marigoldstall/platform.vm-list-client";
 import * as Effect from "effect/Effect";
 import * as Schedule from "effect/Schedule";
-import type { Clock } from "./clock.js";
 import type { Metrics } from "./metrics.js";
 
 const VM_LIST_INTERVAL_MS = 1_000;
