feat(fleet): share the view of the store and load reports through one hub a zone

Ruled out: heartbeats to random peers (stale load), a store watch on each VM (price), an elected leader (agreement). Change: fleet/view folds registrations and configuration, fleet/hubs picks a hub a zone by rank and hands news on.

--- /dev/null
+++ b/fleet/hubs/src/index.ts
@@ -0,0 +1,15 @@
+export { createHubState } from "./create-hub-state.js";
+export { decodeFleetMessage } from "./decode-fleet-message.js";
+export { encodeFleetMessage } from "./encode-fleet-message.js";
+export type { FleetMessage } from "./fleet-message.js";
+export type { HubEffect } from "./hub-effect.js";
+export type { HubEvent } from "./hub-event.js";
+export { HUB_LIMITS } from "./hub-limits.js";
+export type { HubState } from "./hub-state.js";
+export type { LoadNews } from "./load-news.js";
+export { reduceHub } from "./reduce-hub.js";
+export { selectLiveVms } from "./select-live-vms.js";
+export { selectMeasures } from "./select-measures.js";
+export { selectReadDelayMs } from "./select-read-delay-ms.js";
+export type { SendingNews } from "./sending-news.js";
+export type { VmInfo } from "./vm-info.js";
--- /dev/null
+++ b/fleet/view/src/index.ts
@@ -0,0 +1,13 @@
+export { createViewState } from "./create-view-state.js";
+export type { KnownConfiguration } from "./known-configuration.js";
+export type { KnownServer } from "./known-server.js";
+export { reduceView } from "./reduce-view.js";
+export type { RegistrationChange } from "./registration-change.js";
+export { selectViewSnapshot } from "./select-view-snapshot.js";
+export { selectViewSummary } from "./select-view-summary.js";
+export type { ViewEffect } from "./view-effect.js";
+export type { ViewEvent } from "./view-event.js";
+export { VIEW_LIMITS } from "./view-limits.js";
+export type { ViewSnapshot } from "./view-snapshot.js";
+export type { ViewState } from "./view-state.js";
+export type { ViewSummary } from "./view-summary.js";
--- /dev/null
+++ b/fleet/view/src/view-snapshot.ts
@@ -0,0 +1,9 @@
+import type { RegistrationChange } from "./registration-change.js";
+
+/** The whole list of registrations, as of an offset of its topic. */
+export interface ViewSnapshot {
+    readonly nextOffset: number;
+    readonly registrations: readonly RegistrationChange[];
+    /** How long ago the store confirmed that nothing newer existed. */
+    readonly ageMs: number;
+}
--- /dev/null
+++ b/fleet/view/src/view-state.ts
@@ -0,0 +1,30 @@
+import type { KnownConfiguration } from "./known-configuration.js";
+import type { KnownServer } from "./known-server.js";
+import type { RegistrationChange } from "./registration-change.js";
+
+/** How the reading of one topic stands. */
+interface TopicReading {
+    /** Offset to read from next; absent before the first list. */
+    readonly nextOffset: number | undefined;
+    /** The store had nothing newer than this view at that time. */
+    readonly confirmedAtMs: number;
+    readonly isReading: boolean;
+    readonly startedAtMs: number;
+    readonly failedAtMs: number;
+}
+
+/** State of the view. */
+export interface ViewState {
+    readonly servers: ReadonlyMap<string, KnownServer>;
+    readonly configuration: KnownConfiguration | undefined;
+    readonly registrationReading: TopicReading;
+    readonly configurationReading: TopicReading;
+    /** The newest changes, oldest first, to be told to peers. */
+    readonly recentChanges: readonly RegistrationChange[];
+    /** A view at this offset needs only the recent changes. */
+    readonly recentBaseOffset: number;
+    /** End of the last time for which the store could not be read. */
+    readonly outageEndedAtMs: number;
+    readonly fetchedSnapshotAtMs: number;
+    readonly fetchedConfigurationAtMs: number;
+}
--- /dev/null
+++ b/fleet/view/src/view-summary.ts
@@ -0,0 +1,14 @@
+import type { RegistrationChange } from "./registration-change.js";
+
+/** What a datagram says of its sender's view. */
+export interface ViewSummary {
+    /** Registrations are known up to this offset; absent when the sender knows none. */
+    readonly nextOffset: number | undefined;
+    /** A view that reaches this offset needs only `changes` to reach `nextOffset`. */
+    readonly baseOffset: number;
+    readonly changes: readonly RegistrationChange[];
+    readonly ageMs: number;
+    /** 0 without a configuration. */
+    readonly configurationVersion: number;
+    readonly configurationAgeMs: number;
+}
