feat(dispatch): choose servers by fresh load, queue, resend within the budget, reject at once

Cause: routes with several services, attempts, time-outs and targets need decisions of their own; the routing slice of the Marigoldstall-* interface knows classes only. Change: routing/dispatch, a reducer over requests, attempts, loads and registrations.

--- /dev/null
+++ b/routing/dispatch/src/create-service.ts
@@ -0,0 +1,16 @@
+import { rollingCounts } from "@marigoldstall/routing.state";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import type { DispatchService } from "./dispatch-service.js";
+
+/** A service of which only the name is known. */
+export const createService = (name: string): DispatchService => ({
+    name,
+    servers: new Map(),
+    queue: [],
+    running: new Set(),
+    workMs: new Map(),
+    responseBytes: new Map(),
+    slowness: DISPATCH_LIMITS.initialSlowness,
+    requests: rollingCounts.empty,
+    resends: rollingCounts.empty,
+});
--- /dev/null
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -0,0 +1,134 @@
+import type { Transition } from "@marigoldstall/core.types";
+import { createService } from "./create-service.js";
+import type { DecisionRecord } from "./decision-record.js";
+import type { DispatchEffect } from "./dispatch-effect.js";
+import type { DispatchService } from "./dispatch-service.js";
+import type { DispatchState } from "./dispatch-state.js";
+import type { RequestState } from "./request-state.js";
+import type { ServerState } from "./server-state.js";
+
+const MULTIPLIER = 16_807;
+const MODULUS = 2_147_483_647;
+
+/** Working copy of the state during one event. Its maps are copied when they are first written to. */
+export class DispatchDraft {
+    readonly atMs: number;
+    readonly effects: DispatchEffect[] = [];
+    private state: DispatchState;
+    private seed: number;
+    private readonly copied = new Set<keyof DispatchState>();
+
+    constructor(state: DispatchState, opts: { readonly atMs: number; readonly random: number; }) {
+        this.state = state;
+        this.atMs = opts.atMs;
+        this.seed = 1 + Math.floor(opts.random * (MODULUS - 2));
+    }
+
+    get base(): DispatchState {
+        return this.state;
+    }
+
+    update(fields: Partial<DispatchState>): void {
+        this.state = { ...this.state, ...fields };
+    }
+
+    /** Further random numbers of the same event. */
+    nextRandom(): number {
+        this.seed = this.seed * MULTIPLIER % MODULUS;
+        return this.seed / MODULUS;
+    }
+
+    service(name: string): DispatchService {
+        return this.state.services.get(name) ?? createService(name);
+    }
+
+    setService(service: DispatchService): void {
+        this.writable("services").set(service.name, service);
+    }
+
+    updateService(name: string, fields: Partial<DispatchService>): void {
+        this.setService({ ...this.service(name), ...fields });
+    }
+
+    server(instanceId: string): ServerState | undefined {
+        const service = this.state.serverServices.get(instanceId);
+        return service === undefined ? undefined : this.service(service).servers.get(instanceId);
+    }
+
+    updateServer(instanceId: string, fields: Partial<ServerState>): void {
+        const name = this.state.serverServices.get(instanceId);
+        const server = this.server(instanceId);
+        if (name !== undefined && server !== undefined) {
+            const servers = new Map(this.service(name).servers).set(instanceId, { ...server, ...fields });
+            this.updateService(name, { servers });
+        }
+    }
+
+    request(requestKey: string): RequestState | undefined {
+        return this.state.requests.get(requestKey);
+    }
+
+    setRequest(request: RequestState): void {
+        this.writable("requests").set(request.requestKey, request);
+    }
+
+    removeRequest(request: RequestState): void {
+        const { requestKey, service: name } = request;
+        this.writable("requests").delete(requestKey);
+        const service = this.service(name);
+        const running = new Set(service.running);
+        running.delete(requestKey);
+        this.setService({ ...service, running, queue: service.queue.filter(key => key !== requestKey) });
+    }
+
+    requestOfAttempt(attemptId: string): RequestState | undefined {
+        const requestKey = this.state.attemptRequests.get(attemptId);
+        return requestKey === undefined ? undefined : this.request(requestKey);
+    }
+
+    setAttemptRequest(attemptId: string, requestKey: string | undefined): void {
+        const attempts = this.writable("attemptRequests");
+        if (requestKey === undefined) {
+            attempts.delete(attemptId);
+        }
+        else {
+            attempts.set(attemptId, requestKey);
+        }
+    }
+
+    setServerService(instanceId: string, service: string | undefined): void {
+        const services = this.writable("serverServices");
+        if (service === undefined) {
+            services.delete(instanceId);
+        }
+        else {
+            services.set(instanceId, service);
+        }
+    }
+
+    setSplitCredits(route: string, credits: readonly number[]): void {
+        this.writable("splitCredits").set(route, credits);
+    }
+
+    emit(effect: DispatchEffect): void {
+        this.effects.push(effect);
+    }
+
+    log(decision: DecisionRecord): void {
+        this.emit({ type: "log-decision", decision });
+    }
+
+    finish(): Transition<DispatchState, DispatchEffect> {
+        return { state: this.state, effects: this.effects };
+    }
+
+    private writable<
+        Field extends "services" | "requests" | "attemptRequests" | "serverServices" | "splitCredits",
+    >(field: Field): DispatchState[Field] extends ReadonlyMap<infer Key, infer Value> ? Map<Key, Value> : never {
+        if (!this.copied.has(field)) {
+            this.copied.add(field);
+            this.state = { ...this.state, [field]: new Map(this.state[field] as ReadonlyMap<unknown, unknown>) };
+        }
+        return this.state[field] as never;
+    }
+}
--- /dev/null
+++ b/routing/dispatch/src/dispatch-effect.ts
@@ -0,0 +1,30 @@
+import type { DecisionRecord } from "./decision-record.js";
+
+/** Effects of the dispatch. */
+export type DispatchEffect =
+    | {
+        readonly type: "start-attempt";
+        readonly attemptId: string;
+        readonly requestKey: string;
+        readonly instanceId: string;
+        readonly address: string;
+        readonly deadlineAtMs: number;
+    }
+    | { readonly type: "cancel-attempt"; readonly attemptId: string; }
+    | { readonly type: "relay-response"; readonly requestKey: string; readonly attemptId: string; }
+    | { readonly type: "discard-response"; readonly attemptId: string; }
+    | {
+        readonly type: "reject-request";
+        readonly requestKey: string;
+        readonly statusCode: number;
+        readonly reason: string;
+        readonly retryAfterMs: number | undefined;
+    }
+    | {
+        readonly type: "probe-server";
+        readonly instanceId: string;
+        readonly address: string;
+        readonly healthPath: string;
+    }
+    | { readonly type: "close-connections"; readonly instanceId: string; readonly address: string; }
+    | { readonly type: "log-decision"; readonly decision: DecisionRecord; };
--- /dev/null
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -0,0 +1,71 @@
+import type { LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { RegistrationChange } from "@marigoldstall/fleet.view";
+
+interface Timed {
+    readonly atMs: number;
+    /** Drawn from [0, 1). */
+    readonly random: number;
+}
+
+/** Events of the dispatch. `atMs` is the daemon's monotonic clock. */
+export type DispatchEvent =
+    & Timed
+    & (
+        | {
+            readonly type: "request-arrived";
+            readonly requestKey: string;
+            readonly requestId: string;
+            readonly host: string;
+            readonly path: string;
+            /** When the headers arrived; the body may have taken longer. */
+            readonly receivedAtMs: number;
+            readonly deadlineMs: number | undefined;
+        }
+        | { readonly type: "caller-left"; readonly requestKey: string; }
+        | {
+            /** A whole response arrived. */
+            readonly type: "attempt-answered";
+            readonly attemptId: string;
+            readonly statusCode: number;
+            readonly notRun: boolean;
+            readonly bodyBytes: number;
+            readonly load: LoadReport | undefined;
+        }
+        | {
+            /** `unsent`: no byte was sent. `lost`: no whole response of this server to this request came. */
+            readonly type: "attempt-failed";
+            readonly attemptId: string;
+            readonly failure: "unsent" | "lost";
+            readonly reason: string;
+        }
+        | {
+            readonly type: "loads-learnt";
+            readonly loads: readonly {
+                readonly instanceId: string;
+                readonly load: LoadReport;
+                readonly measuredAtMs: number;
+            }[];
+            readonly sendings: readonly { readonly instanceId: string; readonly sentAtMs: number; }[];
+        }
+        | {
+            readonly type: "probe-answered";
+            readonly instanceId: string;
+            readonly isHealthy: boolean;
+            readonly load: LoadReport | undefined;
+        }
+        | { readonly type: "probe-failed"; readonly instanceId: string; }
+        | {
+            readonly type: "idle-connections-changed";
+            readonly instanceId: string;
+            readonly idleConnections: number;
+        }
+        | { readonly type: "servers-changed"; readonly changes: readonly RegistrationChange[]; }
+        | { readonly type: "configuration-adopted"; readonly configuration: RoutingConfiguration; }
+        | { readonly type: "fleet-sized"; readonly vmCount: number; }
+        | {
+            readonly type: "dispatch-tick";
+            /** Whether this VM measures the servers of a zone. */
+            readonly measures: (availabilityZone: string) => boolean;
+            readonly probeIntervalMs: number;
+        }
+    );
--- /dev/null
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -0,0 +1,59 @@
+/** Times, shares and counts of the dispatch. Milliseconds unless the name says otherwise. */
+export const DISPATCH_LIMITS = {
+    // The slowness of a backend server's VM is drawn anew about this often, so an older report says nothing of it.
+    slownessLifeMs: 150,
+    // What a service's VMs are taken to be like before they have told it.
+    initialSlowness: 1.5,
+    // Share of a new value in a moving average.
+    slownessWeight: 0.02,
+    workWeight: 0.1,
+    bytesWeight: 0.2,
+    // Work of a request before any was measured, as a share of the route's latency target.
+    initialWorkShare: 0.4,
+    // A server that has just one free slot left is slower, by this factor on a VM with two slots.
+    lastSlotFactor: 1.3,
+    // A report older than this is no report.
+    loadLifeMs: 1_000,
+    // A request needs about this long to reach a server and be counted there.
+    sendingLagMs: 2,
+    sendingLifeMs: 400,
+    // Requests that may wait at a server for a slot, so that it is not idle until the next one arrives.
+    queueAhead: 1,
+    // Round trip to another availability zone, and the time that each KB of a response takes to cross. Bytes between
+    // zones are paid for, which the second figure stands for as well.
+    zoneDistanceMs: 3,
+    zoneMsPerKb: 1,
+    // A new connection takes a round trip and a millisecond of the server, and is paid for.
+    newConnectionMs: 20,
+    // A server that fails is avoided as if it were this much slower for each recent failure.
+    failureMs: 250,
+    failureHalfLifeMs: 3_000,
+    failureMax: 8,
+    unhealthyMs: 300,
+    // Failures in a row after which a server gets no requests, and for how long; each further time doubles it.
+    ejectionFailures: 3,
+    ejectionMs: 1_000,
+    maxEjectionMs: 8_000,
+    maxEjectedShare: 0.5,
+    // Servers are slower by this factor in their first seconds.
+    coldFactor: 1.6,
+    // Estimates this close to each other are equal, so that VMs that see the same do not all choose the same server.
+    jitterMs: 8,
+    // Way from the caller and back, of which the daemon knows nothing else.
+    callerDistanceMs: 20,
+    // Time for the answer to get back before the deadline.
+    answerMs: 10,
+    // A second send that would end this close to the target is not worth it.
+    hedgeMarginMs: 10,
+    // An attempt that takes this many times what was expected is taken to hang.
+    hangFactor: 5,
+    // A VM uses this share of its part of the retry budget; the rest is for VMs that come back and know of nothing.
+    budgetShare: 0.8,
+    // Sends that failed before a byte was sent; more of them in one request mean that nothing can be reached.
+    maxUnsent: 4,
+    // Callers that are told to come back are spread over this time.
+    retryAfterMs: 150,
+    retrySpreadMs: 250,
+    // How often waiting requests and running attempts are looked at.
+    recheckMs: 15,
+} as const;
--- /dev/null
+++ b/routing/dispatch/src/note-load.ts
@@ -0,0 +1,33 @@
+import type { LoadReport } from "@marigoldstall/core.types";
+import { advanceWork } from "./advance-work.js";
+import type { DispatchDraft } from "./dispatch-draft.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+
+const PERCENT = 100;
+
+/** Takes over a load report unless a newer one is known. */
+export const noteLoad = (
+    draft: DispatchDraft,
+    instanceId: string,
+    report: { readonly load: LoadReport; readonly measuredAtMs: number; },
+): void => {
+    const server = draft.server(instanceId);
+    if (server === undefined || server.measuredAtMs >= report.measuredAtMs) {
+        return;
+    }
+    advanceWork(draft, server);
+    const { load, measuredAtMs } = report;
+    draft.updateServer(instanceId, {
+        load,
+        measuredAtMs,
+        sendings: server.sendings.filter(sentAtMs => sentAtMs > measuredAtMs - DISPATCH_LIMITS.sendingLagMs),
+    });
+    if (load.slownessPercent !== undefined) {
+        const service = draft.service(server.server.service);
+        const weight = DISPATCH_LIMITS.slownessWeight;
+        draft.setService({
+            ...service,
+            slowness: service.slowness * (1 - weight) + load.slownessPercent / PERCENT * weight,
+        });
+    }
+};
--- /dev/null
+++ b/routing/dispatch/src/on-attempt-failed.ts
@@ -0,0 +1,44 @@
+import type { DispatchDraft } from "./dispatch-draft.js";
+import type { DispatchEvent } from "./dispatch-event.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { drainQueue } from "./drain-queue.js";
+import { endAttempt } from "./end-attempt.js";
+import { noteFailure } from "./note-failure.js";
+import { REJECT_REASONS } from "./reject-reasons.js";
+import { rejectRequest } from "./reject-request.js";
+import { tryAgain } from "./try-again.js";
+
+type AttemptFailed = Extract<DispatchEvent, { readonly type: "attempt-failed"; }>;
+
+/** An attempt ended without a whole response. */
+export const onAttemptFailed = (draft: DispatchDraft, event: AttemptFailed): void => {
+    const found = draft.requestOfAttempt(event.attemptId);
+    const attempt = found?.attempts.find(other => other.attemptId === event.attemptId);
+    if (found === undefined || attempt === undefined) {
+        return;
+    }
+    noteFailure(draft, attempt.instanceId, { reason: event.reason, weight: 1 });
+    draft.log({
+        kind: "attempt-failed",
+        requestId: found.requestId,
+        service: found.service,
+        instanceId: attempt.instanceId,
+        reason: event.reason,
+        inputs: {
+            attempt: attempt.attemptId,
+            wasSent: event.failure === "lost",
+            attemptMs: Math.round(draft.atMs - attempt.startedAtMs),
+        },
+    });
+    const ended = endAttempt(draft, found, attempt);
+    const isUnsent = event.failure === "unsent";
+    const request = isUnsent
+        ? { ...ended, sentCount: ended.sentCount - 1, unsentCount: ended.unsentCount + 1 }
+        : { ...ended, mayHaveRun: true };
+    draft.setRequest(request);
+    const mayRepeat = isUnsent ? request.unsentCount <= DISPATCH_LIMITS.maxUnsent : request.route.isIdempotent;
+    if (request.attempts.length === 0 && !(mayRepeat && tryAgain(draft, request))) {
+        rejectRequest(draft, request, { reason: isUnsent ? REJECT_REASONS.unreachable : REJECT_REASONS.lost });
+    }
+    drainQueue(draft, request.service);
+};
--- /dev/null
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -0,0 +1,83 @@
+import { rollingCounts } from "@marigoldstall/routing.state";
+import type { DispatchDraft } from "./dispatch-draft.js";
+import type { DispatchEvent } from "./dispatch-event.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { drainQueue } from "./drain-queue.js";
+import { matchRoute } from "./match-route.js";
+import { pickDestination } from "./pick-destination.js";
+
+type RequestArrived = Extract<DispatchEvent, { readonly type: "request-arrived"; }>;
+
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+
+const refuse = (
+    draft: DispatchDraft,
+    event: RequestArrived,
+    opts: { readonly statusCode: number; readonly reason: string; },
+): void => {
+    const { statusCode, reason } = opts;
+    const { requestKey, requestId } = event;
+    const retryAfterMs = statusCode === STATUS_UNAVAILABLE ? DISPATCH_LIMITS.retryAfterMs : undefined;
+    draft.emit({ type: "reject-request", requestKey, statusCode, reason, retryAfterMs });
+    draft.log({
+        kind: "reject",
+        requestId,
+        reason,
+        inputs: {
+            statusCode,
+            host: event.host,
+            path: event.path,
+            configurationVersion: draft.base.configuration?.version ?? 0,
+        },
+    });
+};
+
+/** A caller's request was read whole: finds its route and service and sends it or lets it wait. */
+export const onRequestArrived = (draft: DispatchDraft, event: RequestArrived): void => {
+    const { configuration } = draft.base;
+    if (configuration === undefined) {
+        refuse(draft, event, { statusCode: STATUS_UNAVAILABLE, reason: "no-configuration" });
+        return;
+    }
+    const route = matchRoute(configuration, event);
+    if (route === undefined) {
+        refuse(draft, event, { statusCode: STATUS_NOT_FOUND, reason: "no-route" });
+        return;
+    }
+    const picked = pickDestination(route.destinations, {
+        credits: draft.base.splitCredits.get(route.name),
+        random: event.random,
+    });
+    if (picked === undefined) {
+        refuse(draft, event, { statusCode: STATUS_UNAVAILABLE, reason: "route-without-service" });
+        return;
+    }
+    if (route.destinations.length > 1) {
+        draft.setSplitCredits(route.name, picked.credits);
+    }
+    const { requestKey, requestId, receivedAtMs, deadlineMs } = event;
+    const name = picked.destination.service;
+    const service = draft.service(name);
+    draft.setRequest({
+        requestKey,
+        requestId,
+        route,
+        service: name,
+        arrivedAtMs: receivedAtMs,
+        targetAtMs: receivedAtMs + route.latencyTargetMs - DISPATCH_LIMITS.callerDistanceMs,
+        deadlineAtMs: receivedAtMs + Math.min(deadlineMs ?? Infinity, route.timeoutMs),
+        attempts: [],
+        sentCount: 0,
+        unsentCount: 0,
+        triedInstanceIds: [],
+        mayHaveRun: false,
+        callerLeft: false,
+    });
+    draft.setService({
+        ...service,
+        queue: [...service.queue, requestKey],
+        requests: rollingCounts.add(service.requests, draft.atMs),
+    });
+    drainQueue(draft, name);
+};
--- /dev/null
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -0,0 +1,65 @@
+import type { BackendServer } from "@marigoldstall/core.types";
+import type { RegistrationChange } from "@marigoldstall/fleet.view";
+import type { DispatchDraft } from "./dispatch-draft.js";
+import type { ServerState } from "./server-state.js";
+
+const createServer = (server: BackendServer, atMs: number): ServerState => ({
+    server,
+    load: undefined,
+    measuredAtMs: -Infinity,
+    sendings: [],
+    ownInFlight: 0,
+    idleConnections: 0,
+    failures: 0,
+    failuresAtMs: atMs,
+    failuresInRow: 0,
+    ejections: 0,
+    ejectedUntilMs: -Infinity,
+    isUnhealthy: false,
+    coldUntilMs: atMs + server.warmUpMs,
+    probedAtMs: undefined,
+});
+
+const remove = (draft: DispatchDraft, instanceId: string): void => {
+    const known = draft.server(instanceId);
+    if (known === undefined) {
+        return;
+    }
+    const servers = new Map(draft.service(known.server.service).servers);
+    servers.delete(instanceId);
+    draft.updateService(known.server.service, { servers });
+    draft.setServerService(instanceId, undefined);
+    draft.emit({ type: "close-connections", instanceId, address: known.server.address });
+};
+
+const put = (draft: DispatchDraft, server: BackendServer): void => {
+    const { instanceId } = server;
+    const known = draft.server(instanceId);
+    const isSameProcess = known?.server.startedAtUnixMs === server.startedAtUnixMs
+        && known.server.address === server.address && known.server.service === server.service;
+    if (known !== undefined && !isSameProcess) {
+        remove(draft, instanceId);
+    }
+    const next = known !== undefined && isSameProcess ? { ...known, server } : createServer(server, draft.atMs);
+    const servers = new Map(draft.service(server.service).servers).set(instanceId, next);
+    draft.updateService(server.service, { servers });
+    draft.setServerService(instanceId, server.service);
+};
+
+/** Takes over changes of registrations. */
+export const onServersChanged = (draft: DispatchDraft, changes: readonly RegistrationChange[]): void => {
+    for (const { instanceId, server } of changes) {
+        if (server === undefined) {
+            remove(draft, instanceId);
+        }
+        else {
+            put(draft, server);
+        }
+        draft.log({
+            kind: server === undefined ? "server-removed" : server.isDraining ? "server-draining" : "server-registered",
+            service: server?.service,
+            instanceId,
+            inputs: server === undefined ? {} : { address: server.address, zone: server.availabilityZone },
+        });
+    }
+};
--- /dev/null
+++ b/routing/dispatch/src/pick-destination.ts
@@ -0,0 +1,35 @@
+import type { Destination } from "@marigoldstall/core.types";
+
+interface PickedDestination {
+    readonly destination: Destination;
+    readonly credits: readonly number[];
+}
+
+/**
+ * Smooth weighted round robin: each destination earns its weight with each request and the one with most credit pays
+ * for it, so that shares hold over short times too. A random start keeps the daemons from going in step.
+ */
+export const pickDestination = (
+    destinations: readonly Destination[],
+    opts: { readonly credits: readonly number[] | undefined; readonly random: number; },
+): PickedDestination | undefined => {
+    const total = destinations.reduce((sum, destination) => sum + destination.weight, 0);
+    const start = destinations.map((destination, index) =>
+        destination.weight * ((opts.random * (index + 1) * destinations.length) % 1)
+    );
+    const before = opts.credits?.length === destinations.length ? opts.credits : start;
+    const credits = destinations.map((destination, index) => (before[index] ?? 0) + destination.weight);
+    let best = -1;
+    for (let index = 0; index < destinations.length; index += 1) {
+        const isBetter = best < 0 || (credits[index] ?? 0) > (credits[best] ?? 0);
+        if (isBetter && (destinations[index]?.weight ?? 0) > 0) {
+            best = index;
+        }
+    }
+    const destination = destinations[best];
+    if (destination === undefined) {
+        return undefined;
+    }
+    credits[best] = (credits[best] ?? 0) - total;
+    return { destination, credits };
+};
--- /dev/null
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -0,0 +1,10 @@
+/** Reasons for answers of the daemon's own. */
+export const REJECT_REASONS = {
+    noServer: "no-usable-server",
+    tooLate: "deadline-unreachable",
+    queueTooLong: "queue-longer-than-deadline",
+    shed: "shed-by-servers",
+    lost: "response-lost",
+    unreachable: "servers-unreachable",
+    deadline: "deadline-passed",
+} as const;
--- /dev/null
+++ b/routing/dispatch/src/reject-request.ts
@@ -0,0 +1,59 @@
+import type { DispatchDraft } from "./dispatch-draft.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import type { RequestState } from "./request-state.js";
+
+const STATUS_UNAVAILABLE = 503;
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/**
+ * Ends a request without a response of a backend server. Only a request that was surely not run is told so; one that
+ * may have run gets a status that promises nothing.
+ */
+export const rejectRequest = (
+    draft: DispatchDraft,
+    request: RequestState,
+    opts: { readonly reason: string; readonly waitMs?: number; },
+): void => {
+    const { atMs } = draft;
+    for (const attempt of request.attempts) {
+        const server = draft.server(attempt.instanceId);
+        if (server !== undefined) {
+            draft.updateServer(attempt.instanceId, { ownInFlight: Math.max(0, server.ownInFlight - 1) });
+        }
+        draft.setAttemptRequest(attempt.attemptId, undefined);
+        draft.emit({ type: "cancel-attempt", attemptId: attempt.attemptId });
+    }
+    draft.removeRequest(request);
+    const mayHaveRun = request.mayHaveRun || request.attempts.length > 0;
+    const isOverdue = request.deadlineAtMs - DISPATCH_LIMITS.answerMs <= atMs;
+    const statusCode = !mayHaveRun
+        ? STATUS_UNAVAILABLE
+        : isOverdue
+        ? STATUS_GATEWAY_TIMEOUT
+        : STATUS_BAD_GATEWAY;
+    const spreadMs = DISPATCH_LIMITS.retryAfterMs + draft.nextRandom() * DISPATCH_LIMITS.retrySpreadMs;
+    const retryAfterMs = mayHaveRun ? undefined : Math.max(spreadMs, opts.waitMs ?? 0);
+    if (!request.callerLeft) {
+        draft.emit({
+            type: "reject-request",
+            requestKey: request.requestKey,
+            statusCode,
+            reason: opts.reason,
+            retryAfterMs,
+        });
+    }
+    draft.log({
+        kind: "reject",
+        requestId: request.requestId,
+        service: request.service,
+        reason: opts.reason,
+        inputs: {
+            statusCode,
+            mayHaveRun,
+            sent: request.sentCount,
+            waitedMs: Math.round(atMs - request.arrivedAtMs),
+            retryAfterMs: Math.round(retryAfterMs ?? 0),
+        },
+    });
+};
--- /dev/null
+++ b/routing/dispatch/src/try-again.ts
@@ -0,0 +1,23 @@
+import { allowsResend } from "./allows-resend.js";
+import { chooseServer } from "./choose-server.js";
+import type { DispatchDraft } from "./dispatch-draft.js";
+import type { RequestState } from "./request-state.js";
+import { startAttempt } from "./start-attempt.js";
+
+/** Sends a request, none of whose attempts is left, to another server if budget, deadline and servers allow it. */
+export const tryAgain = (draft: DispatchDraft, request: RequestState): boolean => {
+    const service = draft.service(request.service);
+    const isResend = request.sentCount > 0;
+    if (request.callerLeft || request.sentCount >= request.route.maxAttempts) {
+        return false;
+    }
+    if (isResend && !allowsResend(draft, service)) {
+        return false;
+    }
+    const { best, candidateCount } = chooseServer(draft, service, request);
+    if (best === undefined || draft.atMs >= request.deadlineAtMs) {
+        return false;
+    }
+    startAttempt(draft, request, { estimate: best, candidateCount, isHedge: false });
+    return true;
+};
--- a/routing/state/src/index.ts
+++ b/routing/state/src/index.ts
@@ -6,6 +6,8 @@
 export { reduceRouting } from "./reduce-routing.js";
 export type { ReportTrust } from "./report-trust.js";
 export { reportTrusts } from "./report-trusts.js";
+export type { RollingCount } from "./rolling-count.js";
+export { rollingCounts } from "./rolling-counts.js";
 export type { RoutingEffect } from "./routing-effect.js";
 export type { RoutingEvent } from "./routing-event.js";
 export type { RoutingState } from "./routing-state.js";
