feat(entry): run on the users' platform

Cause: there was no deploy file and no program for the platform. A request that arrives behind another one on its connection after SIGTERM is not passed on: the connection closes after the earlier answer.

--- /dev/null
+++ b/daemon/entry/src/caller-port.ts
@@ -0,0 +1,168 @@
+import type { CallerLimits } from "@marigoldstall/core.types";
+import { listenOn } from "@marigoldstall/fleet.rpc";
+import { decodeCallerHead, encodeRejectionHeaders, endToEndHeaders } from "@marigoldstall/platform.adapter";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+import { ENTRY_LIMITS } from "./entry-limits.js";
+import type { OpenRequest } from "./open-request.js";
+import type { ServerResponseWhole } from "./server-response-whole.js";
+
+// Room for any configured limit; the configuration's own is checked for each request.
+const MAX_HEADER_BYTES = 65_536;
+const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+const STATUS_BODY_TOO_LARGE = 413;
+
+interface CallerPortOptions {
+    readonly isStopping: () => boolean;
+    readonly atMs: () => number;
+    readonly onRequest: (request: OpenRequest, receivedAtMs: number, deadlineMs: number | undefined) => void;
+    readonly onLeft: (requestKey: string) => void;
+}
+
+/** The port on which callers send requests. */
+export class CallerPort {
+    private readonly opts: CallerPortOptions;
+    private readonly server: Server;
+    private readonly open = new Map<string, OpenRequest>();
+    /** Newest request of each connection that is being answered. */
+    private readonly newest = new WeakMap<Socket, string>();
+    /** Connections that close after an answer already written. */
+    private readonly closing = new WeakSet<Socket>();
+    private unfinished = 0;
+    private nextKey = 1;
+
+    constructor(opts: CallerPortOptions) {
+        this.opts = opts;
+        this.server = createServer({
+            maxHeaderSize: MAX_HEADER_BYTES,
+            requireHostHeader: false,
+            requestTimeout: 0,
+            keepAliveTimeout: ENTRY_LIMITS.initialIdleTimeoutMs,
+            noDelay: true,
+        }, (message, response) => {
+            this.receive(message, response);
+        });
+    }
+
+    /** Requests that were read at least in part and have no whole answer yet. */
+    get unfinishedCount(): number {
+        return this.unfinished;
+    }
+
+    async listen(address: string): Promise<void> {
+        await listenOn(this.server, address);
+    }
+
+    applyLimits(limits: CallerLimits): void {
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.server.headersTimeout = limits.headerTimeoutMs + ENTRY_LIMITS.initialIdleTimeoutMs;
+    }
+
+    find(requestKey: string): OpenRequest | undefined {
+        return this.open.get(requestKey);
+    }
+
+    /** Takes no new connections. */
+    stopListening(): void {
+        NetServer.prototype.close.call(this.server);
+    }
+
+    closeIdleConnections(): void {
+        this.server.closeIdleConnections();
+    }
+
+    relay(requestKey: string, whole: ServerResponseWhole): void {
+        const request = this.take(requestKey);
+        if (request === undefined) {
+            return;
+        }
+        const headers = endToEndHeaders(whole.rawHeaders, whole.connection);
+        headers.push("Content-Length", String(whole.body.length));
+        this.finish(request, { statusCode: whole.statusCode, headers, body: whole.body });
+    }
+
+    reject(
+        requestKey: string,
+        opts: { readonly statusCode: number; readonly retryAfterMs: number | undefined; },
+    ): void {
+        const request = this.take(requestKey);
+        if (request !== undefined) {
+            const headers = encodeRejectionHeaders({
+                requestId: request.requestId,
+                retryAfterMs: opts.retryAfterMs,
+            });
+            this.finish(request, { statusCode: opts.statusCode, headers, body: undefined });
+        }
+    }
+
+    private receive(message: IncomingMessage, response: ServerResponse): void {
+        const receivedAtMs = this.opts.atMs();
+        const { socket } = message;
+        const hasEarlier = this.open.has(this.newest.get(socket) ?? "");
+        if (this.closing.has(socket) || (this.opts.isStopping() && hasEarlier)) {
+            // The connection closes after the answer to an earlier request, and the caller sends this one again.
+            message.resume();
+            return;
+        }
+        const requestKey = String(this.nextKey);
+        this.nextKey += 1;
+        this.newest.set(socket, requestKey);
+        const chunks: Buffer[] = [];
+        let bodyBytes = 0;
+        this.unfinished += 1;
+        response.sendDate = false;
+        response.on("error", () => undefined);
+        response.on("close", () => {
+            this.unfinished -= 1;
+            if (this.take(requestKey) !== undefined) {
+                this.opts.onLeft(requestKey);
+            }
+        });
+        message.on("error", () => undefined);
+        message.on("data", (chunk: Buffer) => {
+            chunks.push(chunk);
+            bodyBytes += chunk.length;
+            if (bodyBytes > MAX_BODY_BYTES && !response.headersSent) {
+                message.removeAllListeners("data");
+                response.shouldKeepAlive = false;
+                response.writeHead(STATUS_BODY_TOO_LARGE, { "Content-Length": 0 });
+                response.end();
+            }
+        });
+        message.on("end", () => {
+            if (response.headersSent || response.destroyed) {
+                return;
+            }
+            const { requestId, deadlineMs } = decodeCallerHead(message.headers);
+            const hasBody = bodyBytes > 0 || message.headers["content-length"] !== undefined;
+            const body = hasBody ? Buffer.concat(chunks) : undefined;
+            const request = { requestKey, requestId, message, response, body };
+            this.open.set(requestKey, request);
+            this.opts.onRequest(request, receivedAtMs, deadlineMs);
+        });
+    }
+
+    private take(requestKey: string): OpenRequest | undefined {
+        const request = this.open.get(requestKey);
+        this.open.delete(requestKey);
+        return request;
+    }
+
+    private finish(request: OpenRequest, answer: {
+        readonly statusCode: number;
+        readonly headers: string[];
+        readonly body: Buffer | undefined;
+    }): void {
+        const { response, message } = request;
+        if (response.destroyed) {
+            return;
+        }
+        // A connection on which further requests wait must not be closed before their answers.
+        if (this.opts.isStopping() && this.newest.get(message.socket) === request.requestKey) {
+            response.shouldKeepAlive = false;
+            this.closing.add(message.socket);
+        }
+        response.writeHead(answer.statusCode, answer.headers);
+        response.end(answer.body);
+    }
+}
--- /dev/null
+++ b/daemon/entry/src/entry-draft.ts
@@ -0,0 +1,67 @@
+import type { Transition } from "@marigoldstall/core.types";
+import { type HubEvent, reduceHub } from "@marigoldstall/fleet.hubs";
+import { reduceView, type ViewEvent } from "@marigoldstall/fleet.view";
+import { type DispatchEvent, reduceDispatch } from "@marigoldstall/routing.dispatch";
+import type { EntryEffect } from "./entry-effect.js";
+import type { EntryState } from "./entry-state.js";
+
+/** Runs the slices during one event and hands what one of them says to the others. */
+export class EntryDraft {
+    readonly atMs: number;
+    private readonly random: number;
+    private current: EntryState;
+    private readonly effects: EntryEffect[] = [];
+
+    constructor(state: EntryState, opts: { readonly atMs: number; readonly random: number; }) {
+        this.current = state;
+        this.atMs = opts.atMs;
+        this.random = opts.random;
+    }
+
+    get state(): EntryState {
+        return this.current;
+    }
+
+    update(fields: Partial<EntryState>): void {
+        this.current = { ...this.current, ...fields };
+    }
+
+    view(event: ViewEvent): void {
+        const { state, effects } = reduceView(this.current.view, event);
+        this.current = { ...this.current, view: state };
+        for (const effect of effects) {
+            this.effects.push(effect);
+            if (effect.type === "servers-changed") {
+                this.dispatch({ type: "servers-changed", ...this.timed, changes: effect.changes });
+            }
+            else if (effect.type === "configuration-adopted") {
+                this.dispatch({ type: "configuration-adopted", ...this.timed, configuration: effect.configuration });
+            }
+        }
+    }
+
+    hub(event: HubEvent): void {
+        const { state, effects } = reduceHub(this.current.hub, event);
+        this.current = { ...this.current, hub: state };
+        this.effects.push(...effects);
+    }
+
+    dispatch(event: DispatchEvent): void {
+        const { state, effects } = reduceDispatch(this.current.dispatch, event);
+        this.current = { ...this.current, dispatch: state };
+        for (const effect of effects) {
+            this.effects.push(effect);
+            if (effect.type === "start-attempt") {
+                this.hub({ type: "request-sent", atMs: this.atMs, instanceId: effect.instanceId });
+            }
+        }
+    }
+
+    get timed(): { readonly atMs: number; readonly random: number; } {
+        return { atMs: this.atMs, random: this.random };
+    }
+
+    finish(): Transition<EntryState, EntryEffect> {
+        return { state: this.current, effects: this.effects };
+    }
+}
--- /dev/null
+++ b/daemon/entry/src/entry-effect.ts
@@ -0,0 +1,6 @@
+import type { HubEffect } from "@marigoldstall/fleet.hubs";
+import type { ViewEffect } from "@marigoldstall/fleet.view";
+import type { DispatchEffect } from "@marigoldstall/routing.dispatch";
+
+/** Effects of the daemon. */
+export type EntryEffect = ViewEffect | HubEffect | DispatchEffect;
--- /dev/null
+++ b/daemon/entry/src/entry-state.ts
@@ -0,0 +1,12 @@
+import type { HubState } from "@marigoldstall/fleet.hubs";
+import type { ViewState } from "@marigoldstall/fleet.view";
+import type { DispatchState } from "@marigoldstall/routing.dispatch";
+
+/** State of the daemon. */
+export interface EntryState {
+    readonly view: ViewState;
+    readonly hub: HubState;
+    readonly dispatch: DispatchState;
+    /** Most VMs that were alive at a time; they share the retry budget. */
+    readonly vmCount: number;
+}
--- /dev/null
+++ b/daemon/entry/src/fleet-socket.ts
@@ -0,0 +1,49 @@
+import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
+import { createSocket, type Socket } from "node:dgram";
+
+interface FleetSocketOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly onMessage: (message: FleetMessage, host: string) => void;
+    readonly onProblem: (problem: string, peer: string) => void;
+}
+
+/** Sends and receives the datagrams of the fleet. */
+export class FleetSocket {
+    private readonly opts: FleetSocketOptions;
+    private readonly socket: Socket;
+
+    constructor(opts: FleetSocketOptions) {
+        this.opts = opts;
+        this.socket = createSocket("udp4");
+        this.socket.on("message", (bytes, { address }) => {
+            const message = decodeFleetMessage(bytes);
+            if (message === undefined) {
+                opts.onProblem("datagram-malformed", address);
+            }
+            else {
+                opts.onMessage(message, address);
+            }
+        });
+        this.socket.on("error", error => {
+            opts.onProblem(error.message, "");
+        });
+    }
+
+    async listen(): Promise<void> {
+        await new Promise<void>(resolve => {
+            this.socket.bind({ address: this.opts.host, port: this.opts.port }, resolve);
+        });
+    }
+
+    send(hosts: readonly string[], message: FleetMessage): void {
+        const bytes = encodeFleetMessage(message);
+        for (const host of hosts) {
+            this.socket.send(bytes, this.opts.port, host, error => {
+                if (error instanceof Error) {
+                    this.opts.onProblem(error.message, host);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/daemon/entry/src/index.ts
@@ -0,0 +1,6 @@
+export { createEntryState } from "./create-entry-state.js";
+export { EntryDaemon } from "./entry-daemon.js";
+export type { EntryEffect } from "./entry-effect.js";
+export type { EntryEvent } from "./entry-event.js";
+export type { EntryState } from "./entry-state.js";
+export { reduceEntry } from "./reduce-entry.js";
--- /dev/null
+++ b/daemon/entry/src/peer-calls.ts
@@ -0,0 +1,96 @@
+import type { EntrySettings } from "@marigoldstall/core.types";
+import { RpcClient, RpcServer } from "@marigoldstall/fleet.rpc";
+import { selectViewSnapshot, type ViewSnapshot } from "@marigoldstall/fleet.view";
+import * as Option from "effect/Option";
+import * as Schema from "effect/Schema";
+import type { EntryEvent } from "./entry-event.js";
+import { ENTRY_LIMITS } from "./entry-limits.js";
+import type { EntryState } from "./entry-state.js";
+import type { LineLog } from "./line-log.js";
+
+const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
+    nextOffset: Schema.Int,
+    ageMs: Schema.Finite,
+    registrations: Schema.Array(Schema.Struct({
+        offset: Schema.Int,
+        instanceId: Schema.String,
+        server: Schema.Struct({
+            instanceId: Schema.String,
+            startedAtUnixMs: Schema.Finite,
+            service: Schema.String,
+            address: Schema.String,
+            availabilityZone: Schema.String,
+            slots: Schema.Int,
+            isDraining: Schema.Boolean,
+            warmUpMs: Schema.Finite,
+        }),
+    })),
+}));
+const decodeText = Schema.decodeUnknownOption(Schema.Struct({ text: Schema.String }));
+
+interface PeerCallsOptions {
+    readonly settings: EntrySettings;
+    readonly atMs: () => number;
+    readonly log: LineLog;
+    readonly state: () => EntryState;
+    readonly toConfiguration: (
+        text: string,
+    ) => Extract<EntryEvent, { readonly type: "configuration-read"; }>["configuration"];
+    readonly dispatch: (event: EntryEvent) => void;
+}
+
+/** Calls between daemons, for what does not fit into a datagram. */
+export class PeerCalls {
+    private readonly opts: PeerCallsOptions;
+    private readonly client: RpcClient;
+    private readonly server: RpcServer;
+
+    constructor(opts: PeerCallsOptions) {
+        this.opts = opts;
+        // The platform gives no secret. The key only keeps daemons of different deployments apart.
+        const key = `marigoldstall fleet of the store at ${opts.settings.storeAddress}`;
+        this.client = new RpcClient({ key });
+        this.server = new RpcServer({
+            key,
+            methods: {
+                "view.snapshot": () => selectViewSnapshot(opts.state().view, opts.atMs()) ?? {},
+                "view.configuration": () => ({ text: opts.state().view.configuration?.text ?? "" }),
+            },
+            onRefused: reason => {
+                opts.log.write("peer-call-refused", { reason });
+            },
+        });
+    }
+
+    async listen(): Promise<void> {
+        await this.server.listen(this.opts.settings.listen.control);
+    }
+
+    async fetchSnapshot(peerAddress: string): Promise<void> {
+        const result = await this.call(peerAddress, "view.snapshot");
+        const snapshot: ViewSnapshot | undefined = Option.getOrUndefined(decodeSnapshot(result));
+        if (snapshot !== undefined) {
+            this.opts.dispatch({ type: "view-snapshot-received", snapshot });
+        }
+    }
+
+    async fetchConfiguration(peerAddress: string): Promise<void> {
+        const result = Option.getOrUndefined(decodeText(await this.call(peerAddress, "view.configuration")));
+        const configuration = result === undefined || result.text === ""
+            ? undefined
+            : this.opts.toConfiguration(result.text);
+        if (configuration !== undefined) {
+            this.opts.dispatch({ type: "peer-configuration-received", configuration });
+        }
+    }
+
+    private async call(peerAddress: string, method: string): Promise<unknown> {
+        const opts = { method, params: {}, timeoutMs: ENTRY_LIMITS.rpcTimeoutMs };
+        const result = await this.client.call(peerAddress, opts);
+        if (result.isErr()) {
+            this.opts.log.write("peer-call-failed", { method, peer: peerAddress, problem: result.error.message });
+            return undefined;
+        }
+        return result.value;
+    }
+}
--- /dev/null
+++ b/daemon/entry/src/reduce-entry.ts
@@ -0,0 +1,114 @@
+import type { Transition } from "@marigoldstall/core.types";
+import { selectLiveVms, selectMeasures, selectReadDelayMs } from "@marigoldstall/fleet.hubs";
+import { selectViewSummary } from "@marigoldstall/fleet.view";
+import { EntryDraft } from "./entry-draft.js";
+import type { EntryEffect } from "./entry-effect.js";
+import type { EntryEvent } from "./entry-event.js";
+import { ENTRY_LIMITS } from "./entry-limits.js";
+import type { EntryState } from "./entry-state.js";
+
+const countVms = (draft: EntryDraft): void => {
+    const vmCount = 1 + selectLiveVms(draft.state.hub, draft.atMs).length;
+    if (vmCount > draft.state.vmCount) {
+        draft.update({ vmCount });
+        draft.dispatch({ type: "fleet-sized", ...draft.timed, vmCount });
+    }
+};
+
+const onTick = (draft: EntryDraft): void => {
+    const { atMs } = draft;
+    draft.view({ type: "view-tick", atMs, readDelayMs: selectReadDelayMs(draft.state.hub, atMs) });
+    draft.dispatch({
+        type: "dispatch-tick",
+        ...draft.timed,
+        measures: selectMeasures(draft.state.hub, atMs),
+        probeIntervalMs: ENTRY_LIMITS.probeIntervalMs,
+    });
+    draft.hub({
+        type: "hub-tick",
+        atMs,
+        summarize: sinceOffset => selectViewSummary(draft.state.view, { atMs, sinceOffset }),
+    });
+};
+
+const onMessage = (
+    draft: EntryDraft,
+    event: Extract<EntryEvent, { readonly type: "message-received"; }>,
+): void => {
+    const { atMs } = draft;
+    const { message, peerAddress } = event;
+    draft.hub({ type: "message-received", atMs, message });
+    draft.view({ type: "view-summary-received", atMs, peerAddress, summary: message.summary });
+    if (message.loads.length > 0 || message.sendings.length > 0) {
+        draft.dispatch({
+            type: "loads-learnt",
+            ...draft.timed,
+            loads: message.loads.map(({ instanceId, load, ageMs }) => ({
+                instanceId,
+                load,
+                measuredAtMs: atMs - ageMs,
+            })),
+            sendings: message.sendings.map(({ instanceId, ageMs }) => ({ instanceId, sentAtMs: atMs - ageMs })),
+        });
+    }
+    countVms(draft);
+};
+
+const step = (draft: EntryDraft, event: EntryEvent): void => {
+    const { atMs } = draft;
+    switch (event.type) {
+        case "tick":
+            onTick(draft);
+            return;
+        case "message-received":
+            onMessage(draft, event);
+            return;
+        case "vms-found":
+            draft.hub({ ...event, atMs });
+            countVms(draft);
+            return;
+        case "registrations-read":
+        case "registrations-listed":
+        case "configuration-read":
+        case "store-read-failed":
+        case "view-snapshot-received":
+        case "peer-configuration-received":
+            draft.view({ ...event, atMs });
+            return;
+        case "attempt-answered":
+        case "probe-answered": {
+            const instanceId = event.type === "probe-answered"
+                ? event.instanceId
+                : findInstance(draft.state, event.attemptId);
+            if (event.load !== undefined && instanceId !== undefined) {
+                draft.hub({ type: "load-learnt", atMs, instanceId, load: event.load });
+            }
+            draft.dispatch({ ...event, ...draft.timed });
+            return;
+        }
+        case "request-arrived":
+        case "caller-left":
+        case "attempt-failed":
+        case "probe-failed":
+        case "idle-connections-changed":
+            draft.dispatch({ ...event, ...draft.timed });
+            return;
+    }
+};
+
+const findInstance = (state: EntryState, attemptId: string): string | undefined => {
+    const requestKey = state.dispatch.attemptRequests.get(attemptId);
+    const request = requestKey === undefined ? undefined : state.dispatch.requests.get(requestKey);
+    return request?.attempts.find(attempt => attempt.attemptId === attemptId)?.instanceId;
+};
+
+/** The root reducer. */
+export const reduceEntry = (
+    state: EntryState,
+    event: EntryEvent,
+    opts: { readonly atMs: number; readonly random: number; },
+): Transition<EntryState, EntryEffect> => {
+    const draft = new EntryDraft(state, opts);
+    step(draft, event);
+    return draft.finish();
+};
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,7 +11,7 @@
 };
 
 export default tseslint.config(
-    { ignores: ["**/lib/**", "**/node_modules/**"] },
+    { ignores: ["**/lib/**", "**/node_modules/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts", "**/*.mjs"],
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,13 @@
+// Bundles the entry daemon into one file, so that a restarted process reads little before it serves.
+import { build } from "esbuild";
+
+await build({
+    entryPoints: ["daemon/entry/lib/main.js"],
+    outfile: "target/marigoldstall-entry.cjs",
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node20",
+    legalComments: "none",
+    logLevel: "warning",
+});
