--- /dev/null
+++ b/daemon/entry/test/fleet-model.ts
@@ -0,0 +1,270 @@
+import type { BackendServer, EntrySettings, LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
+import {
+    createEntryState,
+    type EntryEffect,
+    type EntryEvent,
+    type EntryState,
+    reduceEntry,
+} from "@marigoldstall/daemon.entry";
+import { decodeFleetMessage, encodeFleetMessage } from "@marigoldstall/fleet.hubs";
+import { type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
+
+const TICK_MS = 10;
+const STORE_ANSWER_MS = 5;
+const STORE_TIMEOUT_MS = 900;
+const PROBE_ANSWER_MS = 2;
+const CALL_ANSWER_MS = 4;
+
+interface ModelOptions {
+    readonly vmCount: number;
+    readonly zones?: number;
+    readonly serverCount?: number;
+    /** One-way delay of datagrams. */
+    readonly delayMs?: number;
+}
+
+/** VMs, a store and backend servers that exchange events in virtual time. */
+export class FleetModel {
+    readonly states = new Map<string, EntryState>();
+    readonly silent = new Set<string>();
+    /** VMs whose calls of the store get no answer. */
+    readonly refused = new Set<string>();
+    readonly storeReads: { readonly vmId: string; readonly atMs: number; }[] = [];
+    readonly probes: { readonly vmId: string; readonly instanceId: string; readonly atMs: number; }[] = [];
+    readonly decisions: { readonly vmId: string; readonly effect: EntryEffect; readonly atMs: number; }[] = [];
+    datagrams = 0;
+    atMs = 1_000;
+    private readonly delayMs: number;
+    private readonly records: RegistrationChange[] = [];
+    private readonly configurations: { readonly text: string; readonly configuration: RoutingConfiguration; }[] = [];
+    private readonly waiting = new Map<number, (() => void)[]>();
+    private random = 0.123;
+
+    constructor(opts: ModelOptions) {
+        const zones = opts.zones ?? 3;
+        this.delayMs = opts.delayMs ?? 2;
+        const settings = [...Array(opts.vmCount).keys()].map(index => createSettings(index, index % zones));
+        for (const one of settings) {
+            this.states.set(one.vmId, createEntryState(one, { atMs: this.atMs, incarnation: "1" }));
+        }
+        for (let index = 0; index < (opts.serverCount ?? 6); index += 1) {
+            this.register(createServer(`i-${index}`, index % zones));
+        }
+        this.configure(1);
+        const vms = settings.map(one => this.state(one.vmId).hub.self);
+        for (const vmId of this.states.keys()) {
+            this.dispatch(vmId, { type: "vms-found", vms });
+        }
+    }
+
+    register(server: BackendServer): void {
+        this.records.push({ offset: this.records.length, instanceId: server.instanceId, server });
+    }
+
+    remove(instanceId: string): void {
+        this.records.push({ offset: this.records.length, instanceId, server: undefined });
+    }
+
+    drain(instanceId: string): void {
+        const server = this.records.filter(record => record.instanceId === instanceId).at(-1)?.server;
+        if (server !== undefined) {
+            this.register({ ...server, isDraining: true });
+        }
+    }
+
+    configure(version: number): void {
+        this.configurations.push({
+            text: String(version),
+            configuration: {
+                version,
+                limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+                routesByHost: new Map(),
+                services: new Map([["one", { name: "one", healthPath: "/health", maxConnections: 220 }]]),
+            },
+        });
+    }
+
+    state(vmId: string): EntryState {
+        const state = this.states.get(vmId);
+        if (state === undefined) {
+            throw new Error(`no VM ${vmId}`);
+        }
+        return state;
+    }
+
+    get live(): readonly string[] {
+        return [...this.states.keys()].filter(vmId => !this.silent.has(vmId));
+    }
+
+    get hubs(): readonly string[] {
+        return this.live.filter(vmId => this.state(vmId).hub.isHub);
+    }
+
+    run(durationMs: number): void {
+        const endAtMs = this.atMs + durationMs;
+        while (this.atMs < endAtMs) {
+            this.atMs += 1;
+            const due = this.waiting.get(this.atMs) ?? [];
+            this.waiting.delete(this.atMs);
+            for (const action of due) {
+                action();
+            }
+            if (this.atMs % TICK_MS === 0) {
+                for (const vmId of this.live) {
+                    this.dispatch(vmId, { type: "tick" });
+                }
+            }
+        }
+    }
+
+    /** Runs until a condition holds; returns how long that took, or Infinity after the limit. */
+    runUntil(condition: () => boolean, limitMs: number): number {
+        const startedAtMs = this.atMs;
+        while (!condition()) {
+            if (this.atMs - startedAtMs >= limitMs) {
+                return Infinity;
+            }
+            this.run(TICK_MS);
+        }
+        return this.atMs - startedAtMs;
+    }
+
+    dispatch(vmId: string, event: EntryEvent): void {
+        this.random = (this.random * 9.73 + 0.31) % 1;
+        const { state, effects } = reduceEntry(this.state(vmId), event, { atMs: this.atMs, random: this.random });
+        this.states.set(vmId, state);
+        for (const effect of effects) {
+            this.perform(vmId, effect);
+        }
+    }
+
+    private later(delayMs: number, vmId: string, create: () => EntryEvent | undefined): void {
+        const atMs = this.atMs + Math.max(1, delayMs);
+        const actions = this.waiting.get(atMs) ?? [];
+        actions.push(() => {
+            const event = this.silent.has(vmId) ? undefined : create();
+            if (event !== undefined) {
+                this.dispatch(vmId, event);
+            }
+        });
+        this.waiting.set(atMs, actions);
+    }
+
+    private perform(vmId: string, effect: EntryEffect): void {
+        const load: LoadReport = { inFlight: 0, queued: 0, slots: 2, slownessPercent: 100 };
+        switch (effect.type) {
+            case "read-store":
+                this.readStore(vmId, effect);
+                return;
+            case "send-message": {
+                const bytes = encodeFleetMessage(effect.message);
+                for (const [peerId, { hub }] of this.states) {
+                    if (effect.hosts.includes(hub.self.host)) {
+                        this.datagrams += 1;
+                        const message = decodeFleetMessage(bytes);
+                        this.later(
+                            this.delayMs,
+                            peerId,
+                            () =>
+                                message === undefined
+                                    ? undefined
+                                    : { type: "message-received", message, peerAddress: vmId },
+                        );
+                    }
+                }
+                return;
+            }
+            case "fetch-view-snapshot":
+                this.later(CALL_ANSWER_MS, vmId, () => {
+                    const snapshot = this.silent.has(effect.peerAddress)
+                        ? undefined
+                        : selectViewSnapshot(this.state(effect.peerAddress).view, this.atMs);
+                    return snapshot === undefined ? undefined : { type: "view-snapshot-received", snapshot };
+                });
+                return;
+            case "fetch-peer-configuration":
+                this.later(CALL_ANSWER_MS, vmId, () => {
+                    const { configuration } = this.state(effect.peerAddress).view;
+                    return configuration === undefined || this.silent.has(effect.peerAddress)
+                        ? undefined
+                        : { type: "peer-configuration-received", configuration };
+                });
+                return;
+            case "probe-server": {
+                const { instanceId } = effect;
+                this.probes.push({ vmId, instanceId, atMs: this.atMs });
+                this.later(
+                    PROBE_ANSWER_MS,
+                    vmId,
+                    () => ({ type: "probe-answered", instanceId, isHealthy: true, load }),
+                );
+                return;
+            }
+            default:
+                this.decisions.push({ vmId, effect, atMs: this.atMs });
+        }
+    }
+
+    private readStore(vmId: string, effect: Extract<EntryEffect, { readonly type: "read-store"; }>): void {
+        const { topic, fromOffset } = effect;
+        const startedAtMs = this.atMs;
+        this.storeReads.push({ vmId, atMs: startedAtMs });
+        if (this.refused.has(vmId)) {
+            this.later(STORE_TIMEOUT_MS, vmId, () => ({ type: "store-read-failed", topic, isExpired: false }));
+            return;
+        }
+        if (topic === "configuration") {
+            const configuration = this.configurations.at(-1);
+            const nextOffset = this.configurations.length;
+            this.later(STORE_ANSWER_MS, vmId, () => ({
+                type: "configuration-read",
+                startedAtMs,
+                configuration: nextOffset > (fromOffset ?? 0) ? configuration : undefined,
+                nextOffset,
+            }));
+            return;
+        }
+        const nextOffset = this.records.length;
+        const changes = this.records.slice(fromOffset ?? 0);
+        this.later(STORE_ANSWER_MS, vmId, () =>
+            fromOffset === undefined
+                ? { type: "registrations-listed", startedAtMs, registrations: newestOf(changes), nextOffset }
+                : { type: "registrations-read", startedAtMs, changes, nextOffset, endOffset: nextOffset });
+    }
+}
+
+const newestOf = (changes: readonly RegistrationChange[]): readonly RegistrationChange[] =>
+    [...new Map(changes.map(change => [change.instanceId, change])).values()]
+        .filter(change => change.server !== undefined);
+
+const createServer = (instanceId: string, zone: number): BackendServer => ({
+    instanceId,
+    startedAtUnixMs: 1,
+    service: "one",
+    address: `${instanceId}:80`,
+    availabilityZone: `zone-${zone}`,
+    slots: 2,
+    isDraining: false,
+    warmUpMs: 0,
+});
+
+const createSettings = (index: number, zone: number): EntrySettings => {
+    const vmId = `vm-${String(index).padStart(3, "0")}`;
+    return {
+        vmId,
+        availabilityZone: `zone-${zone}`,
+        region: "region",
+        host: vmId,
+        listen: { caller: vmId, ready: vmId, control: vmId },
+        fleetPort: 7_000,
+        seedAddresses: [],
+        isFirstStart: true,
+        cores: 0.5,
+        linkMbps: 10,
+        storeAddress: "store",
+        heartbeatMs: 1_500,
+        retryBudget: { ratio: 0.2, windowMs: 10_000, extra: 58 },
+        stopGraceMs: 6_000,
+        maxProbesPerSecond: 60,
+    };
+};
