--- /dev/null
+++ b/routing/dispatch/src/decide-sending.ts
@@ -0,0 +1,50 @@
+import { chooseServer } from "./choose-server.js";
+import type { DispatchDraft } from "./dispatch-draft.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import type { DispatchService } from "./dispatch-service.js";
+import type { RequestState } from "./request-state.js";
+import { selectWorkMs } from "./select-work-ms.js";
+import type { ServerEstimate } from "./server-estimate.js";
+
+interface SendingDecision {
+    /** Where to send the request now; absent when it waits. */
+    readonly estimate: ServerEstimate | undefined;
+    readonly candidateCount: number;
+}
+
+/**
+ * Sends a request now to a server at which it is expected to be on time; waits while a slot of a better server would
+ * still bring it in time; and, once it is late, leaves the slots of fast servers to requests that can be on time, as
+ * long as its deadline allows.
+ */
+export const decideSending = (
+    draft: DispatchDraft,
+    service: DispatchService,
+    request: RequestState,
+): SendingDecision => {
+    const { atMs } = draft;
+    const workMs = selectWorkMs(service, request.route);
+    const mayCheck = request.checkCount < DISPATCH_LIMITS.maxChecks;
+    // What an outdated report says is found out by a check, so the request goes by the report's word first.
+    const expectedMs = (estimate: ServerEstimate): number =>
+        !mayCheck
+            ? estimate.totalMs
+            : estimate.reportAgeMs > DISPATCH_LIMITS.slownessLifeMs
+            ? workMs
+            : estimate.steadyMs;
+    const timely = chooseServer(draft, service, request, estimate => atMs + expectedMs(estimate) <= request.targetAtMs);
+    const { candidateCount } = timely;
+    if (timely.best !== undefined) {
+        return { estimate: timely.best, candidateCount };
+    }
+    if (atMs + workMs * DISPATCH_LIMITS.hopeFactor <= request.targetAtMs) {
+        return { estimate: undefined, candidateCount };
+    }
+    const remainingMs = request.deadlineAtMs - DISPATCH_LIMITS.answerMs - atMs;
+    const isLastCall = remainingMs <= workMs * DISPATCH_LIMITS.lastCallFactor;
+    const { best } = chooseServer(draft, service, request, estimate => {
+        const isSpare = estimate.slowness >= DISPATCH_LIMITS.slowFactor || estimate.occupied === 0;
+        return isLastCall || (isSpare && expectedMs(estimate) <= remainingMs);
+    });
+    return { estimate: best, candidateCount };
+};
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -11,21 +11,23 @@
     // Work of a request before any was measured, as a share of the route's latency target.
     initialWorkShare: 0.4,
     // A server that has just one free slot left is slower; by how much is learnt, from this on.
-    lastSlotFactor: 1.3,
-    lastSlotWeight: 0.03,
+    lastSlotFactor: 1.6,
+    lastSlotWeight: 0.05,
     // A report older than this is renewed by a health check before a request is sent. Up to then a VM has turned slow
     // in about 1 case in 100.
     checkAgeMs: 6,
     // Servers that are asked for one request at most, and what another one has to be better by to be asked instead.
-    maxChecks: 3,
+    maxChecks: 4,
     moveMarginMs: 25,
     // A report older than this is no report.
     loadLifeMs: 1_000,
     // A request needs about this long to reach a server and be counted there.
     sendingLagMs: 2,
     sendingLifeMs: 400,
-    // Requests that may wait at a server for a slot, so that it is not idle until the next one arrives.
-    queueAhead: 1,
+    // A request that needs this much more than its work cannot be on time by waiting for a better server.
+    hopeFactor: 1.1,
+    // A late request takes any slot once it needs this factor of its work until its deadline.
+    lastCallFactor: 2.5,
     // Round trip to another availability zone, and the time that each KB of a response takes to cross. Bytes between
     // zones are paid for, which the second figure stands for as well.
     zoneDistanceMs: 3,
--- a/routing/dispatch/src/drain-queue.ts
+++ b/routing/dispatch/src/drain-queue.ts
@@ -1,5 +1,5 @@
-import { chooseServer } from "./choose-server.js";
 import { compareWaiting } from "./compare-waiting.js";
+import { decideSending } from "./decide-sending.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { estimateQueueWaitMs } from "./estimate-queue-wait-ms.js";
@@ -30,12 +30,12 @@
             rejectRequest(draft, request, { reason: REJECT_REASONS.tooLate });
             continue;
         }
-        const { best, candidateCount } = chooseServer(draft, service, request);
+        const { estimate, candidateCount } = decideSending(draft, service, request);
         if (candidateCount === 0) {
             rejectRequest(draft, request, { reason: REJECT_REASONS.noServer });
         }
-        else if (best !== undefined) {
-            startAttempt(draft, request, { estimate: best, candidateCount, isHedge: false });
+        else if (estimate !== undefined) {
+            startAttempt(draft, request, { estimate, candidateCount, isHedge: false });
         }
         else {
             const waitMs = estimateQueueWaitMs(draft, service, { request, ahead });
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -1,82 +1,88 @@
+import type { AttemptState } from "./attempt-state.js";
 import { chooseServer } from "./choose-server.js";
+import { decideSending } from "./decide-sending.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEvent } from "./dispatch-event.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { drainQueue } from "./drain-queue.js";
 import { endAttempt } from "./end-attempt.js";
-import { estimateServer } from "./estimate-server.js";
 import { noteFailure } from "./note-failure.js";
 import { noteLoad } from "./note-load.js";
 import type { RequestState } from "./request-state.js";
-import { selectResponseBytes } from "./select-response-bytes.js";
-import { selectWorkMs } from "./select-work-ms.js";
 import { sendAttempt } from "./send-attempt.js";
+import type { ServerEstimate } from "./server-estimate.js";
 import { startAttempt } from "./start-attempt.js";
 
 type ServerChecked = Extract<DispatchEvent, { readonly type: "server-checked"; }>;
 
 const FAILURE_WEIGHT = 0.5;
 
-// Gives the place back and looks for another one; without one, the request waits again.
-const move = (draft: DispatchDraft, request: RequestState, isHedge: boolean): void => {
+// The request waits again, in its old place, as the order of the queue is by target and not by arrival.
+const waitAgain = (draft: DispatchDraft, request: RequestState): void => {
     const service = draft.service(request.service);
-    const { best, candidateCount } = chooseServer(draft, service, request);
-    if (best !== undefined) {
-        startAttempt(draft, request, { estimate: best, candidateCount, isHedge });
-    }
-    else if (request.attempts.length === 0) {
-        const running = new Set(service.running);
-        running.delete(request.requestKey);
-        draft.setService({ ...service, running, queue: [...service.queue, request.requestKey] });
-        drainQueue(draft, request.service);
-    }
+    const running = new Set(service.running);
+    running.delete(request.requestKey);
+    draft.setService({ ...service, running, queue: [...service.queue, request.requestKey] });
 };
 
-/** The server said how it is: sends the request, or takes it to a server that is better now. */
+// Takes the place again, now that the report counts those of others, and sends.
+const keepPlace = (draft: DispatchDraft, request: RequestState, opts: {
+    readonly attempt: AttemptState;
+    readonly estimate: ServerEstimate;
+    readonly candidateCount: number;
+}): void => {
+    const attempt = { ...opts.attempt, startedAtMs: draft.atMs };
+    const { attemptId, instanceId } = attempt;
+    const back = { ...request, attempts: [...request.attempts, attempt] };
+    draft.setRequest(back);
+    draft.setAttemptRequest(attemptId, request.requestKey);
+    const ownInFlight = draft.server(instanceId)?.ownInFlight ?? 0;
+    draft.updateServer(instanceId, { ownInFlight: ownInFlight + 1 });
+    sendAttempt(draft, back, { ...opts, attempt });
+};
+
+/** The server said how it is: sends the request, takes it to a server that is better now, or lets it wait. */
 export const onServerChecked = (draft: DispatchDraft, event: ServerChecked): void => {
     const found = draft.requestOfAttempt(event.attemptId);
     const attempt = found?.attempts.find(other => other.attemptId === event.attemptId);
     if (found === undefined || attempt === undefined) {
         return;
     }
-    const { atMs } = draft;
-    const { instanceId } = attempt;
+    const { instanceId, isHedge } = attempt;
     if (event.load === undefined) {
         noteFailure(draft, instanceId, { reason: "check-failed", weight: FAILURE_WEIGHT });
     }
     else {
-        noteLoad(draft, instanceId, { load: event.load, measuredAtMs: atMs });
+        noteLoad(draft, instanceId, { load: event.load, measuredAtMs: draft.atMs });
     }
-    const request = endAttempt(draft, draft.request(found.requestKey) ?? found, attempt);
+    const ended = endAttempt(draft, draft.request(found.requestKey) ?? found, attempt);
+    const request = event.load === undefined
+        ? { ...ended, triedInstanceIds: [...ended.triedInstanceIds, instanceId] }
+        : ended;
+    draft.setRequest(request);
     const service = draft.service(request.service);
-    const server = draft.server(instanceId);
-    if (server === undefined || server.server.isDraining) {
-        move(draft, request, attempt.isHedge);
-        return;
+    // A request that is under way elsewhere does not wait: its second send happens now or not at all.
+    const { estimate, candidateCount } = request.attempts.length > 0 || request.sentCount > 0
+        ? toDecision(chooseServer(draft, service, request))
+        : decideSending(draft, service, request);
+    const checked = estimate?.server.server.instanceId === instanceId
+        ? estimate
+        : chooseServer(draft, service, request, other => other.server.server.instanceId === instanceId).best;
+    const isKept = estimate !== undefined && checked !== undefined
+        && checked.costMs <= estimate.costMs + DISPATCH_LIMITS.moveMarginMs;
+    if (isKept) {
+        keepPlace(draft, request, { attempt, estimate: checked, candidateCount });
     }
-    if (event.load === undefined) {
-        move(draft, { ...request, triedInstanceIds: [...request.triedInstanceIds, instanceId] }, attempt.isHedge);
-        return;
+    else if (estimate !== undefined) {
+        startAttempt(draft, request, { estimate, candidateCount, isHedge });
     }
-    const estimate = estimateServer(service, server, {
-        atMs,
-        availabilityZone: draft.base.availabilityZone,
-        workMs: selectWorkMs(service, request.route),
-        responseBytes: selectResponseBytes(service, request.route),
-    });
-    const { best, candidateCount } = chooseServer(draft, service, request);
-    const isWorse = best !== undefined && best.server.server.instanceId !== instanceId
-        && best.costMs + DISPATCH_LIMITS.moveMarginMs < estimate.costMs;
-    const isFull = estimate.occupied >= server.server.slots + DISPATCH_LIMITS.queueAhead;
-    if ((isWorse || isFull) && request.checkCount < DISPATCH_LIMITS.maxChecks) {
-        move(draft, request, attempt.isHedge);
-        return;
+    else if (request.attempts.length === 0) {
+        waitAgain(draft, request);
     }
-    // The place is taken again, now that the report counts those of others.
-    const renewed = { ...attempt, startedAtMs: atMs };
-    const back = { ...request, attempts: [...request.attempts, renewed] };
-    draft.setRequest(back);
-    draft.setAttemptRequest(attempt.attemptId, request.requestKey);
-    draft.updateServer(instanceId, { ownInFlight: server.ownInFlight + 1 });
-    sendAttempt(draft, back, { attempt: renewed, estimate, candidateCount });
+    drainQueue(draft, request.service);
 };
+
+const toDecision = (choice: ReturnType<typeof chooseServer>): ReturnType<typeof decideSending> => ({
+    estimate: choice.best,
+    candidateCount: choice.candidateCount,
+});
