test(soak): play random faults against entry daemons as separate processes

Change: soak/ with proxies in front of backend servers (delay, reset, refusal, silence, answers silenced), a store that is busy, silent, slow, resets or loses answers for all or one VM or forgets its history, and series of kills, planned stops, pauses, reloads, new versions, and servers that come and drain; promises are checked from outside. stand-ins/store speaks the published protocol of the store.

--- /dev/null
+++ b/soak/src/run-soak.ts
@@ -0,0 +1,79 @@
+import { RandomSource } from "@marigoldstall-private/random";
+import { checkPromises } from "./check-promises.js";
+import { findCutByStop } from "./find-cut-by-stop.js";
+import type { Outcome } from "./outcome.js";
+import { playFaults } from "./play-faults.js";
+import { SoakCaller } from "./soak-caller.js";
+import { SoakSite } from "./soak-site.js";
+
+interface RunSoakOptions {
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly vmCount?: number;
+    readonly log?: (line: string) => void;
+}
+
+interface SoakResult {
+    readonly broken: readonly string[];
+    readonly requestCount: number;
+    readonly servedShare: number;
+    /** Logs of the daemons, kept when a promise was broken. */
+    readonly directory: string;
+}
+
+const REQUESTS_PER_SECOND = 40;
+const MEAN_WORK_MS = 60;
+const STATUS_OK = 200;
+
+/** Plays one seed. */
+export const runSoak = async (opts: RunSoakOptions): Promise<SoakResult> => {
+    const random = new RandomSource({ seed: opts.seed });
+    const startedAtMs = performance.now();
+    const log = (line: string): void => {
+        opts.log?.(`${Math.round(performance.now() - startedAtMs)} ms  ${line}`);
+    };
+    const site = new SoakSite({
+        vmCount: opts.vmCount ?? 4,
+        serverCount: 6,
+        workMs: () => MEAN_WORK_MS * (0.5 + random.uniform()),
+    });
+    const outcomes: Outcome[] = [];
+    const pending: Promise<void>[] = [];
+    const callers = new Map<string, SoakCaller>();
+    try {
+        await site.start();
+        for (const vmId of site.vmIds) {
+            callers.set(vmId, new SoakCaller({ vmId, address: site.addressOf(vmId) }));
+        }
+        let count = 0;
+        const traffic = setInterval(() => {
+            const vmId = site.vmIds[count % site.vmIds.length] ?? "";
+            const requestId = `${opts.seed}-${count}`;
+            count += 1;
+            const sent = callers.get(vmId)?.send(requestId, { isIdempotent: count % 3 !== 0 });
+            if (sent !== undefined) {
+                pending.push(sent.then(outcome => {
+                    outcomes.push(outcome);
+                }));
+            }
+        }, 1_000 / REQUESTS_PER_SECOND);
+        await playFaults(site, { random, durationMs: opts.durationMs, log });
+        clearInterval(traffic);
+        await Promise.all(pending);
+    }
+    finally {
+        for (const caller of callers.values()) {
+            caller.close();
+        }
+        await site.stop();
+    }
+    const cutByStop = findCutByStop({ outcomes, runs: site.runs, disturbances: site.disturbances });
+    const broken = checkPromises({ outcomes, runs: site.runs, lateRuns: site.lateRuns, cutByStop });
+    const served = outcomes.filter(outcome => outcome.statusCode === STATUS_OK).length;
+    return {
+        broken,
+        requestCount: outcomes.length,
+        servedShare: served / Math.max(1, outcomes.length),
+        directory: site.directory,
+    };
+};
--- /dev/null
+++ b/soak/src/soak-server.ts
@@ -0,0 +1,95 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+interface SoakServerOptions {
+    readonly instanceId: string;
+    readonly workMs: () => number;
+    /** Called when the server begins to work on a request. */
+    readonly onRun: (requestId: string, path: string) => void;
+}
+
+const SLOTS = 2;
+const QUEUE = 4;
+
+/** A backend server that works on two requests at a time. */
+export class SoakServer {
+    readonly instanceId: string;
+    private readonly opts: SoakServerOptions;
+    private readonly server: Server;
+    private inFlight = 0;
+    private readonly queue: (() => void)[] = [];
+
+    constructor(opts: SoakServerOptions) {
+        this.opts = opts;
+        this.instanceId = opts.instanceId;
+        this.server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
+            request.resume();
+            request.on("end", () => {
+                this.receive(request, response);
+            });
+        });
+    }
+
+    async listen(host: string): Promise<number> {
+        await new Promise<void>(resolve => {
+            this.server.listen(0, host, resolve);
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private receive(request: IncomingMessage, response: ServerResponse): void {
+        const load = `${this.inFlight},${this.queue.length},${SLOTS},100`;
+        if (request.url === "/health") {
+            response.writeHead(200, { "X-Instance-Id": this.instanceId, "X-Backend-Load": load }).end();
+            return;
+        }
+        const requestId = String(request.headers["x-request-id"]);
+        const refuse = (status: number): void => {
+            response.writeHead(status, { "X-Request-Id": requestId, "X-Not-Executed": "1", "X-Backend-Load": load })
+                .end();
+        };
+        if (request.headers["x-expect-instance"] !== this.instanceId) {
+            refuse(421);
+            return;
+        }
+        if (this.inFlight >= SLOTS && this.queue.length >= QUEUE) {
+            refuse(503);
+            return;
+        }
+        const run = (): void => {
+            if (response.destroyed) {
+                this.next();
+                return;
+            }
+            this.inFlight += 1;
+            this.opts.onRun(requestId, request.url ?? "");
+            setTimeout(() => {
+                this.inFlight -= 1;
+                response.writeHead(200, { "X-Request-Id": requestId, "X-Server-Stamp": "s" });
+                response.end(`answer to ${requestId}`);
+                this.next();
+            }, this.opts.workMs());
+        };
+        if (this.inFlight < SLOTS) {
+            run();
+        }
+        else {
+            this.queue.push(run);
+        }
+    }
+
+    private next(): void {
+        if (this.inFlight < SLOTS) {
+            this.queue.shift()?.();
+        }
+    }
+}
--- /dev/null
+++ b/soak/test/soak.test.ts
@@ -0,0 +1,48 @@
+import { checkPromises, REGRESSION_SEEDS, runSoak } from "@marigoldstall-private/soak";
+import { expect } from "chai";
+
+const SECONDS = 4;
+const LIMIT_MS = 90_000;
+
+describe("soak", () => {
+    describe("checkPromises", () => {
+        const outcome = {
+            requestId: "1",
+            isIdempotent: false,
+            vmId: "vm-0",
+            sentAtMs: 0,
+            endedAtMs: 100,
+            statusCode: 200,
+            body: "answer to 1",
+            connected: true,
+        };
+        const check = (fields: Partial<typeof outcome>, runCount: number): number =>
+            checkPromises({
+                outcomes: [{ ...outcome, ...fields }],
+                runs: new Map(runCount === 0 ? [] : [["1", Array<number>(runCount).fill(1)]]),
+                lateRuns: [],
+                cutByStop: [],
+            }).length;
+
+        // Guards against a soak that passes because it does not see what it looks for.
+        it("finds a request that ran twice, one said not to have run, another's answer, and a proper one denied", () => {
+            expect(check({}, 1)).to.equal(0);
+            expect(check({}, 2)).to.equal(1);
+            expect(check({ statusCode: 503, body: "" }, 1)).to.equal(1);
+            expect(check({ body: "answer to 2" }, 1)).to.equal(1);
+            expect(check({ statusCode: 404, body: "" }, 0)).to.equal(1);
+            expect(check({ endedAtMs: 5_000 }, 1)).to.equal(1);
+        });
+    });
+
+    describe("playing a seed", () => {
+        const seeds = [{ seed: 20_261_204, cause: "the seed that CI plays" }, ...REGRESSION_SEEDS];
+        for (const { seed, cause } of seeds) {
+            it(`breaks no promise with seed ${seed} (${cause})`, async () => {
+                const result = await runSoak({ seed, durationMs: SECONDS * 1_000 });
+                expect(result.broken, result.directory).to.deep.equal([]);
+                expect(result.requestCount).to.be.greaterThan(50);
+            }).timeout(LIMIT_MS);
+        }
+    });
+});
--- /dev/null
+++ b/stand-ins/store/src/index.ts
@@ -0,0 +1,2 @@
+export type { StoreFault } from "./store-fault.js";
+export { StoreStandIn } from "./store-stand-in.js";
--- /dev/null
+++ b/stand-ins/store/src/store-stand-in.ts
@@ -0,0 +1,110 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { KeyedTopic } from "./keyed-topic.js";
+import type { StoreFault } from "./store-fault.js";
+
+const LENGTH_BYTES = 4;
+
+/** The store on a loopback address. */
+export class StoreStandIn {
+    fault: StoreFault = { kind: "none" };
+    /** Calls that were answered or refused. */
+    callCount = 0;
+    private readonly topics = new Map<string, KeyedTopic>();
+    private readonly server: Server;
+
+    constructor() {
+        this.server = createServer((request, response) => {
+            const chunks: Buffer[] = [];
+            request.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+            });
+            request.on("end", () => {
+                this.receive(request, response, Buffer.concat(chunks));
+            });
+        });
+    }
+
+    async listen(host: string): Promise<string> {
+        await new Promise<void>(resolve => {
+            this.server.listen(0, host, resolve);
+        });
+        return `${host}:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    topic(name: string): KeyedTopic {
+        let topic = this.topics.get(name);
+        if (topic === undefined) {
+            topic = new KeyedTopic();
+            this.topics.set(name, topic);
+        }
+        return topic;
+    }
+
+    private receive(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
+        this.callCount += 1;
+        const { kind, callers, delayMs } = this.fault;
+        const isConcerned = callers === undefined || callers.includes(request.socket.remoteAddress ?? "");
+        const url = new URL(request.url ?? "/", "http://store");
+        if (!isConcerned || kind === "none") {
+            this.answer(url, body, response);
+        }
+        else if (kind === "busy") {
+            response.writeHead(503).end();
+        }
+        else if (kind === "reset") {
+            request.socket.resetAndDestroy();
+        }
+        else if (kind === "slow") {
+            setTimeout(() => {
+                this.answer(url, body, response);
+            }, delayMs);
+        }
+        else if (kind === "answers-lost" && url.pathname === "/api/log-append") {
+            this.append(url, body);
+            request.socket.destroy();
+        }
+        else if (kind === "answers-lost") {
+            this.answer(url, body, response);
+        }
+    }
+
+    private append(url: URL, body: Buffer): unknown {
+        const topic = this.topic(url.searchParams.get("topic") ?? "");
+        const offset = topic.endOffset;
+        for (let position = 0; position < body.length;) {
+            const end = position + LENGTH_BYTES + body.readUInt32BE(position);
+            topic.append(body.subarray(position + LENGTH_BYTES, end));
+            position = end;
+        }
+        return { offset, end: topic.endOffset };
+    }
+
+    private answer(url: URL, body: Buffer, response: ServerResponse): void {
+        const topic = this.topic(url.searchParams.get("topic") ?? "");
+        switch (url.pathname) {
+            case "/api/log-append":
+                response.end(JSON.stringify(this.append(url, body)));
+                return;
+            case "/api/log-newest":
+                response.end(JSON.stringify(topic.list()));
+                return;
+            case "/api/log-read": {
+                const records = topic.read(Number(url.searchParams.get("from")));
+                if (records === undefined) {
+                    response.writeHead(410).end("{}");
+                    return;
+                }
+                response.end(records);
+                return;
+            }
+            default:
+                response.writeHead(404).end();
+        }
+    }
+}
