--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -359,8 +359,13 @@
     private check(effect: Extract<EntryEffect, { readonly type: "check-server"; }>): void {
         const { attemptId } = effect;
         this.askHealth(effect, { timeoutMs: ENTRY_LIMITS.checkTimeoutMs }, answer => {
-            const isHealthy = answer?.isHealthy === true;
-            this.dispatch({ type: "server-checked", attemptId, isHealthy, load: answer?.load });
+            this.dispatch({
+                type: "server-checked",
+                attemptId,
+                isAnswered: answer !== undefined,
+                isHealthy: answer?.isHealthy === true,
+                load: answer?.load,
+            });
         });
     }
 
--- a/routing/dispatch/src/create-service.ts
+++ b/routing/dispatch/src/create-service.ts
@@ -12,6 +12,7 @@
     responseBytes: new Map(),
     slowness: DISPATCH_LIMITS.initialSlowness,
     lastSlotFactor: DISPATCH_LIMITS.lastSlotFactor,
+    tellsLoad: true,
     requests: rollingCounts.empty,
     resends: rollingCounts.empty,
 });
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -23,9 +23,10 @@
         }
         | { readonly type: "caller-left"; readonly requestKey: string; }
         | {
-            /** The server answered the check before a sending; without an answer of it there is no load. */
+            /** The check before a sending is over. */
             readonly type: "server-checked";
             readonly attemptId: string;
+            readonly isAnswered: boolean;
             readonly isHealthy: boolean;
             readonly load: LoadReport | undefined;
         }
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -64,8 +64,9 @@
     // A VM counts as slow from this factor on, and as this slow where it is not known.
     slowFactor: 2,
     slowFactorGuess: 5,
-    // An attempt that takes this many times what was expected is taken to hang.
-    hangFactor: 5,
+    // An attempt that takes this many times what its server's report said is slow or lost: with the spread above, one
+    // in 250 others takes as long.
+    hangFactor: 2.2,
     // A VM uses this share of its part of the retry budget; the rest is for VMs that come back and know of nothing.
     budgetShare: 0.8,
     // Sends that failed before a byte was sent; more of them in one request mean that nothing can be reached.
--- a/routing/dispatch/src/dispatch-service.ts
+++ b/routing/dispatch/src/dispatch-service.ts
@@ -17,6 +17,8 @@
     readonly slowness: number;
     /** How much longer a request takes that gets the last slot of a server. */
     readonly lastSlotFactor: number;
+    /** Its servers tell their load; taken to be so until one of them answers a check without it. */
+    readonly tellsLoad: boolean;
     readonly requests: RollingCount;
     /** Sends beyond the first of a request. */
     readonly resends: RollingCount;
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -49,14 +49,17 @@
         return;
     }
     const { instanceId, isHedge } = attempt;
-    if (event.load === undefined) {
+    if (!event.isAnswered) {
         noteFailure(draft, instanceId, { reason: "check-failed", weight: FAILURE_WEIGHT });
     }
+    else if (event.load === undefined) {
+        draft.updateService(found.service, { tellsLoad: false });
+    }
     else {
         noteLoad(draft, instanceId, { load: event.load, measuredAtMs: draft.atMs });
     }
     const ended = endAttempt(draft, draft.request(found.requestKey) ?? found, attempt);
-    const request = event.load === undefined
+    const request = !event.isAnswered
         ? { ...ended, triedInstanceIds: [...ended.triedInstanceIds, instanceId] }
         : ended;
     draft.setRequest(request);
--- a/routing/dispatch/src/start-attempt.ts
+++ b/routing/dispatch/src/start-attempt.ts
@@ -16,10 +16,10 @@
 }): void => {
     const { atMs } = draft;
     const { estimate, isHedge, candidateCount } = opts;
-    const { server, sendings, ownInFlight, load } = estimate.server;
+    const { server, sendings, ownInFlight } = estimate.server;
     const { instanceId, address } = server;
     const healthPath = draft.base.configuration?.services.get(server.service)?.healthPath;
-    const isAsked = healthPath !== undefined && load?.slownessPercent !== undefined
+    const isAsked = healthPath !== undefined && draft.service(server.service).tellsLoad
         && estimate.reportAgeMs > DISPATCH_LIMITS.checkAgeMs && request.checkCount < DISPATCH_LIMITS.maxChecks;
     const attemptId = String(draft.base.nextAttempt);
     draft.update({ nextAttempt: draft.base.nextAttempt + 1 });
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -26,7 +26,7 @@
     const latestAtMs = request.targetAtMs - best.totalMs - DISPATCH_LIMITS.hedgeMarginMs;
     const isLastMoment = atMs <= latestAtMs && atMs + 2 * DISPATCH_LIMITS.recheckMs > latestAtMs;
     const isSlow = isLastMoment && estimateSlowChance(attempt, atMs) >= DISPATCH_LIMITS.hedgeChance;
-    const hangs = atMs - attempt.startedAtMs > DISPATCH_LIMITS.hangFactor * attempt.expectedMs
+    const hangs = atMs - attempt.startedAtMs > DISPATCH_LIMITS.hangFactor * attempt.steadyMs
         && atMs + best.totalMs < request.deadlineAtMs;
     if ((isSlow || hangs) && allowsResend(draft, service)) {
         startAttempt(draft, request, { estimate: best, candidateCount, isHedge: true });
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -160,7 +160,7 @@
 
     private check(attemptId: string, instanceId: string): void {
         const load = this.state.services.get("one")?.servers.get(instanceId)?.load;
-        this.send({ type: "server-checked", attemptId, isHealthy: true, load });
+        this.send({ type: "server-checked", attemptId, isAnswered: true, isHealthy: true, load });
     }
 
     all<Type extends DispatchEffect["type"]>(type: Type): readonly EffectOf<Type>[] {
--- a/routing/dispatch/test/dispatch.test.ts
+++ b/routing/dispatch/test/dispatch.test.ts
@@ -114,7 +114,7 @@
             expect(harness.attemptsOf(requestKey)).to.deep.equal([]);
             const { attemptId } = harness.all("check-server")[0] ?? { attemptId: "" };
             const load = { inFlight: 0, queued: 0, slots: 2, slownessPercent: 100 };
-            harness.send({ type: "server-checked", attemptId, isHealthy: true, load });
+            harness.send({ type: "server-checked", attemptId, isAnswered: true, isHealthy: true, load });
             expect(harness.attemptsOf(requestKey).length).to.equal(1);
         });
 
@@ -123,7 +123,13 @@
             harness.arrive();
             const first = harness.all("check-server")[0];
             const load = { inFlight: 0, queued: 0, slots: 2, slownessPercent: 500 };
-            harness.send({ type: "server-checked", attemptId: first?.attemptId ?? "", isHealthy: true, load });
+            harness.send({
+                type: "server-checked",
+                attemptId: first?.attemptId ?? "",
+                isAnswered: true,
+                isHealthy: true,
+                load,
+            });
             const second = harness.all("check-server")[1];
             expect(second?.instanceId).not.to.equal(first?.instanceId);
             expect(harness.all("start-attempt")).to.deep.equal([]);
@@ -137,6 +143,7 @@
             harness.send({
                 type: "server-checked",
                 attemptId: first?.attemptId ?? "",
+                isAnswered: false,
                 isHealthy: false,
                 load: undefined,
             });
@@ -146,19 +153,40 @@
             harness.send({
                 type: "server-checked",
                 attemptId: second?.attemptId ?? "",
+                isAnswered: true,
                 isHealthy: true,
                 load: { inFlight: 0, queued: 0, slots: 2, slownessPercent: 100 },
             });
             expect(harness.lastAttempt(requestKey).instanceId).not.to.equal(first?.instanceId);
         });
 
+        // Found on luznik-osr trouble-1: after a restart of all VMs nothing was known of any server, none was asked, and
+        // all VMs chose the same ones.
+        it("asks a server of which nothing is known yet", () => {
+            const harness = new DispatchHarness({ servers: 0 });
+            harness.answersChecks = false;
+            harness.register([DispatchHarness.server("i-0")]);
+            harness.arrive();
+            expect(harness.all("check-server").length).to.equal(1);
+            expect(harness.all("start-attempt")).to.deep.equal([]);
+        });
+
+        it("asks no more where servers do not tell their load", () => {
+            const harness = new DispatchHarness({ servers: 0 });
+            harness.register([DispatchHarness.server("i-0")]);
+            const first = harness.arrive();
+            expect(harness.attemptsOf(first).length).to.equal(1);
+            harness.arrive();
+            expect(harness.all("check-server").length).to.equal(1);
+        });
+
         it("is not run by a caller that has left meanwhile", () => {
             const harness = stale();
             const requestKey = harness.arrive();
             harness.send({ type: "caller-left", requestKey });
             const { attemptId } = harness.all("check-server")[0] ?? { attemptId: "" };
             const load = { inFlight: 0, queued: 0, slots: 2, slownessPercent: 100 };
-            harness.send({ type: "server-checked", attemptId, isHealthy: true, load });
+            harness.send({ type: "server-checked", attemptId, isAnswered: true, isHealthy: true, load });
             expect(harness.attemptsOf(requestKey)).to.deep.equal([]);
         });
     });
@@ -225,6 +253,16 @@
             expect(resends).to.be.at.most(58 / 14 + 0.2 * 100);
         });
 
+        it("does not send again when no time is left for an answer", () => {
+            const harness = new DispatchHarness();
+            const requestKey = harness.arrive();
+            harness.pass(1_100);
+            const { length } = harness.attemptsOf(requestKey);
+            harness.answer(harness.lastAttempt(requestKey).attemptId, { statusCode: 504 });
+            harness.fail(harness.attemptsOf(requestKey)[0]?.attemptId ?? "", "lost");
+            expect(harness.attemptsOf(requestKey).length).to.equal(length);
+        });
+
         it("relays a failure of the server's own when it may not try again", () => {
             const harness = new DispatchHarness({ route: { isIdempotent: false } });
             const requestKey = harness.arrive();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -8,6 +8,9 @@
     platform: "node",
     format: "cjs",
     target: "node20",
+    // Less text to read and compile at a start; names stay for stack traces.
+    minifyWhitespace: true,
+    minifySyntax: true,
     legalComments: "none",
     logLevel: "warning",
 });
