--- a/daemon/entry/src/create-entry-state.ts
+++ b/daemon/entry/src/create-entry-state.ts
@@ -7,13 +7,19 @@
 
 // Before the fleet is known, a VM uses a part of the retry budget that is too small rather than too large.
 const INITIAL_VM_COUNT = 16;
+// Hubs are known after 250 ms.
+const FIRST_READ_MS = 300;
 
 /** State of a daemon that has just started. */
 export const createEntryState = (
     settings: EntrySettings,
     opts: { readonly atMs: number; readonly incarnation: string; },
 ): EntryState => ({
-    view: createViewState({ readerId: `${settings.vmId}/${opts.incarnation}` }),
+    view: createViewState({
+        readerId: `${settings.vmId}/${opts.incarnation}`,
+        // A restarted VM reads at once, as callers wait for it. When all VMs start together, the hubs read for all.
+        ...settings.isFirstStart ? { firstReadAtMs: opts.atMs + FIRST_READ_MS } : {},
+    }),
     hub: createHubState(toVmInfo(settings), opts),
     dispatch: { ...createDispatchState(settings), vmCount: INITIAL_VM_COUNT },
     vmCount: 1,
--- a/daemon/entry/src/peer-calls.ts
+++ b/daemon/entry/src/peer-calls.ts
@@ -27,7 +27,14 @@
         }),
     })),
 }));
-const decodeText = Schema.decodeUnknownOption(Schema.Struct({ text: Schema.String }));
+const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
+    text: Schema.String,
+    ageMs: Schema.Finite,
+    confirmation: Schema.optional(Schema.Struct({ readerId: Schema.String, number: Schema.Int })),
+}));
+
+// JSON has no infinity, which is the age of a view that was never confirmed.
+const MAX_AGE_MS = 1e9;
 
 interface PeerCallsOptions {
     readonly settings: EntrySettings;
@@ -54,8 +61,16 @@
         this.server = new RpcServer({
             key,
             methods: {
-                "view.snapshot": () => selectViewSnapshot(opts.state().view, opts.atMs()) ?? {},
-                "view.configuration": () => ({ text: opts.state().view.configuration?.text ?? "" }),
+                "view.snapshot": () => {
+                    const snapshot = selectViewSnapshot(opts.state().view, opts.atMs());
+                    return snapshot === undefined ? {} : { ...snapshot, ageMs: Math.min(MAX_AGE_MS, snapshot.ageMs) };
+                },
+                "view.configuration": () => {
+                    const { configuration, configurationReading } = opts.state().view;
+                    const { confirmation, confirmedAtMs } = configurationReading;
+                    const ageMs = Math.min(MAX_AGE_MS, opts.atMs() - confirmedAtMs);
+                    return { text: configuration?.text ?? "", ageMs, confirmation };
+                },
             },
             onRefused: reason => {
                 opts.log.write("peer-call-refused", { reason });
@@ -79,12 +94,15 @@
     }
 
     async fetchConfiguration(peerAddress: string): Promise<void> {
-        const result = Option.getOrUndefined(decodeText(await this.call(peerAddress, "view.configuration")));
-        const configuration = result === undefined || result.text === ""
-            ? undefined
-            : this.opts.toConfiguration(result.text);
+        const answer = await this.call(peerAddress, "view.configuration");
+        const result = Option.getOrUndefined(decodePeerConfiguration(answer));
+        if (result === undefined) {
+            return;
+        }
+        const { text, ageMs, confirmation } = result;
+        const configuration = this.opts.toConfiguration(text);
         if (configuration !== undefined) {
-            this.opts.dispatch({ type: "peer-configuration-received", configuration });
+            this.opts.dispatch({ type: "peer-configuration-received", configuration, ageMs, confirmation });
         }
     }
 
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -184,10 +184,13 @@
                 return;
             case "fetch-peer-configuration":
                 this.later(CALL_ANSWER_MS, vmId, () => {
-                    const { configuration } = this.state(effect.peerAddress).view;
-                    return configuration === undefined || this.silent.has(effect.peerAddress)
-                        ? undefined
-                        : { type: "peer-configuration-received", configuration };
+                    const { configuration, configurationReading } = this.state(effect.peerAddress).view;
+                    if (configuration === undefined || this.silent.has(effect.peerAddress)) {
+                        return undefined;
+                    }
+                    const { confirmation, confirmedAtMs } = configurationReading;
+                    const ageMs = this.atMs - confirmedAtMs;
+                    return { type: "peer-configuration-received", configuration, ageMs, confirmation };
                 });
                 return;
             case "probe-server": {
--- a/daemon/entry/test/fleet.test.ts
+++ b/daemon/entry/test/fleet.test.ts
@@ -49,6 +49,12 @@
             });
         }
 
+        it("reads the store from one VM when all start together for the first time", () => {
+            const model = new FleetModel({ vmCount: 14 });
+            expect(model.runUntil(() => hasVersion(model, 1), 3_000)).to.be.below(1_500);
+            expect(new Set(model.storeReads.map(read => read.vmId)).size).to.be.at.most(3);
+        });
+
         it("measures each server from one VM, twenty times a second at most", () => {
             const model = started(14);
             const before = model.probes.length;
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -1,7 +1,7 @@
 import type { ViewState } from "./view-state.js";
 
 /** The view of a daemon that knows nothing yet. */
-export const createViewState = (opts: { readonly readerId: string; }): ViewState => {
+export const createViewState = (opts: { readonly readerId: string; readonly firstReadAtMs?: number; }): ViewState => {
     const reading = {
         nextOffset: undefined,
         confirmedAtMs: -Infinity,
@@ -13,6 +13,7 @@
     };
     return {
         readerId: opts.readerId,
+        firstReadAtMs: opts.firstReadAtMs ?? -Infinity,
         servers: new Map(),
         configuration: undefined,
         registrationReading: reading,
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -140,7 +140,16 @@
             const { state: next, applied } = applyList(confirmed, { atMs, ...snapshot });
             return { state: next, effects: serversChanged(applied, "peer") };
         }
-        case "peer-configuration-received":
-            return adoptConfiguration(state, event.configuration);
+        case "peer-configuration-received": {
+            const { state: next, effects } = adoptConfiguration(state, event.configuration);
+            if (effects.length === 0) {
+                return { state, effects };
+            }
+            const configurationReading = confirmReading(next.configurationReading, {
+                confirmedAtMs: event.atMs - event.ageMs,
+                confirmation: event.confirmation,
+            });
+            return { state: { ...next, configurationReading }, effects };
+        }
     }
 };
--- a/fleet/view/src/tick-view.ts
+++ b/fleet/view/src/tick-view.ts
@@ -8,13 +8,23 @@
 
 const isDue = (
     reading: ViewState["registrationReading"],
-    opts: { readonly atMs: number; readonly intervalMs: number; readonly readDelayMs: number; },
+    opts: {
+        readonly atMs: number;
+        readonly intervalMs: number;
+        readonly readDelayMs: number;
+        readonly firstReadAtMs: number;
+        /** Nothing of the topic is known, neither from the store nor from peers. */
+        readonly isNew: boolean;
+    },
 ): boolean => {
     const { atMs, intervalMs } = opts;
     if (reading.isReading && atMs - reading.startedAtMs < VIEW_LIMITS.readTimeoutMs) {
         return false;
     }
-    const isNew = reading.nextOffset === undefined;
+    const { isNew } = opts;
+    if (isNew && atMs < opts.firstReadAtMs + opts.readDelayMs) {
+        return false;
+    }
     return atMs - reading.failedAtMs >= (isNew ? intervalMs : VIEW_LIMITS.failureBackoffMs)
         && atMs - reading.startedAtMs >= intervalMs
         && (isNew || atMs - reading.confirmedAtMs >= intervalMs + opts.readDelayMs);
@@ -34,7 +44,10 @@
             ? VIEW_LIMITS.registrationIntervalMs
             : VIEW_LIMITS.configurationIntervalMs;
         const reading = next[field];
-        if (isDue(reading, { atMs, intervalMs, readDelayMs })) {
+        const isNew = topic === "registrations"
+            ? reading.nextOffset === undefined
+            : next.configuration === undefined;
+        if (isDue(reading, { atMs, intervalMs, readDelayMs, isNew, firstReadAtMs: next.firstReadAtMs })) {
             next = { ...next, [field]: { ...reading, isReading: true, startedAtMs: atMs } };
             effects.push({ type: "read-store", topic, fromOffset: reading.nextOffset });
         }
--- a/fleet/view/src/view-event.ts
+++ b/fleet/view/src/view-event.ts
@@ -1,3 +1,4 @@
+import type { Confirmation } from "./confirmation.js";
 import type { KnownConfiguration } from "./known-configuration.js";
 import type { RegistrationChange } from "./registration-change.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
@@ -52,4 +53,7 @@
         readonly type: "peer-configuration-received";
         readonly atMs: number;
         readonly configuration: KnownConfiguration;
+        /** How long ago the store confirmed to the peer, in this read, that nothing newer existed. */
+        readonly ageMs: number;
+        readonly confirmation: Confirmation | undefined;
     };
--- a/fleet/view/test/reduce-view.test.ts
+++ b/fleet/view/test/reduce-view.test.ts
@@ -269,6 +269,22 @@
     });
 
     describe("the configuration", () => {
+        // Each VM of a fleet would read it once more at its start, which is paid for.
+        it("is not read from the store while a peer's view of it is fresh", () => {
+            const view = new View();
+            view.apply({
+                type: "peer-configuration-received",
+                atMs: 5,
+                configuration: configuration(6),
+                ageMs: 10,
+                confirmation: { readerId: "other", number: 1 },
+            });
+            const read = view.tick(20, 700).filter(effect =>
+                effect.type === "read-store" && effect.topic === "configuration"
+            );
+            expect(read).to.deep.equal([]);
+        });
+
         it("never goes back", () => {
             const view = new View();
             view.apply({
@@ -278,7 +294,13 @@
                 nextOffset: 1,
                 configuration: configuration(7),
             });
-            view.apply({ type: "peer-configuration-received", atMs: 5, configuration: configuration(6) });
+            view.apply({
+                type: "peer-configuration-received",
+                atMs: 5,
+                configuration: configuration(6),
+                ageMs: 0,
+                confirmation: undefined,
+            });
             expect(view.state.configuration?.configuration.version).to.equal(7);
         });
 
