--- a/daemon/entry/src/server-pools.ts
+++ b/daemon/entry/src/server-pools.ts
@@ -1,4 +1,5 @@
 import { BackendPool, type Clock } from "@marigoldstall/daemon.connections";
+import { INSTANCE_ID_HEADER } from "@marigoldstall/platform.adapter";
 import { ENTRY_LIMITS } from "./entry-limits.js";
 
 // Far below what a server accepts from all VMs together; a VM has a few requests at one server.
@@ -29,7 +30,7 @@
                 clock: this.opts.clock,
                 idleLimitMs: ENTRY_LIMITS.idleConnectionMs,
                 connectTimeoutMs: ENTRY_LIMITS.connectTimeoutMs,
-                instanceIdHeader: "x-instance-id",
+                instanceIdHeader: INSTANCE_ID_HEADER,
                 onIdleChanged: idleConnections => {
                     this.opts.onIdleChanged(instanceId, idleConnections);
                 },
