perf(entry): copy maps once for each event, look for a second server only when the first seems slow

Each load in a message copied the map of a service's servers, and each tick estimated every server for every running request. Change: one copy a service and event in the draft, one copy a message in the outbox; the chance that an attempt is slow is asked before the servers are; members do not look for servers to measure.

--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -20,7 +20,7 @@
     draft.dispatch({
         type: "dispatch-tick",
         ...draft.timed,
-        measures: selectMeasures(draft.state.hub, atMs),
+        measures: draft.state.hub.isHub ? selectMeasures(draft.state.hub, atMs) : undefined,
         probeIntervalMs: draft.state.probeIntervalMs,
     });
     draft.hub({
--- a/fleet/hubs/src/add-load-news.ts
+++ b/fleet/hubs/src/add-load-news.ts
@@ -1,27 +1,25 @@
-import type { LoadReport } from "@marigoldstall/core.types";
 import type { HubState } from "./hub-state.js";
+import type { LoadNews } from "./load-news.js";
 
-/** Puts a load into the outbox unless a newer one waits there. */
+/** Puts loads into the outbox where no newer ones wait there. */
 export const addLoadNews = (state: HubState, news: {
     readonly atMs: number;
-    readonly instanceId: string;
-    readonly load: LoadReport;
-    readonly measuredAtMs: number;
+    readonly loads: readonly LoadNews[];
     readonly isOfOwnZone: boolean;
 }): HubState => {
+    const { atMs, isOfOwnZone } = news;
     const { outbox } = state;
-    const waiting = outbox.loads.get(news.instanceId);
-    if (waiting !== undefined && waiting.measuredAtMs >= news.measuredAtMs) {
+    if (news.loads.length === 0) {
         return state;
     }
-    const { inFlight, queued, slots, slownessPercent } = news.load;
-    const loads = new Map(outbox.loads).set(news.instanceId, {
-        inFlight,
-        queued,
-        slots,
-        slownessPercent,
-        measuredAtMs: news.measuredAtMs,
-        isOfOwnZone: news.isOfOwnZone,
-    });
-    return { ...state, outbox: { ...outbox, loads, sinceMs: outbox.sinceMs ?? news.atMs } };
+    const loads = new Map(outbox.loads);
+    for (const { instanceId, load, ageMs } of news.loads) {
+        const measuredAtMs = atMs - ageMs;
+        const waiting = loads.get(instanceId);
+        if (waiting === undefined || waiting.measuredAtMs < measuredAtMs) {
+            const { inFlight, queued, slots, slownessPercent } = load;
+            loads.set(instanceId, { inFlight, queued, slots, slownessPercent, measuredAtMs, isOfOwnZone });
+        }
+    }
+    return { ...state, outbox: { ...outbox, loads, sinceMs: outbox.sinceMs ?? atMs } };
 };
--- a/fleet/hubs/src/receive-message.ts
+++ b/fleet/hubs/src/receive-message.ts
@@ -31,10 +31,7 @@
     if (!state.isHub || (isOfOwnZone && message.isHub)) {
         return noted;
     }
-    let next: HubState = noted;
-    for (const { instanceId, load, ageMs } of message.loads) {
-        next = addLoadNews(next, { atMs, instanceId, load, measuredAtMs: atMs - ageMs, isOfOwnZone });
-    }
+    let next = addLoadNews(noted, { atMs, loads: message.loads, isOfOwnZone });
     for (const { instanceId, ageMs } of message.sendings) {
         next = addSendingNews(next, { atMs, instanceId, sentAtMs: atMs - ageMs, isOfOwnZone });
     }
--- a/fleet/hubs/src/reduce-hub.ts
+++ b/fleet/hubs/src/reduce-hub.ts
@@ -31,7 +31,7 @@
             return { state: receiveMessage(state, event.message, event.atMs), effects: [] };
         case "load-learnt": {
             const { atMs, instanceId, load } = event;
-            const news = { atMs, instanceId, load, measuredAtMs: atMs, isOfOwnZone: true };
+            const news = { atMs, loads: [{ instanceId, load, ageMs: 0 }], isOfOwnZone: true };
             return { state: addLoadNews(state, news), effects: [] };
         }
         case "request-sent": {
--- a/fleet/view/src/tick-view.ts
+++ b/fleet/view/src/tick-view.ts
@@ -52,9 +52,12 @@
             effects.push({ type: "read-store", topic, fromOffset: reading.nextOffset });
         }
     }
-    const lapsed: RegistrationChange[] = [...next.servers.values()]
-        .filter(known => known.heldUntilMs !== undefined && known.heldUntilMs <= atMs)
-        .map(known => ({ offset: known.offset, instanceId: known.server.instanceId, server: undefined }));
+    const lapsed: RegistrationChange[] = [];
+    for (const { heldUntilMs, offset, server } of next.servers.values()) {
+        if (heldUntilMs !== undefined && heldUntilMs <= atMs) {
+            lapsed.push({ offset, instanceId: server.instanceId, server: undefined });
+        }
+    }
     if (lapsed.length > 0) {
         const servers = new Map(next.servers);
         for (const change of lapsed) {
--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -17,6 +17,7 @@
     private state: DispatchState;
     private seed: number;
     private readonly copied = new Set<keyof DispatchState>();
+    private readonly copiedServers = new Map<string, Map<string, ServerState>>();
 
     constructor(state: DispatchState, opts: { readonly atMs: number; readonly random: number; }) {
         this.state = state;
@@ -59,8 +60,7 @@
         const name = this.state.serverServices.get(instanceId);
         const server = this.server(instanceId);
         if (name !== undefined && server !== undefined) {
-            const servers = new Map(this.service(name).servers).set(instanceId, { ...server, ...fields });
-            this.updateService(name, { servers });
+            this.writableServers(name).set(instanceId, { ...server, ...fields });
         }
     }
 
@@ -122,6 +122,19 @@
         return { state: this.state, effects: this.effects };
     }
 
+    // A message tells the loads of many servers; their map is copied once for all of them.
+    private writableServers(name: string): Map<string, ServerState> {
+        const { servers } = this.service(name);
+        const copied = this.copiedServers.get(name);
+        if (copied !== undefined && copied === servers) {
+            return copied;
+        }
+        const copy = new Map(servers);
+        this.copiedServers.set(name, copy);
+        this.updateService(name, { servers: copy });
+        return copy;
+    }
+
     private writable<
         Field extends "services" | "requests" | "attemptRequests" | "serverServices" | "splitCredits",
     >(field: Field): DispatchState[Field] extends ReadonlyMap<infer Key, infer Value> ? Map<Key, Value> : never {
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -72,8 +72,8 @@
         | { readonly type: "fleet-sized"; readonly vmCount: number; }
         | {
             readonly type: "dispatch-tick";
-            /** Whether this VM measures the servers of a zone. */
-            readonly measures: (availabilityZone: string) => boolean;
+            /** Whether this VM measures the servers of a zone; absent when it measures none. */
+            readonly measures: ((availabilityZone: string) => boolean) | undefined;
             readonly probeIntervalMs: number;
         }
     );
--- a/routing/dispatch/src/probe-servers.ts
+++ b/routing/dispatch/src/probe-servers.ts
@@ -1,7 +1,7 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 
 interface ProbeServersOptions {
-    readonly measures: (availabilityZone: string) => boolean;
+    readonly measures: ((availabilityZone: string) => boolean) | undefined;
     readonly probeIntervalMs: number;
 }
 
@@ -11,6 +11,10 @@
 /** Asks those servers for their load that this VM measures and whose newest report is due. */
 export const probeServers = (draft: DispatchDraft, opts: ProbeServersOptions): void => {
     const { atMs, base } = draft;
+    const { measures } = opts;
+    if (measures === undefined) {
+        return;
+    }
     for (const service of base.services.values()) {
         const healthPath = base.configuration?.services.get(service.name)?.healthPath;
         if (healthPath === undefined) {
@@ -20,7 +24,7 @@
             const { server, probedAtMs, measuredAtMs } = state;
             const isAsked = probedAtMs !== undefined && atMs - probedAtMs < PROBE_LIFE_MS;
             const isDue = atMs - measuredAtMs >= opts.probeIntervalMs;
-            if (!server.isDraining && isDue && !isAsked && opts.measures(server.availabilityZone)) {
+            if (!server.isDraining && isDue && !isAsked && measures(server.availabilityZone)) {
                 draft.updateServer(instanceId, { probedAtMs: atMs });
                 draft.emit({ type: "probe-server", instanceId, address: server.address, healthPath });
             }
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -18,16 +18,21 @@
     if (attempt?.phase !== "sent" || !mayHedge) {
         return;
     }
+    const seemsSlow = atMs < request.targetAtMs
+        && estimateSlowChance(attempt, atMs) >= DISPATCH_LIMITS.hedgeChance;
+    const seemsLost = atMs - attempt.startedAtMs > DISPATCH_LIMITS.hangFactor * attempt.steadyMs;
+    if (!seemsSlow && !seemsLost) {
+        return;
+    }
     const service = draft.service(request.service);
     const { best, candidateCount } = chooseServer(draft, service, request);
-    if (best === undefined || best.occupied >= best.server.server.slots) {
+    if (best === undefined) {
         return;
     }
     const latestAtMs = request.targetAtMs - best.totalMs - DISPATCH_LIMITS.hedgeMarginMs;
     const isLastMoment = atMs <= latestAtMs && atMs + 2 * DISPATCH_LIMITS.recheckMs > latestAtMs;
-    const isSlow = isLastMoment && estimateSlowChance(attempt, atMs) >= DISPATCH_LIMITS.hedgeChance;
-    const hangs = atMs - attempt.startedAtMs > DISPATCH_LIMITS.hangFactor * attempt.steadyMs
-        && atMs + best.totalMs < request.deadlineAtMs;
+    const isSlow = seemsSlow && isLastMoment;
+    const hangs = seemsLost && atMs + best.totalMs < request.deadlineAtMs;
     if ((isSlow || hangs) && allowsResend(draft, service)) {
         startAttempt(draft, request, { estimate: best, candidateCount, isHedge: true });
     }
