refactor(fleet): state the end of a read and the telling of VMs once each; correct a comment

Cause: the read-through found the same six lines in two handlers of the view, a condition computed twice in the hub's tick, and a comment that said that the configured limits of callers are checked for each request, which they are not. Change: endReading, tellsVms, and the comment says what is so. No behaviour changes.

--- a/daemon/entry/src/caller-port.ts
+++ b/daemon/entry/src/caller-port.ts
@@ -7,7 +7,7 @@
 import type { OpenRequest } from "./open-request.js";
 import type { ServerResponseWhole } from "./server-response-whole.js";
 
-// Room for any configured limit; the configuration's own is checked for each request.
+// Room for any configured limit. Callers stay within the configuration's own limits, which are not enforced here.
 const MAX_HEADER_BYTES = 65_536;
 const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 const STATUS_BODY_TOO_LARGE = 413;
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -43,10 +43,12 @@
     return (sinceMs !== undefined && atMs - sinceMs >= gatherMs) || atMs - state.sentAtMs >= presenceMs;
 };
 
+const tellsVms = (state: HubState, atMs: number): boolean =>
+    state.isHub && atMs - state.vmListSentAtMs >= HUB_LIMITS.vmListIntervalMs;
+
 const createMessage = (state: HubState, opts: TickHubOptions, scope: "all" | "own-zone"): FleetMessage => {
     const { outbox, isHub, self } = state;
     const { atMs } = opts;
-    const tellsVms = atMs - state.vmListSentAtMs >= HUB_LIMITS.vmListIntervalMs;
     const isWanted = (news: { readonly isOfOwnZone: boolean; }): boolean => scope === "all" || news.isOfOwnZone;
     return {
         sender: self,
@@ -61,7 +63,7 @@
             instanceId,
             ageMs: atMs - sentAtMs,
         })),
-        vms: isHub && tellsVms
+        vms: tellsVms(state, atMs)
             ? selectLiveVms(state, atMs).map(({ info, aliveAtMs }) => ({ info, ageMs: atMs - aliveAtMs }))
             : [],
     };
@@ -112,13 +114,12 @@
         return { state: elected, effects };
     }
     send(elected, opts, effects);
-    const toldVms = elected.isHub && atMs - elected.vmListSentAtMs >= HUB_LIMITS.vmListIntervalMs;
     return {
         state: {
             ...advanceTold(elected, opts),
             outbox: { loads: new Map(), sendings: [], sinceMs: undefined },
             sentAtMs: atMs,
-            vmListSentAtMs: toldVms ? atMs : elected.vmListSentAtMs,
+            vmListSentAtMs: tellsVms(elected, atMs) ? atMs : elected.vmListSentAtMs,
         },
         effects,
     };
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -15,6 +15,11 @@
 const serversChanged = (changes: readonly RegistrationChange[], source: string): readonly ViewEffect[] =>
     changes.length === 0 ? [] : [{ type: "servers-changed", changes, source }];
 
+const endReading = (state: ViewState): ViewState => ({
+    ...state,
+    registrationReading: { ...state.registrationReading, isReading: false, failedAtMs: -Infinity },
+});
+
 const onRegistrationsRead = (
     state: ViewState,
     event: Extract<ViewEvent, { readonly type: "registrations-read"; }>,
@@ -30,13 +35,7 @@
         })
         : state;
     const { state: next, applied } = applyChanges(confirmed, event);
-    return {
-        state: {
-            ...next,
-            registrationReading: { ...next.registrationReading, isReading: false, failedAtMs: -Infinity },
-        },
-        effects: [...regained, ...serversChanged(applied, "store")],
-    };
+    return { state: endReading(next), effects: [...regained, ...serversChanged(applied, "store")] };
 };
 
 const onRegistrationsListed = (
@@ -51,13 +50,7 @@
         confirmation: nextConfirmation(state, state.registrationReading),
     });
     const { state: next, applied } = applyList(confirmed, event);
-    return {
-        state: {
-            ...next,
-            registrationReading: { ...next.registrationReading, isReading: false, failedAtMs: -Infinity },
-        },
-        effects: [...regained, ...serversChanged(applied, "store")],
-    };
+    return { state: endReading(next), effects: [...regained, ...serversChanged(applied, "store")] };
 };
 
 const onConfigurationRead = (
