--- a/daemon/connections/src/backend-connection.ts
+++ b/daemon/connections/src/backend-connection.ts
@@ -17,7 +17,6 @@
     /** Whether the response of the current request has arrived whole, so that any further byte is unexpected. */
     private isResponseWhole: () => boolean = () => true;
     private unexpectedBytes = false;
-    private broken = false;
 
     constructor(opts: {
         readonly socket: Socket;
@@ -46,11 +45,8 @@
             this.isResponseWhole = () => true;
             opts.onFree(this);
         });
-        // http.request reports the errors of a busy connection, but takes a reset for the regular end of a response
-        // without a length; an idle connection is only forgotten.
-        this.socket.on("error", () => {
-            this.broken = true;
-        });
+        // http.request reports the errors of a busy connection; an idle one is only forgotten.
+        this.socket.on("error", () => undefined);
         this.socket.on("close", () => {
             this.state = "closed";
             opts.onClosed(this);
@@ -61,11 +57,6 @@
         return this.state === "idle" && !this.socket.destroyed && this.socket.writable;
     }
 
-    /** Whether it ended by an error, so that a response that ends with it is not whole. */
-    get isBroken(): boolean {
-        return this.broken;
-    }
-
     /** Whether it was opened or received bytes so recently that a request may be sent that must not run twice. */
     isFresh(nowMs: number): boolean {
         return nowMs - this.lastReceivedAtMs <= FRESH_MS;
--- a/daemon/entry/src/caller-port.ts
+++ b/daemon/entry/src/caller-port.ts
@@ -77,7 +77,16 @@
             return;
         }
         const headers = endToEndHeaders(whole.rawHeaders, whole.connection);
-        headers.push("Content-Length", String(whole.body.length));
+        if (whole.isFramed) {
+            headers.push("Content-Length", String(whole.body.length));
+        }
+        else {
+            // Only the backend server knows whether its response was cut. With a length added, a cut one would look
+            // whole; so it ends with the connection here too.
+            request.response.useChunkedEncodingByDefault = false;
+            request.response.shouldKeepAlive = false;
+            this.closing.add(request.message.socket);
+        }
         this.finish(request, { statusCode: whole.statusCode, headers, body: whole.body });
     }
 
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -135,14 +135,11 @@
             if (this.isOver || !response.complete) {
                 return;
             }
-            if (this.connection?.isBroken === true) {
-                this.lose("response-cut");
-                return;
-            }
             this.isOver = true;
             const { rawHeaders, headers } = response;
             const body = Buffer.concat(chunks);
-            const whole = { statusCode, rawHeaders, connection: headers.connection, body };
+            const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+            const whole = { statusCode, rawHeaders, connection: headers.connection, body, isFramed };
             this.opts.onAnswered({ whole, notRun: head.notRun, load: head.load });
         });
     }
--- a/daemon/entry/src/server-response-whole.ts
+++ b/daemon/entry/src/server-response-whole.ts
@@ -4,4 +4,6 @@
     readonly rawHeaders: readonly string[];
     readonly connection: string | undefined;
     readonly body: Buffer;
+    /** Whether a length or chunks mark its end; otherwise it ended with the connection and may have been cut. */
+    readonly isFramed: boolean;
 }
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -85,7 +85,6 @@
         expect(await run()).to.deep.equal({ result: "answered", body: "whole" });
     });
 
-    // Found by fleetbench on luznik-osr, day trouble-2: MIXED, Node.js takes a reset for the end of such a response.
     it("does not take a response without a length for whole when its connection is reset", async () => {
         onRequest = socket => {
             socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}\r\npart`);
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -30,8 +30,9 @@
     // zones are paid for, which the second figure stands for as well.
     zoneDistanceMs: 3,
     zoneMsPerKb: 1,
-    // A new connection takes a round trip and a millisecond of the server, and is paid for.
-    newConnectionMs: 20,
+    // A new connection is paid for. It is avoided as long as another server costs less than this share of the work
+    // more, which is below what the last slot of a server costs.
+    newConnectionShare: 0.45,
     // A server that fails is avoided as if it were this much slower for each recent failure.
     failureMs: 250,
     failureHalfLifeMs: 3_000,
--- a/routing/dispatch/src/estimate-server.ts
+++ b/routing/dispatch/src/estimate-server.ts
@@ -45,7 +45,7 @@
     const totalMs = waitMs + durationMs + distanceMs;
     const steadyMs = waitMs + workMs * coldFactor * fullFactor * slowness + distanceMs;
     const bytesMs = isNear ? 0 : opts.responseBytes / BYTES_PER_KB * DISPATCH_LIMITS.zoneMsPerKb;
-    const connectionMs = server.idleConnections > 0 ? 0 : DISPATCH_LIMITS.newConnectionMs;
+    const connectionMs = server.idleConnections > 0 ? 0 : workMs * DISPATCH_LIMITS.newConnectionShare;
     const troubleMs = fadeFailures(server, atMs) * DISPATCH_LIMITS.failureMs
         + (server.isUnhealthy ? DISPATCH_LIMITS.unhealthyMs : 0);
     const costMs = totalMs + bytesMs + connectionMs + troubleMs;
