refactor(headers): keep one list of hop-by-hop headers for both daemons

The list and the loop over raw headers stood in platform/adapter and in daemon/runtime. They are now endToEndHeaders in daemon/connections, which both daemons use; each daemon names only the headers that it states itself.

Ruled out: a copy in core, since nothing but the two daemons relays messages.

--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -1,6 +1,11 @@
 import type { LoadReport } from "@marigoldstall/core.types";
-import type { BackendConnection, BackendPool, Clock } from "@marigoldstall/daemon.connections";
-import { decodeServerResponseHead, encodeAttemptHeaders } from "@marigoldstall/platform.adapter";
+import {
+    type BackendConnection,
+    type BackendPool,
+    type Clock,
+    endToEndHeaders,
+} from "@marigoldstall/daemon.connections";
+import { decodeServerResponseHead, encodeAttemptHeaders, OWN_HEADERS } from "@marigoldstall/platform.adapter";
 import type { DispatchEffect } from "@marigoldstall/routing.dispatch";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import { ENTRY_LIMITS } from "./entry-limits.js";
@@ -78,13 +83,10 @@
             agent: connection.agent,
             method: message.method,
             path: message.url,
-            headers: encodeAttemptHeaders({
-                rawHeaders: message.rawHeaders,
-                connection: message.headers.connection,
-                remainingMs,
-                instanceId: effect.instanceId,
-                bodyBytes: body?.length,
-            }),
+            headers: [
+                ...endToEndHeaders(message.rawHeaders, { connection: message.headers.connection, own: OWN_HEADERS }),
+                ...encodeAttemptHeaders({ remainingMs, instanceId: effect.instanceId, bodyBytes: body?.length }),
+            ],
             setHost: false,
         });
         outgoing.on("response", response => {
--- a/daemon/runtime/src/attempt.ts
+++ b/daemon/runtime/src/attempt.ts
@@ -1,9 +1,15 @@
-import { type BackendConnection, type BackendPool, type Clock, singleHeader } from "@marigoldstall/daemon.connections";
+import {
+    type BackendConnection,
+    type BackendPool,
+    type Clock,
+    endToEndHeaders,
+    singleHeader,
+} from "@marigoldstall/daemon.connections";
 import type { RoutingEffect } from "@marigoldstall/routing.state";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
 import type { AttemptListener } from "./attempt-listener.js";
 import type { CallerRequest } from "./caller-request.js";
-import { forwardedHeaders } from "./forwarded-headers.js";
+import { OWN_HEADERS } from "./own-headers.js";
 import { relayResponse } from "./relay-response.js";
 
 type StartAttempt = Extract<RoutingEffect, { readonly type: "start-attempt"; }>;
@@ -214,9 +220,9 @@
 
     private headers(remainingMs: number): string[] {
         const { message, requestId, bodyComplete, bodyBytes, statedBytes } = this.request;
-        const headers = forwardedHeaders(message.rawHeaders, {
+        const headers = endToEndHeaders(message.rawHeaders, {
             connection: message.headers.connection,
-            isRequest: true,
+            own: OWN_HEADERS.request,
         });
         headers.push(
             "Host",
--- a/daemon/runtime/src/relay-response.ts
+++ b/daemon/runtime/src/relay-response.ts
@@ -1,7 +1,7 @@
-import type { Clock } from "@marigoldstall/daemon.connections";
+import { type Clock, endToEndHeaders } from "@marigoldstall/daemon.connections";
 import type { IncomingMessage } from "node:http";
 import type { CallerRequest } from "./caller-request.js";
-import { forwardedHeaders } from "./forwarded-headers.js";
+import { OWN_HEADERS } from "./own-headers.js";
 
 // Larger responses are kept without their body.
 const MAX_STORED_BYTES = 65_536;
@@ -21,9 +21,9 @@
     const { response } = request;
     const statusCode = upstream.statusCode ?? 502;
     const notRun = upstream.headers["not-run"] === "true";
-    const headers = forwardedHeaders(upstream.rawHeaders, {
+    const headers = endToEndHeaders(upstream.rawHeaders, {
         connection: upstream.headers.connection,
-        isRequest: false,
+        own: OWN_HEADERS.response,
     });
     const keepsResponse = request.idempotencyKey !== undefined && !request.targets.repeatable;
     const storedHeaders: [string, string][] = [];
