fix(entry): enforce the configured limits of callers, name a port that is taken

The limits on headers and bodies were decoded and not enforced; longer ones get 431 and 413, and the connection closes. A port that is taken ended the daemon with a stack trace, and a datagram port that is taken not at all; both end it with an error that has step, address and hint. A check before a send notes whether the server calls itself healthy, as the checks of a hub do. Tests of the limits are in daemon/entry/test/caller-port.test.ts.

--- a/daemon/entry/src/caller-port.ts
+++ b/daemon/entry/src/caller-port.ts
@@ -1,16 +1,22 @@
 import type { CallerLimits } from "@marigoldstall/core.types";
+import { endToEndHeaders } from "@marigoldstall/daemon.connections";
 import { listenOn } from "@marigoldstall/fleet.rpc";
-import { decodeCallerHead, encodeRejectionHeaders, endToEndHeaders } from "@marigoldstall/platform.adapter";
+import { decodeCallerHead, encodeRejectionHeaders, OWN_HEADERS } from "@marigoldstall/platform.adapter";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { ENTRY_LIMITS } from "./entry-limits.js";
 import type { OpenRequest } from "./open-request.js";
 import type { ServerResponseWhole } from "./server-response-whole.js";
 
-// Room for any configured limit. Callers stay within the configuration's own limits, which are not enforced here.
+// Limits until a configuration says otherwise. Node.js cannot change the first one later, so that it is an upper bound
+// for the configured one as well.
 const MAX_HEADER_BYTES = 65_536;
-const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+const INITIAL_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 const STATUS_BODY_TOO_LARGE = 413;
+const STATUS_HEADERS_TOO_LARGE = 431;
+
+const countHeaderBytes = (message: IncomingMessage): number =>
+    message.rawHeaders.reduce((bytes, text) => bytes + text.length, message.url?.length ?? 0);
 
 interface CallerPortOptions {
     readonly isStopping: () => boolean;
@@ -28,6 +34,8 @@
     private readonly newest = new WeakMap<Socket, string>();
     /** Connections that close after an answer already written. */
     private readonly closing = new WeakSet<Socket>();
+    private maxHeaderBytes = MAX_HEADER_BYTES;
+    private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
     private unfinished = 0;
     private nextKey = 1;
 
@@ -54,6 +62,8 @@
     }
 
     applyLimits(limits: CallerLimits): void {
+        this.maxHeaderBytes = limits.headerBytes;
+        this.maxBodyBytes = limits.bodyBytes;
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
         this.server.headersTimeout = limits.headerTimeoutMs + ENTRY_LIMITS.initialIdleTimeoutMs;
     }
@@ -76,7 +86,7 @@
         if (request === undefined) {
             return;
         }
-        const headers = endToEndHeaders(whole.rawHeaders, whole.connection);
+        const headers = endToEndHeaders(whole.rawHeaders, { connection: whole.connection, own: OWN_HEADERS });
         if (whole.isFramed) {
             headers.push("Content-Length", String(whole.body.length));
         }
@@ -128,14 +138,23 @@
             }
         });
         message.on("error", () => undefined);
+        const refuse = (statusCode: number): void => {
+            message.removeAllListeners("data");
+            message.resume();
+            response.shouldKeepAlive = false;
+            this.closing.add(socket);
+            response.writeHead(statusCode, { "Content-Length": 0 });
+            response.end();
+        };
+        if (countHeaderBytes(message) > this.maxHeaderBytes) {
+            refuse(STATUS_HEADERS_TOO_LARGE);
+            return;
+        }
         message.on("data", (chunk: Buffer) => {
             chunks.push(chunk);
             bodyBytes += chunk.length;
-            if (bodyBytes > MAX_BODY_BYTES && !response.headersSent) {
-                message.removeAllListeners("data");
-                response.shouldKeepAlive = false;
-                response.writeHead(STATUS_BODY_TOO_LARGE, { "Content-Length": 0 });
-                response.end();
+            if (bodyBytes > this.maxBodyBytes && !response.headersSent) {
+                refuse(STATUS_BODY_TOO_LARGE);
             }
         });
         message.on("end", () => {
--- a/daemon/entry/src/fleet-socket.ts
+++ b/daemon/entry/src/fleet-socket.ts
@@ -31,8 +31,12 @@
     }
 
     async listen(): Promise<void> {
-        await new Promise<void>(resolve => {
-            this.socket.bind({ address: this.opts.host, port: this.opts.port }, resolve);
+        await new Promise<void>((resolve, reject) => {
+            this.socket.once("error", reject);
+            this.socket.bind({ address: this.opts.host, port: this.opts.port }, () => {
+                this.socket.off("error", reject);
+                resolve();
+            });
         });
     }
 
--- a/daemon/entry/src/main.ts
+++ b/daemon/entry/src/main.ts
@@ -1,4 +1,4 @@
-import { formatError } from "@marigoldstall/core.error";
+import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
 import { decodeEntrySettings, SETTINGS_VARIABLE } from "@marigoldstall/platform.adapter";
 import { Command } from "commander";
 import { readFileSync } from "node:fs";
@@ -27,7 +27,21 @@
     process.on("SIGHUP", () => {
         daemon.reload();
     });
-    await daemon.start();
+    try {
+        await daemon.start();
+    }
+    catch (cause) {
+        const error = new MarigoldstallError({
+            code: "LISTEN_FAILED",
+            message: cause instanceof Error ? cause.message : String(cause),
+            step: "open the ports",
+            peer: settings.value.host,
+            hint: "check that the addresses in the settings belong to this VM and that no other process uses them",
+            cause,
+        });
+        process.stderr.write(`${formatError(error)}\n`);
+        process.exit(EXIT_USAGE);
+    }
 };
 
 void new Command("marigoldstall-entry")
--- a/daemon/entry/test/caller-port.test.ts
+++ b/daemon/entry/test/caller-port.test.ts
@@ -89,6 +89,31 @@
         expect(received.toLowerCase()).not.to.include("chunked");
     });
 
+    describe("limits of the configuration", () => {
+        beforeEach(() => {
+            port.applyLimits({ headerBytes: 200, bodyBytes: 10, headerTimeoutMs: 5_000, idleTimeoutMs: 15_000 });
+        });
+
+        it("refuses a longer body and closes the connection without passing the request on", async () => {
+            socket.write(requestText("first").replace("\r\n\r\n", "\r\nContent-Length: 11\r\n\r\n") + "12345678901");
+            await until(() => isClosed);
+            expect(received).to.match(/^HTTP\/1.1 413 /);
+            expect(requests).to.deep.equal([]);
+        });
+
+        it("refuses longer headers", async () => {
+            socket.write(requestText("x".repeat(200)));
+            await until(() => isClosed);
+            expect(received).to.match(/^HTTP\/1.1 431 /);
+            expect(requests).to.deep.equal([]);
+        });
+
+        it("takes what just fits", async () => {
+            socket.write(requestText("first").replace("\r\n\r\n", "\r\nContent-Length: 10\r\n\r\n") + "1234567890");
+            await until(() => requests.length === 1);
+        });
+    });
+
     it("tells when a caller leaves before its answer, and nothing after it", async () => {
         socket.write(requestText("first"));
         await until(() => requests.length === 1);
--- a/routing/dispatch/src/note-success.ts
+++ b/routing/dispatch/src/note-success.ts
@@ -4,7 +4,7 @@
 /** Counts a response that shows that a server works. */
 export const noteSuccess = (draft: DispatchDraft, instanceId: string): void => {
     const server = draft.server(instanceId);
-    if (server !== undefined && (server.failures > 0 || server.ejections > 0 || server.isUnhealthy)) {
+    if (server !== undefined && (server.failures > 0 || server.ejections > 0)) {
         draft.updateServer(instanceId, {
             failures: fadeFailures(server, draft.atMs) / 2,
             failuresAtMs: draft.atMs,
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -52,11 +52,14 @@
     if (!event.isAnswered) {
         noteFailure(draft, instanceId, { reason: "check-failed", weight: FAILURE_WEIGHT });
     }
-    else if (event.load === undefined) {
-        draft.updateService(found.service, { tellsLoad: false });
-    }
     else {
-        noteLoad(draft, instanceId, { load: event.load, measuredAtMs: draft.atMs });
+        draft.updateServer(instanceId, { isUnhealthy: !event.isHealthy });
+        if (event.load === undefined) {
+            draft.updateService(found.service, { tellsLoad: false });
+        }
+        else {
+            noteLoad(draft, instanceId, { load: event.load, measuredAtMs: draft.atMs });
+        }
     }
     const ended = endAttempt(draft, draft.request(found.requestKey) ?? found, attempt);
     const request = !event.isAnswered
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -63,6 +63,7 @@
             checks: request.checkCount,
             occupied: estimate.occupied,
             slots: server.slots,
+            idleConnections: estimate.server.idleConnections,
             expectedMs: Math.round(estimate.totalMs),
             slownessPercent: load?.slownessPercent ?? -1,
             loadAgeMs: Math.round(Math.min(estimate.reportAgeMs, 1e6)),
