feat(dispatch): log why a server that was asked does not get the request

A request that a check turned away from a server left no line, so that an on-call engineer saw only the last choice and the number of servers asked. A move line says what was believed before and after, at what age, and what the other choice costs. Test in routing/dispatch/test/dispatch.test.ts.

--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -41,6 +41,34 @@
     sendAttempt(draft, back, { ...opts, attempt });
 };
 
+const NO_FIGURE = -1;
+
+// Says why a server that was asked does not get the request.
+const logMove = (draft: DispatchDraft, request: RequestState, opts: {
+    readonly attempt: AttemptState;
+    readonly checked: ServerEstimate | undefined;
+    readonly estimate: ServerEstimate | undefined;
+}): void => {
+    const { attempt, checked, estimate } = opts;
+    const { instanceId, reportAgeMs, slowness } = attempt;
+    draft.log({
+        kind: "move",
+        requestId: request.requestId,
+        service: request.service,
+        instanceId,
+        reason: estimate === undefined ? "wait" : "another-server",
+        inputs: {
+            to: estimate?.server.server.instanceId ?? "",
+            slowness,
+            loadAgeMs: Math.round(Math.min(reportAgeMs, 1e6)),
+            slownessNow: checked?.slowness ?? NO_FIGURE,
+            occupiedNow: checked?.occupied ?? NO_FIGURE,
+            costMs: Math.round(checked?.costMs ?? NO_FIGURE),
+            otherCostMs: Math.round(estimate?.costMs ?? NO_FIGURE),
+        },
+    });
+};
+
 /** The server said how it is: sends the request, takes it to a server that is better now, or lets it wait. */
 export const onServerChecked = (draft: DispatchDraft, event: ServerChecked): void => {
     const found = draft.requestOfAttempt(event.attemptId);
@@ -78,8 +106,11 @@
         && checked.costMs <= estimate.costMs + DISPATCH_LIMITS.moveMarginMs;
     if (isKept) {
         keepPlace(draft, request, { attempt, estimate: checked, candidateCount });
+        drainQueue(draft, request.service);
+        return;
     }
-    else if (estimate !== undefined) {
+    logMove(draft, request, { attempt, checked, estimate });
+    if (estimate !== undefined) {
         startAttempt(draft, request, { estimate, candidateCount, isHedge });
     }
     else if (request.attempts.length === 0) {
--- a/routing/dispatch/test/dispatch.test.ts
+++ b/routing/dispatch/test/dispatch.test.ts
@@ -133,6 +133,9 @@
             const second = harness.all("check-server")[1];
             expect(second?.instanceId).not.to.equal(first?.instanceId);
             expect(harness.all("start-attempt")).to.deep.equal([]);
+            const moves = harness.all("log-decision").filter(({ decision }) => decision.kind === "move");
+            expect(moves.map(({ decision }) => [decision.reason, decision.instanceId, decision.inputs["to"]]))
+                .to.deep.equal([["another-server", first?.instanceId, second?.instanceId]]);
         });
 
         // Nothing was sent, so that this is safe for a request that must not run twice.
