feat(dispatch): let each VM prefer other servers among equals

Change: a VM draws a preference for each server once, up to 0.3 of the work, and adds it to the cost.

--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -35,6 +35,9 @@
     // A new connection is paid for. It is avoided as long as another server costs less than this share of the work
     // more, which is below what the last slot of a server costs.
     newConnectionShare: 0.45,
+    // Each VM prefers other servers among equals, by up to this share of the work. VMs that choose at the same moment
+    // then take different ones, and a VM comes back to servers to which it has a connection.
+    preferenceShare: 0.3,
     // A server that fails is avoided as if it were this much slower for each recent failure.
     failureMs: 250,
     failureHalfLifeMs: 3_000,
--- a/routing/dispatch/src/estimate-server.ts
+++ b/routing/dispatch/src/estimate-server.ts
@@ -46,8 +46,9 @@
     const steadyMs = waitMs + workMs * coldFactor * fullFactor * slowness + distanceMs;
     const bytesMs = isNear ? 0 : opts.responseBytes / BYTES_PER_KB * DISPATCH_LIMITS.zoneMsPerKb;
     const connectionMs = server.idleConnections > 0 ? 0 : workMs * DISPATCH_LIMITS.newConnectionShare;
+    const preferenceMs = server.preference * workMs * DISPATCH_LIMITS.preferenceShare;
     const troubleMs = fadeFailures(server, atMs) * DISPATCH_LIMITS.failureMs
         + (server.isUnhealthy ? DISPATCH_LIMITS.unhealthyMs : 0);
-    const costMs = totalMs + bytesMs + connectionMs + troubleMs;
+    const costMs = totalMs + bytesMs + connectionMs + preferenceMs + troubleMs;
     return { server, occupied, steadyMs, slowness, takesLastSlot, reportAgeMs, totalMs, costMs };
 };
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -3,20 +3,24 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { ServerState } from "./server-state.js";
 
-const createServer = (server: BackendServer, atMs: number): ServerState => ({
+const createServer = (
+    server: BackendServer,
+    opts: { readonly atMs: number; readonly preference: number; },
+): ServerState => ({
     server,
     load: undefined,
     measuredAtMs: -Infinity,
     sendings: [],
+    preference: opts.preference,
     ownInFlight: 0,
     idleConnections: 0,
     failures: 0,
-    failuresAtMs: atMs,
+    failuresAtMs: opts.atMs,
     failuresInRow: 0,
     ejections: 0,
     ejectedUntilMs: -Infinity,
     isUnhealthy: false,
-    coldUntilMs: atMs + server.warmUpMs,
+    coldUntilMs: opts.atMs + server.warmUpMs,
     probedAtMs: undefined,
 });
 
@@ -40,7 +44,9 @@
     if (known !== undefined && !isSameProcess) {
         remove(draft, instanceId);
     }
-    const next = known !== undefined && isSameProcess ? { ...known, server } : createServer(server, draft.atMs);
+    const next = known !== undefined && isSameProcess
+        ? { ...known, server }
+        : createServer(server, { atMs: draft.atMs, preference: draft.nextRandom() });
     const servers = new Map(draft.service(server.service).servers).set(instanceId, next);
     draft.updateService(server.service, { servers });
     draft.setServerService(instanceId, server.service);
--- a/routing/dispatch/src/server-estimate.ts
+++ b/routing/dispatch/src/server-estimate.ts
@@ -11,6 +11,6 @@
     readonly reportAgeMs: number;
     /** Time until the whole response is back, as reports may be outdated. */
     readonly totalMs: number;
-    /** `totalMs` and what else speaks against the server: failures, paid connections and bytes. */
+    /** `totalMs` and what else speaks against the server: failures, paid connections and bytes, and the VM's preference. */
     readonly costMs: number;
 }
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -7,6 +7,8 @@
     readonly measuredAtMs: number;
     /** Requests of any VM that the load report does not count yet, by the time at which they were sent. */
     readonly sendings: readonly number[];
+    /** Drawn once, from 0 to 1; this VM chooses servers with a low one before others that are as good. */
+    readonly preference: number;
     readonly ownInFlight: number;
     readonly idleConnections: number;
     /** Recent failures, fading with time. */
