--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -15,6 +15,8 @@
     readonly slots?: number;
     readonly route?: Partial<Route>;
     readonly budgetExtra?: number;
+    /** Start of the random numbers, from 0 to 1. */
+    readonly random?: number;
 }
 
 const DEFAULT_ROUTE: Route = {
@@ -37,9 +39,10 @@
     /** Whether servers answer checks at once with the load that was last told of them. */
     answersChecks = true;
     private nextRequest = 1;
-    private random = 0.37;
+    private random: number;
 
     constructor(opts: HarnessOptions = {}) {
+        this.random = opts.random ?? 0.37;
         this.state = createDispatchState({
             availabilityZone: "east",
             retryBudget: { ratio: 0.2, windowMs: 10_000, extra: opts.budgetExtra ?? 58 },
