fix(entry): read no request any more once a stopping daemon has finished all

Node.js does not call a connection idle that has not carried a request yet, so closeIdleConnections() left it open. Its first request came 6 ms after the last unfinished one had ended, while the process wrote its last log lines; it was sent to a server and cut by the end of the process. Ruled out: load, as the log of vm-1 has the send line of the request after its stopped line, without a gap. Change: once nothing is unfinished, all connections are closed, so that a caller sees its request unread and sends it again. Test: caller-port, reads no request any more once nothing is unfinished; it fails with closeIdleConnections() alone.

--- a/daemon/entry/src/caller-port.ts
+++ b/daemon/entry/src/caller-port.ts
@@ -77,8 +77,18 @@
         NetServer.prototype.close.call(this.server);
     }
 
-    closeIdleConnections(): void {
-        this.server.closeIdleConnections();
+    /**
+     * Closes the connections on which nothing is unfinished, and all of them once nothing is. Returns whether that is so:
+     * no request is read any more then, which the end of the process would cut.
+     */
+    closeIfFinished(): boolean {
+        if (this.unfinished > 0) {
+            this.server.closeIdleConnections();
+            return false;
+        }
+        // Node.js does not call a connection idle that has not carried a request yet.
+        this.server.closeAllConnections();
+        return true;
     }
 
     relay(requestKey: string, whole: ServerResponseWhole): void {
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -179,11 +179,8 @@
                 isAccepting = false;
                 this.callers.stopListening();
             }
-            if (!isAccepting) {
-                this.callers.closeIdleConnections();
-                if (this.callers.unfinishedCount === 0) {
-                    break;
-                }
+            if (!isAccepting && this.callers.closeIfFinished()) {
+                break;
             }
             await new Promise(resolve => {
                 setTimeout(resolve, ENTRY_LIMITS.stopPollMs);
--- a/daemon/entry/test/caller-port.test.ts
+++ b/daemon/entry/test/caller-port.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { CallerPort } from "../src/caller-port.js";
 
@@ -42,18 +43,20 @@
         });
         await port.listen(ADDRESS);
         socket = connect({ host: "127.0.0.1", port: 18741 });
+        const connected = once(socket, "connect");
         socket.on("data", chunk => {
             received += chunk.toString();
         });
         socket.on("close", () => {
             isClosed = true;
         });
+        await connected;
     });
 
     afterEach(() => {
         socket.destroy();
         port.stopListening();
-        port.closeIdleConnections();
+        port.closeIfFinished();
     });
 
     const relay = (requestKey: string, text: string, isFramed = true): void => {
@@ -149,6 +152,29 @@
             expect(requests.length).to.equal(1);
         });
 
+        // Found by the soak, seed 459880052: a request on a connection that had not been used yet was read and sent to a
+        // server while the process ended, and got no answer.
+        it("reads no request any more once nothing is unfinished", async () => {
+            isStopping = true;
+            port.stopListening();
+            expect(port.closeIfFinished()).to.equal(true);
+            socket.write(requestText("first"));
+            await until(() => isClosed);
+            expect(requests).to.deep.equal([]);
+        });
+
+        it("waits for what is unfinished before it closes all connections", async () => {
+            socket.write(requestText("first"));
+            await until(() => requests.length === 1);
+            isStopping = true;
+            port.stopListening();
+            expect(port.closeIfFinished()).to.equal(false);
+            relay(requests[0] ?? "", "one");
+            await until(() => isClosed);
+            expect(received).to.include("one");
+            expect(port.closeIfFinished()).to.equal(true);
+        });
+
         it("still answers both requests that it had passed on before", async () => {
             socket.write(requestText("first") + requestText("second"));
             await until(() => requests.length === 2);
