refactor(dispatch): estimate the servers once for a decision, find an attempt in one place

decideSending, the check before a send and its comparison each estimated every server of the service anew, up to three times for one request; they now choose among the same estimates. The look-up of an attempt stood four times, the time left for a server and the test for a request that is too late three and two times.

--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -1,6 +1,7 @@
 import type { Transition } from "@marigoldstall/core.types";
 import { selectLiveVms, selectMeasures, selectReadDelayMs } from "@marigoldstall/fleet.hubs";
 import { selectViewSummary } from "@marigoldstall/fleet.view";
+import { selectAttempt } from "@marigoldstall/routing.dispatch";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
@@ -86,7 +87,7 @@
         case "probe-answered": {
             const instanceId = event.type === "probe-answered"
                 ? event.instanceId
-                : findInstance(draft.state, event.attemptId);
+                : selectAttempt(draft.state.dispatch, event.attemptId)?.attempt.instanceId;
             if (event.load !== undefined && instanceId !== undefined) {
                 draft.hub({ type: "load-learnt", atMs, instanceId, load: event.load });
             }
@@ -103,12 +104,6 @@
     }
 };
 
-const findInstance = (state: EntryState, attemptId: string): string | undefined => {
-    const requestKey = state.dispatch.attemptRequests.get(attemptId);
-    const request = requestKey === undefined ? undefined : state.dispatch.requests.get(requestKey);
-    return request?.attempts.find(attempt => attempt.attemptId === attemptId)?.instanceId;
-};
-
 /** The root reducer. */
 export const reduceEntry = (
     state: EntryState,
--- a/routing/dispatch/src/choose-server.ts
+++ b/routing/dispatch/src/choose-server.ts
@@ -1,24 +1,16 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
-import type { DispatchService } from "./dispatch-service.js";
-import { listEstimates } from "./list-estimates.js";
-import type { RequestState } from "./request-state.js";
 import type { ServerEstimate } from "./server-estimate.js";
 
-interface ServerChoice {
-    /** The server with a free slot at which the request is expected to cost least; absent when none has one. */
-    readonly best: ServerEstimate | undefined;
-    readonly candidateCount: number;
-}
-
-/** Chooses the server at which a request is expected to cost least, among those that pass a condition. */
+/**
+ * Chooses the server with a free slot at which a request is expected to cost least, among those that pass a condition;
+ * undefined when there is none.
+ */
 export const chooseServer = (
     draft: DispatchDraft,
-    service: DispatchService,
-    request: RequestState,
+    estimates: readonly ServerEstimate[],
     isWanted: (estimate: ServerEstimate) => boolean = () => true,
-): ServerChoice => {
-    const estimates = listEstimates(draft, service, request);
+): ServerEstimate | undefined => {
     let best: ServerEstimate | undefined;
     let bestMs = Infinity;
     for (const estimate of estimates) {
@@ -29,5 +21,5 @@
             bestMs = costMs;
         }
     }
-    return { best, candidateCount: estimates.length };
+    return best;
 };
--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -85,11 +85,6 @@
         this.setService({ ...service, running, queue: service.queue.filter(key => key !== requestKey) });
     }
 
-    requestOfAttempt(attemptId: string): RequestState | undefined {
-        const requestKey = this.state.attemptRequests.get(attemptId);
-        return requestKey === undefined ? undefined : this.request(requestKey);
-    }
-
     setAttemptRequest(attemptId: string, requestKey: string | undefined): void {
         const attempts = this.writable("attemptRequests");
         if (requestKey === undefined) {
--- a/routing/dispatch/src/drain-queue.ts
+++ b/routing/dispatch/src/drain-queue.ts
@@ -1,11 +1,13 @@
 import { compareWaiting } from "./compare-waiting.js";
 import { decideSending } from "./decide-sending.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
-import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { estimateQueueWaitMs } from "./estimate-queue-wait-ms.js";
+import { isTooLate } from "./is-too-late.js";
+import { listEstimates } from "./list-estimates.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
 import type { RequestState } from "./request-state.js";
+import { selectRemainingMs } from "./select-remaining-ms.js";
 import { selectWorkMs } from "./select-work-ms.js";
 import { startAttempt } from "./start-attempt.js";
 
@@ -25,21 +27,21 @@
     let ahead = 0;
     for (const request of listWaiting(draft, name)) {
         const service = draft.service(name);
-        const remainingMs = request.deadlineAtMs - DISPATCH_LIMITS.answerMs - atMs;
-        if (remainingMs <= selectWorkMs(service, request.route) / 2) {
+        if (isTooLate(service, request, atMs)) {
             rejectRequest(draft, request, { reason: REJECT_REASONS.tooLate });
             continue;
         }
-        const { estimate, candidateCount } = decideSending(draft, service, request);
-        if (candidateCount === 0) {
+        const estimates = listEstimates(draft, service, request);
+        const estimate = decideSending(draft, request, { service, estimates });
+        if (estimates.length === 0) {
             rejectRequest(draft, request, { reason: REJECT_REASONS.noServer });
         }
         else if (estimate !== undefined) {
-            startAttempt(draft, request, { estimate, candidateCount, isHedge: false });
+            startAttempt(draft, request, { estimate, candidateCount: estimates.length, isHedge: false });
         }
         else {
             const waitMs = estimateQueueWaitMs(draft, service, { request, ahead });
-            if (waitMs > remainingMs) {
+            if (waitMs > selectRemainingMs(request, atMs)) {
                 rejectRequest(draft, request, { reason: REJECT_REASONS.queueTooLong, waitMs });
             }
             else {
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -10,6 +10,7 @@
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
 import type { RequestState } from "./request-state.js";
+import { selectAttempt } from "./select-attempt.js";
 import { tryAgain } from "./try-again.js";
 
 type AttemptAnswered = Extract<DispatchEvent, { readonly type: "attempt-answered"; }>;
@@ -76,14 +77,14 @@
 
 /** A whole response arrived: relays it, or sends the request elsewhere where that may help and is allowed. */
 export const onAttemptAnswered = (draft: DispatchDraft, event: AttemptAnswered): void => {
-    const found = draft.requestOfAttempt(event.attemptId);
-    const attempt = found?.attempts.find(other => other.attemptId === event.attemptId);
-    if (found === undefined || attempt === undefined) {
+    const found = selectAttempt(draft.base, event.attemptId);
+    if (found === undefined) {
         draft.emit({ type: "discard-response", attemptId: event.attemptId });
         return;
     }
-    learn(draft, found, { attempt, event });
-    const request = endAttempt(draft, draft.request(found.requestKey) ?? found, attempt);
+    const { attempt } = found;
+    learn(draft, found.request, { attempt, event });
+    const request = endAttempt(draft, draft.request(found.request.requestKey) ?? found.request, attempt);
     const failed = event.statusCode >= STATUS_FAILED;
     if (!event.notRun && !failed) {
         relay(draft, request, { attempt, event });
--- a/routing/dispatch/src/on-attempt-failed.ts
+++ b/routing/dispatch/src/on-attempt-failed.ts
@@ -6,22 +6,23 @@
 import { noteFailure } from "./note-failure.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
+import { selectAttempt } from "./select-attempt.js";
 import { tryAgain } from "./try-again.js";
 
 type AttemptFailed = Extract<DispatchEvent, { readonly type: "attempt-failed"; }>;
 
 /** An attempt ended without a whole response. */
 export const onAttemptFailed = (draft: DispatchDraft, event: AttemptFailed): void => {
-    const found = draft.requestOfAttempt(event.attemptId);
-    const attempt = found?.attempts.find(other => other.attemptId === event.attemptId);
-    if (found === undefined || attempt === undefined) {
+    const found = selectAttempt(draft.base, event.attemptId);
+    if (found === undefined) {
         return;
     }
+    const { attempt } = found;
     noteFailure(draft, attempt.instanceId, { reason: event.reason, weight: 1 });
     draft.log({
         kind: "attempt-failed",
-        requestId: found.requestId,
-        service: found.service,
+        requestId: found.request.requestId,
+        service: found.request.service,
         instanceId: attempt.instanceId,
         reason: event.reason,
         inputs: {
@@ -30,7 +31,7 @@
             attemptMs: Math.round(draft.atMs - attempt.startedAtMs),
         },
     });
-    const ended = endAttempt(draft, found, attempt);
+    const ended = endAttempt(draft, found.request, attempt);
     const isUnsent = event.failure === "unsent";
     const request = isUnsent
         ? { ...ended, sentCount: ended.sentCount - 1, unsentCount: ended.unsentCount + 1 }
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -6,9 +6,11 @@
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { drainQueue } from "./drain-queue.js";
 import { endAttempt } from "./end-attempt.js";
+import { listEstimates } from "./list-estimates.js";
 import { noteFailure } from "./note-failure.js";
 import { noteLoad } from "./note-load.js";
 import type { RequestState } from "./request-state.js";
+import { selectAttempt } from "./select-attempt.js";
 import { sendAttempt } from "./send-attempt.js";
 import type { ServerEstimate } from "./server-estimate.js";
 import { startAttempt } from "./start-attempt.js";
@@ -71,11 +73,12 @@
 
 /** The server said how it is: sends the request, takes it to a server that is better now, or lets it wait. */
 export const onServerChecked = (draft: DispatchDraft, event: ServerChecked): void => {
-    const found = draft.requestOfAttempt(event.attemptId);
-    const attempt = found?.attempts.find(other => other.attemptId === event.attemptId);
-    if (found === undefined || attempt === undefined) {
+    const found = selectAttempt(draft.base, event.attemptId);
+    if (found === undefined) {
         return;
     }
+    const { attempt } = found;
+    const { requestKey, service: name } = found.request;
     const { instanceId, isHedge } = attempt;
     if (!event.isAnswered) {
         noteFailure(draft, instanceId, { reason: "check-failed", weight: FAILURE_WEIGHT });
@@ -83,30 +86,32 @@
     else {
         draft.updateServer(instanceId, { isUnhealthy: !event.isHealthy });
         if (event.load === undefined) {
-            draft.updateService(found.service, { tellsLoad: false });
+            draft.updateService(name, { tellsLoad: false });
         }
         else {
             noteLoad(draft, instanceId, { load: event.load, measuredAtMs: draft.atMs });
         }
     }
-    const ended = endAttempt(draft, draft.request(found.requestKey) ?? found, attempt);
+    const ended = endAttempt(draft, draft.request(requestKey) ?? found.request, attempt);
     const request = !event.isAnswered
         ? { ...ended, triedInstanceIds: [...ended.triedInstanceIds, instanceId] }
         : ended;
     draft.setRequest(request);
-    const service = draft.service(request.service);
+    const service = draft.service(name);
+    const estimates = listEstimates(draft, service, request);
+    const candidateCount = estimates.length;
     // A request that is under way elsewhere does not wait: its second send happens now or not at all.
-    const { estimate, candidateCount } = request.attempts.length > 0 || request.sentCount > 0
-        ? toDecision(chooseServer(draft, service, request))
-        : decideSending(draft, service, request);
+    const estimate = request.attempts.length > 0 || request.sentCount > 0
+        ? chooseServer(draft, estimates)
+        : decideSending(draft, request, { service, estimates });
     const checked = estimate?.server.server.instanceId === instanceId
         ? estimate
-        : chooseServer(draft, service, request, other => other.server.server.instanceId === instanceId).best;
+        : chooseServer(draft, estimates, other => other.server.server.instanceId === instanceId);
     const isKept = estimate !== undefined && checked !== undefined
         && checked.costMs <= estimate.costMs + DISPATCH_LIMITS.moveMarginMs;
     if (isKept) {
         keepPlace(draft, request, { attempt, estimate: checked, candidateCount });
-        drainQueue(draft, request.service);
+        drainQueue(draft, name);
         return;
     }
     logMove(draft, request, { attempt, checked, estimate });
@@ -116,10 +121,5 @@
     else if (request.attempts.length === 0) {
         waitAgain(draft, request);
     }
-    drainQueue(draft, request.service);
+    drainQueue(draft, name);
 };
-
-const toDecision = (choice: ReturnType<typeof chooseServer>): ReturnType<typeof decideSending> => ({
-    estimate: choice.best,
-    candidateCount: choice.candidateCount,
-});
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -2,6 +2,7 @@
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { endAttempt } from "./end-attempt.js";
 import type { RequestState } from "./request-state.js";
+import { selectRemainingMs } from "./select-remaining-ms.js";
 
 const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
@@ -23,7 +24,7 @@
     }
     draft.removeRequest(request);
     const mayHaveRun = request.mayHaveRun || request.attempts.some(attempt => attempt.phase === "sent");
-    const isOverdue = request.deadlineAtMs - DISPATCH_LIMITS.answerMs <= atMs;
+    const isOverdue = selectRemainingMs(request, atMs) <= 0;
     const statusCode = !mayHaveRun
         ? STATUS_UNAVAILABLE
         : isOverdue
--- a/routing/dispatch/src/try-again.ts
+++ b/routing/dispatch/src/try-again.ts
@@ -1,9 +1,9 @@
 import { allowsResend } from "./allows-resend.js";
 import { chooseServer } from "./choose-server.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
-import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { isTooLate } from "./is-too-late.js";
+import { listEstimates } from "./list-estimates.js";
 import type { RequestState } from "./request-state.js";
-import { selectWorkMs } from "./select-work-ms.js";
 import { startAttempt } from "./start-attempt.js";
 
 /** Sends a request, none of whose attempts is left, to another server if budget, deadline and servers allow it. */
@@ -16,12 +16,11 @@
     if (isResend && !allowsResend(draft, service)) {
         return false;
     }
-    const { best, candidateCount } = chooseServer(draft, service, request);
-    const remainingMs = request.deadlineAtMs - DISPATCH_LIMITS.answerMs - draft.atMs;
-    // A send that cannot be answered any more would only use up the budget.
-    if (best === undefined || remainingMs <= selectWorkMs(service, request.route) / 2) {
+    const estimates = listEstimates(draft, service, request);
+    const best = chooseServer(draft, estimates);
+    if (best === undefined || isTooLate(service, request, draft.atMs)) {
         return false;
     }
-    startAttempt(draft, request, { estimate: best, candidateCount, isHedge: false });
+    startAttempt(draft, request, { estimate: best, candidateCount: estimates.length, isHedge: false });
     return true;
 };
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -3,6 +3,7 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { estimateSlowChance } from "./estimate-slow-chance.js";
+import { listEstimates } from "./list-estimates.js";
 import type { RequestState } from "./request-state.js";
 import { startAttempt } from "./start-attempt.js";
 
@@ -25,7 +26,8 @@
         return;
     }
     const service = draft.service(request.service);
-    const { best, candidateCount } = chooseServer(draft, service, request);
+    const estimates = listEstimates(draft, service, request);
+    const best = chooseServer(draft, estimates);
     if (best === undefined) {
         return;
     }
@@ -34,6 +36,6 @@
     const isSlow = seemsSlow && isLastMoment;
     const hangs = seemsLost && atMs + best.totalMs < request.deadlineAtMs;
     if ((isSlow || hangs) && allowsResend(draft, service)) {
-        startAttempt(draft, request, { estimate: best, candidateCount, isHedge: true });
+        startAttempt(draft, request, { estimate: best, candidateCount: estimates.length, isHedge: true });
     }
 };
