--- a/daemon/entry/src/peer-calls.ts
+++ b/daemon/entry/src/peer-calls.ts
@@ -10,10 +10,11 @@
 import type { LineLog } from "./line-log.js";
 import { VmSchema } from "./vm-schema.js";
 
+const ConfirmationSchema = Schema.Struct({ readerId: Schema.String, number: Schema.Int });
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
     nextOffset: Schema.Int,
     ageMs: Schema.Finite,
-    confirmation: Schema.optional(Schema.Struct({ readerId: Schema.String, number: Schema.Int })),
+    confirmation: Schema.optional(ConfirmationSchema),
     registrations: Schema.Array(Schema.Struct({
         offset: Schema.Int,
         instanceId: Schema.String,
@@ -33,7 +34,7 @@
 const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
     text: Schema.String,
     ageMs: Schema.Finite,
-    confirmation: Schema.optional(Schema.Struct({ readerId: Schema.String, number: Schema.Int })),
+    confirmation: Schema.optional(ConfirmationSchema),
 }));
 
 // JSON has no infinity, which is the age of a view that was never confirmed.
--- a/fleet/hubs/src/select-gather-ms.ts
+++ b/fleet/hubs/src/select-gather-ms.ts
@@ -1,5 +1,6 @@
 import { HUB_LIMITS } from "./hub-limits.js";
 import type { HubState } from "./hub-state.js";
+import { isAlive } from "./is-alive.js";
 
 /** How long news wait in the outbox for more. */
 export const selectGatherMs = (state: HubState, atMs: number): number => {
@@ -7,8 +8,9 @@
         return HUB_LIMITS.memberGatherMs;
     }
     let memberCount = 0;
-    for (const { info, aliveAtMs } of state.vms.values()) {
-        if (info.availabilityZone === state.self.availabilityZone && atMs - aliveAtMs <= HUB_LIMITS.vmForgottenMs) {
+    // Runs after each event of a busy hub, so that it makes no list of the members.
+    for (const vm of state.vms.values()) {
+        if (vm.info.availabilityZone === state.self.availabilityZone && isAlive(vm, atMs)) {
             memberCount += 1;
         }
     }
--- a/fleet/hubs/src/select-live-vms.ts
+++ b/fleet/hubs/src/select-live-vms.ts
@@ -1,7 +1,7 @@
-import { HUB_LIMITS } from "./hub-limits.js";
 import type { HubState } from "./hub-state.js";
+import { isAlive } from "./is-alive.js";
 import type { KnownVm } from "./known-vm.js";
 
 /** The other VMs that were heard of lately. */
 export const selectLiveVms = (state: HubState, atMs: number): readonly KnownVm[] =>
-    [...state.vms.values()].filter(vm => atMs - vm.aliveAtMs <= HUB_LIMITS.vmForgottenMs);
+    [...state.vms.values()].filter(vm => isAlive(vm, atMs));
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -76,6 +76,7 @@
     // Callers that are told to come back are spread over this time.
     retryAfterMs: 150,
     retrySpreadMs: 250,
-    // How often waiting requests and running attempts are looked at.
+    // Running attempts are looked at this often at least. A second send goes out within two of these before it is too
+    // late.
     recheckMs: 15,
 } as const;
