refactor(soak): keep the platform's words in its stand-ins

The soak spelled headers, topics, paths and settings of the platform in five files. Backend server, caller, settings file and the writes to the store are now in stand-ins/platform, beside the store; the soak says what happens in the project's words. Whether a caller was connected, a method that reads logs and a path that was handed on were read by nobody and are gone.

--- a/soak/src/check-promises.ts
+++ b/soak/src/check-promises.ts
@@ -1,4 +1,4 @@
-import type { Outcome } from "./outcome.js";
+import type { Outcome } from "@marigoldstall-private/platform";
 import type { VmDisturbance } from "./vm-disturbance.js";
 
 interface SoakRecord {
--- a/soak/src/find-cut-by-stop.ts
+++ b/soak/src/find-cut-by-stop.ts
@@ -1,4 +1,4 @@
-import type { Outcome } from "./outcome.js";
+import type { Outcome } from "@marigoldstall-private/platform";
 import type { VmDisturbance } from "./vm-disturbance.js";
 
 // A kill or a pause this close to a planned stop may have cut the request instead.
--- a/soak/src/run-soak.ts
+++ b/soak/src/run-soak.ts
@@ -1,9 +1,8 @@
+import { type Outcome, PlatformCaller } from "@marigoldstall-private/platform";
 import { RandomSource } from "@marigoldstall-private/random";
 import { checkPromises } from "./check-promises.js";
 import { findCutByStop } from "./find-cut-by-stop.js";
-import type { Outcome } from "./outcome.js";
 import { playFaults } from "./play-faults.js";
-import { SoakCaller } from "./soak-caller.js";
 import { SoakSite } from "./soak-site.js";
 
 interface RunSoakOptions {
@@ -41,11 +40,11 @@
     });
     const outcomes: Outcome[] = [];
     const pending: Promise<void>[] = [];
-    const callers = new Map<string, SoakCaller>();
+    const callers = new Map<string, PlatformCaller>();
     try {
         await site.start();
         for (const vmId of site.vmIds) {
-            callers.set(vmId, new SoakCaller({ vmId, address: site.addressOf(vmId) }));
+            callers.set(vmId, new PlatformCaller({ vmId, address: site.addressOf(vmId), host: site.publicHost }));
         }
         let count = 0;
         const traffic = setInterval(() => {
--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -1,10 +1,15 @@
+import {
+    PlatformServer,
+    READY_PATH,
+    SETTINGS_VARIABLE,
+    StoreStandIn,
+    vmSettings,
+} from "@marigoldstall-private/platform";
 import { ManagedProcess } from "@marigoldstall-private/sites";
-import { StoreStandIn } from "@marigoldstall-private/store";
-import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { FaultProxy } from "./fault-proxy.js";
-import { SoakServer } from "./soak-server.js";
 import type { VmDisturbance } from "./vm-disturbance.js";
 
 const PROGRAM = resolve("target/marigoldstall-entry.cjs");
@@ -13,11 +18,10 @@
 const PORTS = { caller: 28_641, ready: 28_640, control: 28_649, fleet: 27_620 };
 const DRAIN_MS = 2_000;
 const HEARTBEAT_MS = 1_500;
-const VERSION_DIGITS = 8;
-const HEXADECIMAL = 16;
+const SERVICE = "soak";
 
 interface SoakServerEntry {
-    readonly server: SoakServer;
+    readonly server: PlatformServer;
     readonly proxy: FaultProxy;
     readonly proxyPort: number;
     readonly zone: string;
@@ -31,6 +35,8 @@
 
 /** Entry daemons as processes, with a store, backend servers behind proxies, and records of what ran. */
 export class SoakSite {
+    /** Host that callers name in their requests. */
+    readonly publicHost = "soak.example";
     readonly store = new StoreStandIn();
     readonly servers: SoakServerEntry[] = [];
     readonly runs = new Map<string, number[]>();
@@ -94,7 +100,7 @@
                 name: vmId,
                 command: [process.execPath, "--max-old-space-size=160", PROGRAM],
                 logFile: join(this.directory, `${vmId}.log`),
-                environment: { MARIGOLDSTALL_CONFIG: file },
+                environment: { [SETTINGS_VARIABLE]: file },
             }),
         );
     }
@@ -102,7 +108,7 @@
     async untilReady(vmIds: readonly string[]): Promise<void> {
         for (const vmId of vmIds) {
             for (;;) {
-                const answer = await fetch(`http://${this.hostOf(vmId)}:${PORTS.ready}/api/ready`).catch(() =>
+                const answer = await fetch(`http://${this.hostOf(vmId)}:${PORTS.ready}${READY_PATH}`).catch(() =>
                     undefined
                 );
                 if (answer?.status === 200) {
@@ -119,7 +125,7 @@
         const instanceId = `i-${this.nextServer}`;
         const zone = `zone-${this.nextServer % 2}`;
         this.nextServer += 1;
-        const server = new SoakServer({
+        const server = new PlatformServer({
             instanceId,
             workMs: this.opts.workMs,
             onRun: requestId => {
@@ -146,21 +152,7 @@
     /** Publishes a new version of the configuration. */
     configure(): void {
         this.version += 1;
-        const rule = (name: string, kind: string): unknown => ({
-            name,
-            routeType: kind,
-            targetLatency: "400ms",
-            priority: 2,
-            match: { pathPrefix: `/${name}/` },
-            action: { service: "soak", timeout: "1500ms", maxAttempts: 2 },
-        });
-        const configuration = {
-            version: this.version.toString(HEXADECIMAL).padStart(VERSION_DIGITS, "0"),
-            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" },
-            listeners: [{ host: "soak.example", rules: [rule("read", "safe"), rule("write", "unsafe")] }],
-            clusters: [{ name: "soak", healthPath: "/health", maxConns: 220 }],
-        };
-        this.store.topic("keyed.op").put("config", JSON.stringify(configuration));
+        this.store.publish({ version: this.version, host: this.publicHost, service: SERVICE });
     }
 
     async stop(): Promise<void> {
@@ -176,10 +168,6 @@
         this.store.close();
     }
 
-    readLog(vmId: string): string {
-        return readFileSync(join(this.directory, `${vmId}.log`), "utf8");
-    }
-
     private noteRun(instanceId: string, requestId: string): void {
         const nowMs = performance.now();
         this.runs.set(requestId, [...this.runs.get(requestId) ?? [], nowMs]);
@@ -191,47 +179,25 @@
         }
     }
 
-    private register(entry: SoakServerEntry): void {
-        this.store.topic("keyed.servers").put(
-            entry.server.instanceId,
-            JSON.stringify({
-                service: "soak",
-                address: `${SERVER_HOST}:${entry.proxyPort}`,
-                zone: entry.zone,
-                version: "v1",
-                capacity: 2,
-                state: this.drainingSinceMs.has(entry.server.instanceId) ? "draining" : "ready",
-                warmupLeft: "0ms",
-                seq: this.store.callCount,
-            }),
-        );
+    private register({ server, proxyPort, zone }: SoakServerEntry): void {
+        this.store.register({
+            instanceId: server.instanceId,
+            service: SERVICE,
+            address: `${SERVER_HOST}:${proxyPort}`,
+            availabilityZone: zone,
+            slots: server.slots,
+            isDraining: this.drainingSinceMs.has(server.instanceId),
+        });
     }
 
     private settings(vmId: string): unknown {
-        const host = this.hostOf(vmId);
-        return {
-            nodeName: vmId,
-            zone: `zone-${Number(vmId.slice(3)) % 2}`,
-            region: "soak",
-            ip: host,
-            listen: {
-                front: `${host}:${PORTS.caller}`,
-                ready: `${host}:${PORTS.ready}`,
-                control: `${host}:${PORTS.control}`,
-            },
-            internalPorts: [PORTS.fleet, PORTS.fleet + 10],
-            seeds: [],
-            bootstrap: false,
-            limits: { cpuShare: 1, cores: 1, linkMbps: 100 },
-            heartbeat: `${HEARTBEAT_MS}ms`,
-            bounds: {
-                grace: "6s",
-                retryBudgetRatio: 0.2,
-                budgetWindow: "10s",
-                budgetSlack: 58,
-                probesPerS: 60,
-            },
-            platform: { address: this.storeAddress },
-        };
+        return vmSettings({
+            vmId,
+            availabilityZone: `zone-${Number(vmId.slice(3)) % 2}`,
+            host: this.hostOf(vmId),
+            ports: PORTS,
+            heartbeatMs: HEARTBEAT_MS,
+            storeAddress: this.storeAddress,
+        });
     }
 }
--- a/soak/src/outcome.ts
+++ b/stand-ins/platform/src/outcome.ts
@@ -8,6 +8,4 @@
     /** Absent when the connection ended without an answer. */
     readonly statusCode: number | undefined;
     readonly body: string;
-    /** Whether the connection was established. */
-    readonly connected: boolean;
 }
--- a/soak/src/soak-caller.ts
+++ b/stand-ins/platform/src/platform-caller.ts
@@ -6,14 +6,16 @@
 const PATIENCE_MS = DEADLINE_MS + 1_000;
 
 /** Sends requests to one VM over kept connections, which it goes on using until they are closed. */
-export class SoakCaller {
+export class PlatformCaller {
     private readonly agent = new Agent({ keepAlive: true });
     private readonly vmId: string;
     private readonly address: string;
+    private readonly host: string;
 
-    constructor(opts: { readonly vmId: string; readonly address: string; }) {
+    constructor(opts: { readonly vmId: string; readonly address: string; readonly host: string; }) {
         this.vmId = opts.vmId;
         this.address = opts.address;
+        this.host = opts.host;
     }
 
     send(requestId: string, opts: { readonly isIdempotent: boolean; }): Promise<Outcome> {
@@ -21,11 +23,10 @@
         const sentAtMs = performance.now();
         const [host = "", port = ""] = this.address.split(":");
         return new Promise(resolve => {
-            let connected = false;
             const end = (statusCode: number | undefined, body: string): void => {
                 clearTimeout(timer);
                 const endedAtMs = performance.now();
-                resolve({ requestId, isIdempotent, vmId: this.vmId, sentAtMs, endedAtMs, statusCode, body, connected });
+                resolve({ requestId, isIdempotent, vmId: this.vmId, sentAtMs, endedAtMs, statusCode, body });
             };
             const request = httpRequest({
                 agent: this.agent,
@@ -33,19 +34,11 @@
                 port,
                 method: isIdempotent ? "GET" : "POST",
                 path: isIdempotent ? "/read/1" : "/write/1",
-                headers: { "Host": "soak.example", "X-Request-Id": requestId, "X-Deadline-Ms": DEADLINE_MS },
+                headers: { "Host": this.host, "X-Request-Id": requestId, "X-Deadline-Ms": DEADLINE_MS },
             });
             const timer = setTimeout(() => {
                 request.destroy();
             }, PATIENCE_MS);
-            request.on("socket", socket => {
-                connected = !socket.connecting;
-                if (socket.connecting) {
-                    socket.once("connect", () => {
-                        connected = true;
-                    });
-                }
-            });
             request.on("error", () => {
                 end(undefined, "");
             });
--- a/soak/src/soak-server.ts
+++ b/stand-ins/platform/src/platform-server.ts
@@ -1,25 +1,27 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 
-interface SoakServerOptions {
+interface PlatformServerOptions {
     readonly instanceId: string;
     readonly workMs: () => number;
     /** Called when the server begins to work on a request. */
-    readonly onRun: (requestId: string, path: string) => void;
+    readonly onRun: (requestId: string) => void;
 }
 
 const SLOTS = 2;
 const QUEUE = 4;
 
 /** A backend server that works on two requests at a time. */
-export class SoakServer {
+export class PlatformServer {
     readonly instanceId: string;
-    private readonly opts: SoakServerOptions;
+    /** Requests that it works on at a time. */
+    readonly slots = SLOTS;
+    private readonly opts: PlatformServerOptions;
     private readonly server: Server;
     private inFlight = 0;
     private readonly queue: (() => void)[] = [];
 
-    constructor(opts: SoakServerOptions) {
+    constructor(opts: PlatformServerOptions) {
         this.opts = opts;
         this.instanceId = opts.instanceId;
         this.server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
@@ -71,7 +73,7 @@
                 return;
             }
             this.inFlight += 1;
-            this.opts.onRun(requestId, request.url ?? "");
+            this.opts.onRun(requestId);
             setTimeout(() => {
                 this.inFlight -= 1;
                 response.writeHead(200, { "X-Request-Id": requestId, "X-Server-Stamp": "s" });
--- /dev/null
+++ b/stand-ins/platform/src/settings-variable.ts
@@ -0,0 +1,2 @@
+/** Environment variable with the path of the settings file. */
+export const SETTINGS_VARIABLE = "MARIGOLDSTALL_CONFIG";
--- a/stand-ins/store/src/store-stand-in.ts
+++ b/stand-ins/platform/src/store-stand-in.ts
@@ -1,9 +1,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { KeyedTopic } from "./keyed-topic.js";
+import type { PublishedService } from "./published-service.js";
+import type { RegisteredServer } from "./registered-server.js";
 import type { StoreFault } from "./store-fault.js";
 
 const LENGTH_BYTES = 4;
+const CONFIGURATION_TOPIC = "keyed.op";
+const REGISTRATIONS_TOPIC = "keyed.servers";
+const VERSION_DIGITS = 8;
+const HEXADECIMAL = 16;
 
 /** The store on a loopback address. */
 export class StoreStandIn {
@@ -37,7 +43,47 @@
         this.server.closeAllConnections();
     }
 
-    topic(name: string): KeyedTopic {
+    /** Writes a version of the configuration, as the operator does. */
+    publish(published: PublishedService): void {
+        const { host, service, version } = published;
+        const rule = (name: string, kind: string): unknown => ({
+            name,
+            routeType: kind,
+            targetLatency: "400ms",
+            priority: 2,
+            match: { pathPrefix: `/${name}/` },
+            action: { service, timeout: "1500ms", maxAttempts: 2 },
+        });
+        const configuration = {
+            version: version.toString(HEXADECIMAL).padStart(VERSION_DIGITS, "0"),
+            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" },
+            listeners: [{ host, rules: [rule("read", "safe"), rule("write", "unsafe")] }],
+            clusters: [{ name: service, healthPath: "/health", maxConns: 220 }],
+        };
+        this.topic(CONFIGURATION_TOPIC).put("config", JSON.stringify(configuration));
+    }
+
+    /** Writes the entry of a backend server, as the server does. */
+    register(server: RegisteredServer): void {
+        const entry = {
+            service: server.service,
+            address: server.address,
+            zone: server.availabilityZone,
+            version: "v1",
+            capacity: server.slots,
+            state: server.isDraining ? "draining" : "ready",
+            warmupLeft: "0ms",
+            seq: this.callCount,
+        };
+        this.topic(REGISTRATIONS_TOPIC).put(server.instanceId, JSON.stringify(entry));
+    }
+
+    /** Drops the records of registrations; the newest of each server can still be listed. */
+    forgetRegistrationHistory(): void {
+        this.topic(REGISTRATIONS_TOPIC).forgetHistory();
+    }
+
+    private topic(name: string): KeyedTopic {
         let topic = this.topics.get(name);
         if (topic === undefined) {
             topic = new KeyedTopic();
--- /dev/null
+++ b/stand-ins/platform/src/vm-settings-options.ts
@@ -0,0 +1,14 @@
+/** Options of {@link vmSettings}. */
+export interface VmSettingsOptions {
+    readonly vmId: string;
+    readonly availabilityZone: string;
+    readonly host: string;
+    readonly ports: {
+        readonly caller: number;
+        readonly ready: number;
+        readonly control: number;
+        readonly fleet: number;
+    };
+    readonly heartbeatMs: number;
+    readonly storeAddress: string;
+}
