feat(dispatch): learn the work of a route from its first responses

Cause: the first estimate is a share of the latency target.

Ruled out: taking the estimates of the hub, as a hub knows routes by its own requests only.

Change: the first responses count more, and the first one may change the guess by a factor of four. A send line tells how long ago the hub recommended servers; datagrams are counted by type.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -105,7 +105,7 @@
             host: settings.host,
             port: settings.fleetPort,
             onMessage: (message, host) => {
-                this.metrics.datagrams.inc({ direction: "received" });
+                this.metrics.datagrams.inc({ direction: "received", type: message.type });
                 this.detectPause();
                 if (clock.atMs() < this.ignoreDatagramsUntilMs) {
                     return;
@@ -320,7 +320,7 @@
                 return;
             }
             case "send-message":
-                this.metrics.datagrams.inc({ direction: "sent" }, effect.hosts.length);
+                this.metrics.datagrams.inc({ direction: "sent", type: effect.message.type }, effect.hosts.length);
                 this.fleetSocket.send(effect.hosts, effect.message);
                 return;
             case "hub-changed":
--- a/daemon/entry/src/entry-metrics.ts
+++ b/daemon/entry/src/entry-metrics.ts
@@ -53,8 +53,8 @@
     });
     readonly datagrams = new Counter({
         name: "marigoldstall_datagrams_total",
-        help: "Datagrams of the fleet, by direction.",
-        labelNames: ["direction"],
+        help: "Datagrams of the fleet, by direction and type.",
+        labelNames: ["direction", "type"],
         registers: [this.registry],
     });
     private readonly server: Server;
--- a/routing/dispatch/src/create-service.ts
+++ b/routing/dispatch/src/create-service.ts
@@ -9,6 +9,7 @@
     queue: [],
     running: new Set(),
     workMs: new Map(),
+    workSamples: new Map(),
     responseBytes: new Map(),
     slowness: DISPATCH_LIMITS.initialSlowness,
     lastSlotFactor: DISPATCH_LIMITS.initialLastSlotFactor,
--- a/routing/dispatch/src/dispatch-service.ts
+++ b/routing/dispatch/src/dispatch-service.ts
@@ -11,6 +11,8 @@
     readonly running: ReadonlySet<string>;
     /** Estimated duration of a request on a VM at normal speed, by route. */
     readonly workMs: ReadonlyMap<string, number>;
+    /** Number of responses that the estimated duration is based on, by route. */
+    readonly workSamples: ReadonlyMap<string, number>;
     /** Average size of a response, by route. */
     readonly responseBytes: ReadonlyMap<string, number>;
     /** Average slowness factor of its VMs. */
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -5,6 +5,15 @@
 import type { RequestState } from "./request-state.js";
 import type { ServerEstimate } from "./server-estimate.js";
 
+const WITHOUT_HUB = -1;
+const MAX_LOGGED_AGE_MS = 1e6;
+
+// How long ago the hub recommended servers, or -1 if this VM decides by its own reports.
+const selectHubAnswerAgeMs = (draft: DispatchDraft, service: string): number =>
+    draft.state.loadQueryIntervalMs === undefined
+        ? WITHOUT_HUB
+        : Math.round(Math.min(draft.atMs - draft.service(service).loadsAnsweredAtMs, MAX_LOGGED_AGE_MS));
+
 /** Sends a request to the server on which its attempt has reserved a slot. */
 export const sendAttempt = (draft: DispatchDraft, request: RequestState, opts: {
     readonly attempt: AttemptState;
@@ -70,7 +79,8 @@
             idleConnections: estimate.server.idleConnections,
             expectedMs: Math.round(estimate.totalMs),
             slownessPercent: load?.slownessPercent ?? -1,
-            loadAgeMs: Math.round(Math.min(estimate.reportAgeMs, 1e6)),
+            loadAgeMs: Math.round(Math.min(estimate.reportAgeMs, MAX_LOGGED_AGE_MS)),
+            hubAnswerAgeMs: selectHubAnswerAgeMs(draft, request.service),
             waitedMs: Math.round(atMs - request.arrivedAtMs),
             remainingMs: Math.round(request.deadlineAtMs - atMs),
         },
--- a/routing/dispatch/src/update-work-estimates.ts
+++ b/routing/dispatch/src/update-work-estimates.ts
@@ -6,8 +6,11 @@
 import { selectResponseBytes } from "./select-response-bytes.js";
 import { selectWorkMs } from "./select-work-ms.js";
 
-// One response changes an estimate by no more than this factor in either direction.
+// One response changes an estimate by no more than this factor in either direction. The first response may change it
+// more, as it replaces a guess.
 const MAX_RATIO = 2;
+const INITIAL_MAX_RATIO = 4;
+const INITIAL_SAMPLES = 1;
 // The duration on a VM that was probably slow says nothing about the work.
 const MAX_SLOW_CHANCE = 0.5;
 
@@ -34,7 +37,9 @@
         return;
     }
     const ratio = (draft.atMs - attempt.startedAtMs) / Math.max(1, attempt.reportBasedMs);
-    const bounded = Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio));
+    const samples = (service.workSamples.get(name) ?? 0) + 1;
+    const maxRatio = samples <= INITIAL_SAMPLES ? INITIAL_MAX_RATIO : MAX_RATIO;
+    const bounded = Math.min(maxRatio, Math.max(1 / maxRatio, ratio));
     if (attempt.tookLastSlot) {
         const factor = Math.max(1, service.lastSlotFactor * bounded);
         const lastSlotFactor = movingAverage(service.lastSlotFactor, factor, DISPATCH_LIMITS.lastSlotFactorWeight);
@@ -42,9 +47,12 @@
         return;
     }
     const measuredMs = workMs * bounded;
+    // A VM of a large fleet sees few responses, so the first ones count more.
+    const weight = Math.max(DISPATCH_LIMITS.workWeight, 1 / samples);
     draft.setService({
         ...service,
         responseBytes,
-        workMs: new Map(service.workMs).set(name, movingAverage(workMs, measuredMs, DISPATCH_LIMITS.workWeight)),
+        workMs: new Map(service.workMs).set(name, movingAverage(workMs, measuredMs, weight)),
+        workSamples: new Map(service.workSamples).set(name, samples),
     });
 };
