refactor(hubs): name the events of a heartbeat after it

Cause: message-received meant one of four datagrams since load queries came.

No behaviour changes.

Conclusion: names follow the types of the datagrams.

--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -12,7 +12,7 @@
 /** Events of the root reducer. */
 export type EntryEvent =
     | { readonly type: "tick"; }
-    | { readonly type: "message-received"; readonly message: StatusMessage; readonly peerAddress: string; }
+    | { readonly type: "status-received"; readonly message: StatusMessage; readonly peerAddress: string; }
     /** The VM was suspended for a time that the clock did not count. */
     | { readonly type: "resumed"; readonly uncountedMs: number; }
     | { readonly type: "updates-received"; readonly message: UpdatesMessage; }
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -87,13 +87,13 @@
     });
 };
 
-const onMessage = (
+const onStatus = (
     draft: EntryDraft,
-    event: Extract<EntryEvent, { readonly type: "message-received"; }>,
+    event: Extract<EntryEvent, { readonly type: "status-received"; }>,
 ): void => {
     const { atMs } = draft;
     const { message, peerAddress } = event;
-    draft.applyHubEvent({ type: "message-received", atMs, message });
+    draft.applyHubEvent({ type: "status-received", atMs, message });
     draft.applyViewEvent({ type: "view-summary-received", atMs, peerAddress, summary: message.summary });
     if (message.vms.length > 0) {
         // VMs that stopped responding may return after using part of the retry budget, so the count never decreases
@@ -159,8 +159,8 @@
         case "tick":
             onTick(draft);
             return;
-        case "message-received":
-            onMessage(draft, event);
+        case "status-received":
+            onStatus(draft, event);
             return;
         case "resumed":
             draft.applyViewEvent({ ...event, atMs });
--- a/daemon/entry/src/to-entry-event.ts
+++ b/daemon/entry/src/to-entry-event.ts
@@ -12,7 +12,7 @@
 ): EntryEvent => {
     switch (message.type) {
         case "status":
-            return { type: "message-received", message, peerAddress: sender.peerAddress };
+            return { type: "status-received", message, peerAddress: sender.peerAddress };
         case "updates":
             return { type: "updates-received", message };
         case "load-query":
--- a/fleet/hubs/src/hub-event.ts
+++ b/fleet/hubs/src/hub-event.ts
@@ -13,7 +13,7 @@
         readonly summarize: (sinceOffset: number) => ViewSummary;
     }
     | { readonly type: "vms-found"; readonly atMs: number; readonly vms: readonly VmInfo[]; }
-    | { readonly type: "message-received"; readonly atMs: number; readonly message: StatusMessage; }
+    | { readonly type: "status-received"; readonly atMs: number; readonly message: StatusMessage; }
     | { readonly type: "updates-received"; readonly atMs: number; readonly message: UpdatesMessage; }
     | {
         /** This VM received a load report directly from a backend server. */
--- a/fleet/hubs/src/receive-message.ts
+++ b/fleet/hubs/src/receive-status.ts
@@ -22,7 +22,7 @@
 };
 
 /** Updates the known VMs from a heartbeat. */
-export const receiveMessage = (state: HubState, message: StatusMessage, atMs: number): HubState => {
+export const receiveStatus = (state: HubState, message: StatusMessage, atMs: number): HubState => {
     const { sender, isHub } = message;
     const isOwnHub = isHub && sender.availabilityZone === state.self.availabilityZone;
     return {
--- a/fleet/hubs/src/reduce-hub.ts
+++ b/fleet/hubs/src/reduce-hub.ts
@@ -5,7 +5,7 @@
 import { queueFailures } from "./queue-failures.js";
 import { queueLoadUpdates } from "./queue-load-updates.js";
 import { queueSentRequest } from "./queue-sent-request.js";
-import { receiveMessage } from "./receive-message.js";
+import { receiveStatus } from "./receive-status.js";
 import { receiveUpdates } from "./receive-updates.js";
 import { tickHub } from "./tick-hub.js";
 
@@ -30,8 +30,8 @@
             return tickHub(state, event);
         case "vms-found":
             return { state: addVms(state, event), effects: [] };
-        case "message-received":
-            return { state: receiveMessage(state, event.message, event.atMs), effects: [] };
+        case "status-received":
+            return { state: receiveStatus(state, event.message, event.atMs), effects: [] };
         case "updates-received":
             return { state: receiveUpdates(state, event.message, event.atMs), effects: [] };
         case "load-reported": {
--- a/fleet/hubs/test/hubs.test.ts
+++ b/fleet/hubs/test/hubs.test.ts
@@ -88,7 +88,7 @@
         for (const [vmId, { self }] of this.states) {
             if (hosts.includes(self.host) && !this.silent.has(vmId)) {
                 if (message.type === "status") {
-                    this.apply(vmId, { type: "message-received", atMs: this.atMs, message });
+                    this.apply(vmId, { type: "status-received", atMs: this.atMs, message });
                 }
                 else if (message.type === "updates") {
                     this.apply(vmId, { type: "updates-received", atMs: this.atMs, message });
