--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -4,7 +4,6 @@
 import { StoreClient } from "@marigoldstall/platform.adapter";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
-import type { BufferedResponse } from "./buffered-response.js";
 import { CallerListener } from "./caller-listener.js";
 import { createEntryState } from "./create-entry-state.js";
 import { createIncarnation } from "./create-incarnation.js";
@@ -23,7 +22,7 @@
 import { ReadinessListener } from "./readiness-listener.js";
 import { reduceEntry } from "./reduce-entry.js";
 import { selectTickDelayMs } from "./select-tick-delay-ms.js";
-import { ServerAttempt } from "./server-attempt.js";
+import { ServerAttempts } from "./server-attempts.js";
 import { StoreReader } from "./store-reader.js";
 import { toEntryEvent } from "./to-entry-event.js";
 
@@ -54,8 +53,7 @@
     private readonly healthChecks: HealthChecks;
     private readonly callerListener: CallerListener;
     private readonly readinessListener: ReadinessListener;
-    private readonly attempts = new Map<string, ServerAttempt>();
-    private readonly responses = new Map<string, BufferedResponse>();
+    private readonly serverAttempts: ServerAttempts;
     private readonly reduce: typeof reduceEntry;
     private readonly pauseDetector: PauseDetector;
     private ignoreDatagramsUntilMs = -Infinity;
@@ -63,6 +61,7 @@
     private timer: NodeJS.Timeout | undefined;
     private nextTickAtMs = Infinity;
     private isListening = false;
+    private isStopped = false;
     private stopRequestedAtMs: number | undefined;
     private shutdownPromise: Promise<void> | undefined;
 
@@ -125,6 +124,7 @@
                 this.metrics.connectionsOpened.inc();
             },
         });
+        this.serverAttempts = new ServerAttempts({ pools: this.pools, metrics: this.metrics, clock, dispatch });
         this.healthChecks = new HealthChecks({ pools: this.pools, metrics: this.metrics, dispatch });
         this.callerListener = new CallerListener({
             nowMs: clock.atMs,
@@ -159,7 +159,10 @@
             this.callerListener.listen(settings.listen.caller),
         ]);
         this.isListening = true;
-        void this.joiner.join();
+        this.joiner.join().catch((error: unknown) => {
+            // Only a shutdown ends the retries.
+            this.log.write("join-ended", { problem: String(error) });
+        });
         this.tick();
         if (this.metricsPort !== undefined) {
             addGauges(this.metrics, {
@@ -206,6 +209,9 @@
                 setTimeout(resolve, ENTRY_TIMINGS.stopPollIntervalMs);
             });
         }
+        this.joiner.stop();
+        clearTimeout(this.timer);
+        this.isStopped = true;
         this.log.write("stopped", { unfinished: this.callerListener.unfinishedCount });
         await new Promise<void>(resolve => {
             this.log.flush(resolve);
@@ -276,6 +282,9 @@
     }
 
     private scheduleTick(): void {
+        if (this.isStopped) {
+            return;
+        }
         const atMs = this.clock.atMs();
         const delayMs = Math.max(1, selectTickDelayMs(this.state, atMs));
         if (this.nextTickAtMs <= atMs + delayMs) {
@@ -327,25 +336,23 @@
                 this.log.write("hub-changed", { isHub: effect.isHub, silentMs: Math.round(effect.silentMs) });
                 return;
             case "start-attempt":
-                this.startAttempt(effect);
+                this.serverAttempts.start(effect, this.callerListener.find(effect.requestKey));
                 return;
             case "check-server":
                 this.healthChecks.sendPreflightCheck(effect);
                 return;
             case "cancel-attempt":
-                this.attempts.get(effect.attemptId)?.cancel();
-                this.attempts.delete(effect.attemptId);
+                this.serverAttempts.cancel(effect.attemptId);
                 return;
             case "relay-response": {
-                const bufferedResponse = this.responses.get(effect.attemptId);
-                this.responses.delete(effect.attemptId);
+                const bufferedResponse = this.serverAttempts.takeResponse(effect.attemptId);
                 if (bufferedResponse !== undefined) {
                     this.callerListener.relay(effect.requestKey, bufferedResponse);
                 }
                 return;
             }
             case "discard-response":
-                this.responses.delete(effect.attemptId);
+                this.serverAttempts.takeResponse(effect.attemptId);
                 return;
             case "reject-request":
                 this.callerListener.reject(effect.requestKey, effect);
@@ -361,38 +368,4 @@
                 return;
         }
     }
-
-    private startAttempt(effect: Extract<EntryEffect, { readonly type: "start-attempt"; }>): void {
-        const { attemptId, requestKey, instanceId, address } = effect;
-        const request = this.callerListener.find(requestKey);
-        if (request === undefined) {
-            return;
-        }
-        const attempt = new ServerAttempt({
-            effect,
-            request,
-            pool: this.pools.get(instanceId, address),
-            clock: this.clock,
-            onResponse: ({ bufferedResponse, notRun, load }) => {
-                this.attempts.delete(attemptId);
-                this.metrics.attempts.inc({ result: notRun ? "not-run" : "answered" });
-                this.responses.set(attemptId, bufferedResponse);
-                this.dispatch({
-                    type: "attempt-answered",
-                    attemptId,
-                    statusCode: bufferedResponse.statusCode,
-                    notRun,
-                    bodyBytes: bufferedResponse.body.length,
-                    load,
-                });
-            },
-            onFailed: (failure, reason) => {
-                this.attempts.delete(attemptId);
-                this.metrics.attempts.inc({ result: failure });
-                this.dispatch({ type: "attempt-failed", attemptId, failure, reason });
-            },
-        });
-        this.attempts.set(attemptId, attempt);
-        attempt.start();
-    }
 }
--- a/daemon/entry/src/fleet-joiner.ts
+++ b/daemon/entry/src/fleet-joiner.ts
@@ -34,11 +34,17 @@
  */
 export class FleetJoiner {
     private readonly opts: FleetJoinerOptions;
+    private readonly abortController = new AbortController();
 
     constructor(opts: FleetJoinerOptions) {
         this.opts = opts;
     }
 
+    /** Ends the retries. */
+    stop(): void {
+        this.abortController.abort();
+    }
+
     /** Retries until a seed has answered, or this VM's entry is in the store and the others know it. */
     async join(): Promise<void> {
         const { isFirstStart } = this.opts.settings;
@@ -49,6 +55,7 @@
             Effect.tryPromise(() => this.joinThroughStore()).pipe(
                 Effect.retry(Schedule.spaced(ENTRY_TIMINGS.joinRetryDelayMs)),
             ),
+            { signal: this.abortController.signal },
         );
     }
 
--- a/daemon/entry/test/entry-daemon.test.ts
+++ b/daemon/entry/test/entry-daemon.test.ts
@@ -1,6 +1,7 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { EntryDaemon, type EntryEvent, reduceEntry } from "@marigoldstall/daemon.entry";
 import { expect } from "chai";
+import { type AddressInfo, createServer } from "node:net";
 
 const SETTINGS: EntrySettings = {
     vmId: "vm-1",
@@ -19,6 +20,18 @@
     maxProbesPerSecond: 60,
 };
 
+const findFreePort = async (): Promise<number> => {
+    const server = createServer();
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => {
+        server.close(resolve);
+    });
+    return port;
+};
+
 describe("EntryDaemon", () => {
     // Regression: a second SIGTERM ended the process immediately and cut off requests that the graceful shutdown was
     // still completing (soak seed 1847992079).
@@ -44,7 +57,7 @@
         };
 
         it("answers 503 to the request and serves the next ones", async () => {
-            const port = 18_761;
+            const port = await findFreePort();
             const settings = { ...SETTINGS, listen: { ...SETTINGS.listen, caller: `127.0.0.1:${port}` } };
             const daemon = new EntryDaemon({ settings, reduce: failOn("request-arrived") });
             await daemon.start();
