feat(dispatch): measure the round trip to other zones

Cause: 3 ms between zones suits two sites; the large site has 1.8 ms, others may have tens.

Ruled out: measuring by the requests themselves, which work and wait; and the round trip to callers, which the process cannot see.

Change: preflight checks on open connections measure it, the least one counts most.

Conclusion: one figure of a site less in the code. callerRoundTripMs is left.

--- a/routing/dispatch/src/attempt-state.ts
+++ b/routing/dispatch/src/attempt-state.ts
@@ -18,4 +18,6 @@
     /** Whether no load report measured after the start has been received yet. */
     readonly awaitsReport: boolean;
     readonly isHedge: boolean;
+    /** Whether the server was checked on an open connection, so that the check took one round trip. */
+    readonly checkedOnOpenConnection: boolean;
 }
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -12,6 +12,7 @@
     retryBudget: opts.retryBudget,
     vmCount: INITIAL_VM_COUNT,
     loadQueryIntervalMs: undefined,
+    roundTripMsByZone: new Map(),
     configuration: undefined,
     services: new Map(),
     requests: new Map(),
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -42,9 +42,11 @@
     onTimeWorkFactor: 1.1,
     // A late request takes any free slot once no more than this multiple of its work is left until its deadline.
     nearDeadlineWorkFactor: 2.5,
-    // Round trip to another availability zone, and what a KB between zones counts: a response in the own zone may take
-    // this much longer. It stands for the price of traffic between zones, as a transfer takes far less.
-    crossZoneRoundTripMs: 3,
+    // Round trip to another availability zone until it is measured, and the weight of a longer measurement.
+    initialCrossZoneRoundTripMs: 3,
+    roundTripWeight: 0.02,
+    // What a KB between zones counts: a response in the own zone may take this much longer. It stands for the price of
+    // traffic between zones, as a transfer takes far less.
     crossZoneMsPerKb: 5,
     // Headers of a request and its response, and the preflight check.
     exchangeOverheadKb: 1,
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -10,6 +10,8 @@
     readonly vmCount: number;
     /** Minimum time between two load queries for a service; undefined while this VM has no hub to ask. */
     readonly loadQueryIntervalMs: number | undefined;
+    /** Measured round trip to the backend servers of each zone. */
+    readonly roundTripMsByZone: ReadonlyMap<string, number>;
     readonly configuration: RoutingConfiguration | undefined;
     readonly services: ReadonlyMap<string, DispatchService>;
     readonly requests: ReadonlyMap<string, RequestState>;
--- a/routing/dispatch/src/estimate-eligible-servers.ts
+++ b/routing/dispatch/src/estimate-eligible-servers.ts
@@ -29,7 +29,7 @@
     const { triedInstanceIds } = request;
     const opts = {
         atMs,
-        availabilityZone: draft.state.availabilityZone,
+        zones: draft.state,
         workMs: selectWorkMs(service, request.route),
         responseBytes: selectResponseBytes(service, request.route),
     };
--- a/routing/dispatch/src/estimate-server.ts
+++ b/routing/dispatch/src/estimate-server.ts
@@ -2,7 +2,9 @@
 import { decayFailures } from "./decay-failures.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { DispatchService } from "./dispatch-service.js";
+import type { DispatchState } from "./dispatch-state.js";
 import { estimateDurationMs } from "./estimate-duration-ms.js";
+import { selectZoneDetourMs } from "./select-zone-detour-ms.js";
 import type { ServerEstimate } from "./server-estimate.js";
 import type { ServerState } from "./server-state.js";
 
@@ -11,7 +13,7 @@
 
 interface EstimateServerOptions {
     readonly atMs: number;
-    readonly availabilityZone: string;
+    readonly zones: Pick<DispatchState, "availabilityZone" | "roundTripMsByZone">;
     readonly workMs: number;
     readonly responseBytes: number;
 }
@@ -40,8 +42,9 @@
     });
     // On average, the first slot is freed after half of a request, and each further one after a whole request.
     const waitMs = aheadCount === 0 ? 0 : (aheadCount - 0.5) / slots * workMs * service.slowness;
-    const isSameZone = server.server.availabilityZone === opts.availabilityZone;
-    const zoneRoundTripMs = isSameZone ? 0 : DISPATCH_LIMITS.crossZoneRoundTripMs;
+    const { availabilityZone } = server.server;
+    const isSameZone = availabilityZone === opts.zones.availabilityZone;
+    const zoneRoundTripMs = selectZoneDetourMs(opts.zones, availabilityZone);
     const totalMs = waitMs + durationMs + zoneRoundTripMs;
     const reportBasedMs = waitMs + workMs * coldFactor * slotFactor * slowness + zoneRoundTripMs;
     const transferKb = opts.responseBytes / BYTES_PER_KB + DISPATCH_LIMITS.exchangeOverheadKb;
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -9,6 +9,7 @@
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { recordFailure } from "./record-failure.js";
 import { recordLoad } from "./record-load.js";
+import { recordRoundTrip } from "./record-round-trip.js";
 import type { RequestState } from "./request-state.js";
 import { selectAttempt } from "./select-attempt.js";
 import { sendAttempt } from "./send-attempt.js";
@@ -88,6 +89,7 @@
     }
     else {
         draft.updateServer(instanceId, { isUnhealthy: !event.isHealthy });
+        recordRoundTrip(draft, attempt);
         if (event.load === undefined) {
             draft.updateService(name, { reportsLoad: false });
         }
--- a/routing/dispatch/src/select-loads.ts
+++ b/routing/dispatch/src/select-loads.ts
@@ -37,10 +37,9 @@
     opts: { readonly question: LoadQuestion; readonly atMs: number; readonly random: () => number; },
 ): readonly ServerState[] => {
     const { atMs, question: { workMs, responseBytes } } = opts;
-    const { availabilityZone } = state;
     return selectEligibleServers(service, { atMs })
         .map(server => {
-            const { commonCostMs } = estimateServer(service, server, { atMs, availabilityZone, workMs, responseBytes });
+            const { commonCostMs } = estimateServer(service, server, { atMs, zones: state, workMs, responseBytes });
             return { server, costMs: commonCostMs + opts.random() * DISPATCH_LIMITS.costJitterMs };
         })
         .sort((a, b) => a.costMs - b.costMs)
--- a/routing/dispatch/src/start-attempt.ts
+++ b/routing/dispatch/src/start-attempt.ts
@@ -37,6 +37,7 @@
         tookLastSlot: estimate.takesLastSlot,
         awaitsReport: true,
         isHedge,
+        checkedOnOpenConnection: needsCheck && estimate.server.idleConnections > 0,
     };
     const started = {
         ...request,
