feat(entry): let hubs list the fleet again at the first start

Small VMs take 2 s to start, write their entries after the hubs have listed them, and so listed the fleet themselves: about 200 of 312.

Ruled out: a call of the store's groups, which names members only by partitions.

Traffic starts 10 s or more after the machines.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -95,6 +95,7 @@
             log,
             fetchPeerVms: address => this.peerRpc.fetchVms(address),
             hasHub: () => selectLiveHub(this.state.hub, clock.atMs()) !== undefined,
+            isHub: () => this.state.hub.isHub,
             random: () => clock.random(),
             onVmsFound: vms => {
                 dispatch({ type: "vms-found", vms });
--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -30,9 +30,13 @@
     datagramSettleMs: 50,
     joinRetryDelayMs: 400,
     // At the first start of the whole system all VMs write their entry within 0.3 s. A VM lists the entries after the
-    // delay, plus up to twice the spread depending on its bandwidth and chance, unless a hub has found it by then.
+    // delay, a part of the spread by chance, and up to the last delay by its bandwidth, unless a hub has found it by then.
     listDelayMs: 400,
     listDelaySpreadMs: 1_000,
+    listDelayOfSmallVmMs: 4_500,
+    // A hub lists the entries again, for VMs that take seconds to start.
+    hubListIntervalMs: 1_800,
+    hubListRounds: 2,
     // Idle timeout until a configuration is active. Callers reuse connections that have been idle for up to 12 s.
     initialIdleTimeoutMs: 15_000,
     rpcTimeoutMs: 600,
--- a/daemon/entry/src/fleet-joiner.ts
+++ b/daemon/entry/src/fleet-joiner.ts
@@ -23,6 +23,7 @@
     readonly fetchPeerVms: (address: string) => Promise<readonly VmInfo[]>;
     /** Whether a hub has found this VM. */
     readonly hasHub: () => boolean;
+    readonly isHub: () => boolean;
     readonly random: () => number;
     readonly onVmsFound: (vms: readonly VmInfo[]) => void;
 }
@@ -80,7 +81,7 @@
     }
 
     private async joinThroughStore(): Promise<void> {
-        const { settings, store, log, onVmsFound } = this.opts;
+        const { settings, store, log } = this.opts;
         const write = await store.write("vms", settings.vmId, JSON.stringify(toVmInfo(settings)));
         if (write.isErr()) {
             return this.fail(write.error.error.message);
@@ -89,24 +90,54 @@
             log.write("joined-by-hub", {});
             return;
         }
+        const problem = await this.list();
+        if (problem !== undefined) {
+            return this.fail(problem);
+        }
+        if (settings.isFirstStart) {
+            await this.listAgainAsHub();
+        }
+    }
+
+    /** Lists the entries in the store. Returns the problem if that fails. */
+    private async list(): Promise<string | undefined> {
+        const { store, log, onVmsFound } = this.opts;
         const list = await store.listNewest("vms");
         if (list.isErr()) {
-            return this.fail(list.error.error.message);
+            return list.error.error.message;
         }
         const vms = list.value.records.flatMap(({ value }) => Option.toArray(decodeVm(value)));
         log.write("joined", { vms: vms.length });
         onVmsFound(vms);
+        return undefined;
     }
 
     // Listing calls of the store are billed. When all VMs start together, the likely hubs list first and tell the rest.
     private async waitForHub(): Promise<boolean> {
         const { settings, random, hasHub } = this.opts;
         const rankShare = Math.max(0, 1 - settings.linkMbps / HUB_LINK_MBPS);
-        const delayMs = ENTRY_TIMINGS.listDelayMs + ENTRY_TIMINGS.listDelaySpreadMs * (rankShare + random());
+        await this.wait(
+            ENTRY_TIMINGS.listDelayMs + ENTRY_TIMINGS.listDelaySpreadMs * random()
+                + ENTRY_TIMINGS.listDelayOfSmallVmMs * rankShare,
+        );
+        return hasHub();
+    }
+
+    // Small VMs take longer to start, so they write their entries after the hubs have listed them for the first time.
+    private async listAgainAsHub(): Promise<void> {
+        for (let round = 0; round < ENTRY_TIMINGS.hubListRounds; round += 1) {
+            await this.wait(ENTRY_TIMINGS.hubListIntervalMs);
+            const problem = this.opts.isHub() ? await this.list() : undefined;
+            if (problem !== undefined) {
+                this.opts.log.write("join-failed", { problem });
+            }
+        }
+    }
+
+    private async wait(durationMs: number): Promise<void> {
         await new Promise(resolve => {
-            setTimeout(resolve, delayMs);
+            setTimeout(resolve, durationMs);
         });
-        return hasHub();
     }
 
     // While the store is unavailable, a seed provides the hubs, which distribute everything else.
--- a/daemon/entry/test/fleet-joiner.test.ts
+++ b/daemon/entry/test/fleet-joiner.test.ts
@@ -13,6 +13,7 @@
     readonly rejectedWrites?: number;
     readonly seeds?: Readonly<Record<string, readonly string[]>>;
     readonly hasHub?: boolean;
+    readonly isHub?: boolean;
 }
 
 const createJoiner = (fixture: JoinerFixture) => {
@@ -49,6 +50,7 @@
             return Promise.resolve((seeds[address] ?? []).map(vm));
         },
         hasHub: () => fixture.hasHub === true,
+        isHub: () => fixture.isHub === true,
         random: () => 0,
         onVmsFound: vms => {
             found.push(vms.map(info => info.vmId));
@@ -85,6 +87,14 @@
         expect(found).to.deep.equal([["c"]]);
     });
 
+    // A small VM takes 2 s to start on luznik-osr-large. Hubs that listed once did not find it, and 200 of 312 VMs listed
+    // the fleet themselves.
+    it("lists the fleet again as a hub, for VMs that start more slowly", async () => {
+        const { joiner, calls } = createJoiner({ isFirstStart: true, isHub: true });
+        await joiner.join();
+        expect(calls).to.deep.equal(["write", "list", "list", "list"]);
+    });
+
     it("does not list the fleet at the first start when a hub has found this VM", async () => {
         const { joiner, calls } = createJoiner({ isFirstStart: true, hasHub: true });
         await joiner.join();
