test(dispatch): hold that a hedge follows the hub's latest answer

Ruled out: waiting for the answer before the hedge is weighed; the test passes with and without it, as queries are repeated before the last moment.

Change: a test only.

Conclusion: no change of the code.

--- a/routing/dispatch/test/load-queries.test.ts
+++ b/routing/dispatch/test/load-queries.test.ts
@@ -108,6 +108,26 @@
             expect(recommended).to.include(harness.lastAttempt(requestKey).instanceId);
         });
 
+        // By loads from before the first send, a hedge is sent too early and to the wrong server.
+        it("asks again before it hedges, and hedges by the answer", () => {
+            const harness = createMember();
+            const requestKey = harness.arrive();
+            answer(harness, ALL);
+            const first = harness.lastAttempt(requestKey).instanceId;
+            const others = ALL.filter(server => server.instanceId !== first);
+            const [fast] = others;
+            const slow = { load: { ...LOAD, slownessPercent: 500 } };
+            const queriesBefore = harness.effectsOf("query-loads").length;
+            for (let step = 0; step < 120 && harness.effectsOf("query-loads").length === queriesBefore; step += 1) {
+                harness.advance(10);
+            }
+            expect(harness.attemptsOf(requestKey).length).to.equal(1);
+            answer(harness, others.map(server => server === fast ? server : { ...server, ...slow }));
+            harness.advance(100);
+            expect(harness.lastAttempt(requestKey).instanceId).to.equal(fast?.instanceId);
+            expect(first).not.to.equal(fast?.instanceId);
+        });
+
         it("avoids a server that failed requests of other VMs", () => {
             const harness = createMember();
             const requestKey = harness.arrive();
