--- /dev/null
+++ b/core/hash/src/index.ts
@@ -0,0 +1,1 @@
+export { hashText } from "./hash-text.js";
--- a/daemon/entry/src/create-entry-state.ts
+++ b/daemon/entry/src/create-entry-state.ts
@@ -27,6 +27,8 @@
     }),
     hub: createHubState(toVmInfo(settings), opts),
     dispatch: createDispatchState(settings),
+    isProber: false,
+    zoneServerCount: 0,
     lastViewTickAtMs: -Infinity,
     probeIntervalMs: Math.max(
         ENTRY_TIMINGS.probeIntervalMs,
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -1,5 +1,6 @@
 import type { EntrySettings, LoadReport } from "@marigoldstall/core.types";
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
+import { selectLiveHub } from "@marigoldstall/fleet.hubs";
 import { decodeServerResponseHead, StoreClient } from "@marigoldstall/platform.adapter";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
@@ -21,6 +22,7 @@
 import { selectTickDelayMs } from "./select-tick-delay-ms.js";
 import { ServerAttempt } from "./server-attempt.js";
 import { StoreReader } from "./store-reader.js";
+import { toEntryEvent } from "./to-entry-event.js";
 
 const STATUS_OK = 200;
 
@@ -82,6 +84,8 @@
             store: this.store,
             log,
             fetchPeerVms: address => this.peerRpc.fetchVms(address),
+            hasHub: () => selectLiveHub(this.state.hub, clock.atMs()) !== undefined,
+            random: () => clock.random(),
             onVmsFound: vms => {
                 dispatch({ type: "vms-found", vms });
             },
@@ -91,7 +95,7 @@
             port: settings.fleetPort,
             onMessage: (message, host) => {
                 this.metrics.datagrams.inc({ direction: "received" });
-                dispatch({ type: "message-received", message, peerAddress: this.controlAddressOf(host) });
+                dispatch(toEntryEvent(message, { host, peerAddress: this.controlAddressOf(host) }));
             },
             onError: (problem, peer) => {
                 log.write("datagram-problem", { problem, peer });
--- a/daemon/entry/src/entry-effect.ts
+++ b/daemon/entry/src/entry-effect.ts
@@ -3,4 +3,8 @@
 import type { DispatchEffect } from "@marigoldstall/routing.dispatch";
 
 /** Effect of any slice, executed by the daemon. */
-export type EntryEffect = ViewEffect | HubEffect | DispatchEffect;
+export type EntryEffect =
+    | ViewEffect
+    | HubEffect
+    // The reducer passes these two on to the hub slice, which sends them to other VMs.
+    | Exclude<DispatchEffect, { readonly type: "query-loads" | "report-failure"; }>;
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -1,4 +1,4 @@
-import type { FleetMessage, HubEvent } from "@marigoldstall/fleet.hubs";
+import type { HubEvent, LoadAnswer, LoadQuery, StatusMessage, UpdatesMessage } from "@marigoldstall/fleet.hubs";
 import type { ViewEvent } from "@marigoldstall/fleet.view";
 import type { DispatchEvent } from "@marigoldstall/routing.dispatch";
 
@@ -12,7 +12,10 @@
 /** Events of the root reducer. */
 export type EntryEvent =
     | { readonly type: "tick"; }
-    | { readonly type: "message-received"; readonly message: FleetMessage; readonly peerAddress: string; }
+    | { readonly type: "message-received"; readonly message: StatusMessage; readonly peerAddress: string; }
+    | { readonly type: "updates-received"; readonly message: UpdatesMessage; }
+    | { readonly type: "load-query-received"; readonly query: LoadQuery; readonly host: string; }
+    | { readonly type: "load-answer-received"; readonly answer: LoadAnswer; }
     | SliceEvent<HubEvent, "vms-found">
     | SliceEvent<
         ViewEvent,
--- a/daemon/entry/src/entry-state.ts
+++ b/daemon/entry/src/entry-state.ts
@@ -7,6 +7,10 @@
     readonly view: ViewState;
     readonly hub: HubState;
     readonly dispatch: DispatchState;
+    /** Whether this VM probes backend servers. */
+    readonly isProber: boolean;
+    /** Number of registered servers in this VM's zone. */
+    readonly zoneServerCount: number;
     readonly lastViewTickAtMs: number;
     /** Age of a load report at which a hub probes the backend server again. */
     readonly probeIntervalMs: number;
--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -26,6 +26,10 @@
     stopMarginMs: 200,
     stopPollIntervalMs: 25,
     joinRetryDelayMs: 400,
+    // At the first start of the whole system all VMs write their entry within 0.3 s. A VM lists the entries after the
+    // delay, plus up to twice the spread depending on its bandwidth and chance, unless a hub has found it by then.
+    listDelayMs: 400,
+    listDelaySpreadMs: 1_000,
     // Idle timeout until a configuration is active. Callers reuse connections that have been idle for up to 12 s.
     initialIdleTimeoutMs: 15_000,
     rpcTimeoutMs: 600,
--- a/daemon/entry/src/fleet-joiner.ts
+++ b/daemon/entry/src/fleet-joiner.ts
@@ -12,18 +12,25 @@
 
 const decodeVm = Schema.decodeUnknownOption(Schema.fromJsonString(VmSchema));
 
+// A VM with this bandwidth or more lists the fleet without delay, as it is likely to become a hub.
+const HUB_LINK_MBPS = 200;
+
 interface FleetJoinerOptions {
     readonly settings: EntrySettings;
     readonly store: StoreClient;
     readonly log: JsonLogger;
     /** Fetches the VMs that a peer knows. Empty if the peer does not respond. */
     readonly fetchPeerVms: (address: string) => Promise<readonly VmInfo[]>;
+    /** Whether a hub has found this VM. */
+    readonly hasHub: () => boolean;
+    readonly random: () => number;
     readonly onVmsFound: (vms: readonly VmInfo[]) => void;
 }
 
 /**
- * Registers this VM in the store and discovers the others. It writes before it reads, so that of two VMs that start at
- * the same time at least one discovers the other.
+ * Makes this VM known to the others. A VM that restarts asks a seed, which takes no call of the store. Otherwise it
+ * registers in the store and lists the others there. It writes before it lists, so that of two VMs that start at the
+ * same time at least one discovers the other.
  */
 export class FleetJoiner {
     private readonly opts: FleetJoinerOptions;
@@ -32,44 +39,73 @@
         this.opts = opts;
     }
 
-    /** Retries until this VM's entry is written to the store and the entries of the others are read. */
+    /** Retries until a seed has answered, or this VM's entry is in the store and the others know it. */
     async join(): Promise<void> {
+        const { isFirstStart } = this.opts.settings;
+        if (!isFirstStart && await this.joinThroughSeed()) {
+            return;
+        }
         await Effect.runPromise(
-            Effect.tryPromise(() => this.joinOnce()).pipe(
+            Effect.tryPromise(() => this.joinThroughStore()).pipe(
                 Effect.retry(Schedule.spaced(ENTRY_TIMINGS.joinRetryDelayMs)),
             ),
         );
     }
 
-    // If the store is unavailable, a seed VM provides the hubs, which distribute everything else.
-    private async joinThroughSeed(): Promise<void> {
-        for (const address of this.opts.settings.seedAddresses) {
-            const vms = await this.opts.fetchPeerVms(address);
-            if (vms.length > 0) {
-                this.opts.log.write("joined-by-peer", { peer: address, vms: vms.length });
-                this.opts.onVmsFound(vms);
-                return;
-            }
+    // A seed that knows nobody has just started itself.
+    private async joinThroughSeed(): Promise<boolean> {
+        const { settings, log, fetchPeerVms, onVmsFound } = this.opts;
+        const addresses = settings.seedAddresses.filter(address => address !== settings.listen.control);
+        try {
+            const { address, vms } = await Promise.any(addresses.map(async address => {
+                const vms = await fetchPeerVms(address);
+                return vms.length > 1 ? { address, vms } : Promise.reject(new Error(`${address} knows no other VM`));
+            }));
+            log.write("joined-by-peer", { peer: address, vms: vms.length });
+            onVmsFound(vms);
+            return true;
+        }
+        catch (error) {
+            const problem = error instanceof AggregateError ? error.errors.map(String).join("; ") : String(error);
+            log.write("seeds-failed", { problem });
+            return false;
         }
     }
 
-    private async joinOnce(): Promise<void> {
-        const { settings, store, log } = this.opts;
-        const writeResult = await store.write("vms", settings.vmId, JSON.stringify(toVmInfo(settings)));
-        const listResult = writeResult.isErr() ? undefined : await store.listNewest("vms");
-        const failure = writeResult.isErr()
-            ? writeResult.error
-            : listResult?.isErr() === true
-            ? listResult.error
-            : undefined;
-        if (listResult === undefined || listResult.isErr()) {
-            const problem = failure?.error.message;
-            log.write("join-failed", { problem });
-            await this.joinThroughSeed();
-            throw new Error(problem);
+    private async joinThroughStore(): Promise<void> {
+        const { settings, store, log, onVmsFound } = this.opts;
+        const write = await store.write("vms", settings.vmId, JSON.stringify(toVmInfo(settings)));
+        if (write.isErr()) {
+            return this.fail(write.error.error.message);
+        }
+        if (settings.isFirstStart && await this.waitForHub()) {
+            log.write("joined-by-hub", {});
+            return;
+        }
+        const list = await store.listNewest("vms");
+        if (list.isErr()) {
+            return this.fail(list.error.error.message);
         }
-        const vms = listResult.value.records.flatMap(({ value }) => Option.toArray(decodeVm(value)));
+        const vms = list.value.records.flatMap(({ value }) => Option.toArray(decodeVm(value)));
         log.write("joined", { vms: vms.length });
-        this.opts.onVmsFound(vms);
+        onVmsFound(vms);
+    }
+
+    // Listing calls of the store are billed. When all VMs start together, the likely hubs list first and tell the rest.
+    private async waitForHub(): Promise<boolean> {
+        const { settings, random, hasHub } = this.opts;
+        const rankShare = Math.max(0, 1 - settings.linkMbps / HUB_LINK_MBPS);
+        const delayMs = ENTRY_TIMINGS.listDelayMs + ENTRY_TIMINGS.listDelaySpreadMs * (rankShare + random());
+        await new Promise(resolve => {
+            setTimeout(resolve, delayMs);
+        });
+        return hasHub();
+    }
+
+    // While the store is unavailable, a seed provides the hubs, which distribute everything else.
+    private async fail(problem: string): Promise<never> {
+        this.opts.log.write("join-failed", { problem });
+        await this.joinThroughSeed();
+        throw new Error(problem);
     }
 }
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -1,14 +1,22 @@
-import type { Transition } from "@marigoldstall/core.types";
-import { selectLiveVms, selectProbedZoneFilter, selectReadDelayMs } from "@marigoldstall/fleet.hubs";
+import type { BackendServer, Transition } from "@marigoldstall/core.types";
+import {
+    HUB_LIMITS,
+    selectFleetSize,
+    selectLiveHub,
+    selectLoadQueryIntervalMs,
+    selectProbeAssignment,
+    selectReadDelayMs,
+    type UpdatesMessage,
+} from "@marigoldstall/fleet.hubs";
 import { selectViewSummary } from "@marigoldstall/fleet.view";
-import { selectAttempt } from "@marigoldstall/routing.dispatch";
+import { selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 
-const countVms = (draft: EntryDraft): number => 1 + selectLiveVms(draft.state.hub, draft.atMs).length;
+const countVms = (draft: EntryDraft): number => selectFleetSize(draft.state.hub, draft.atMs);
 
 const updateVmCount = (draft: EntryDraft, vmCount: number): void => {
     if (vmCount !== draft.state.dispatch.vmCount) {
@@ -16,17 +24,61 @@
     }
 };
 
+// A VM that is no hub, and hears one, asks it for the loads that a request needs.
+const updateLoadSource = (draft: EntryDraft): void => {
+    const { hub, dispatch } = draft.state;
+    const hasHub = !hub.isHub && selectLiveHub(hub, draft.atMs) !== undefined;
+    const loadQueryIntervalMs = hasHub ? selectLoadQueryIntervalMs(hub, draft.atMs) : undefined;
+    if (loadQueryIntervalMs !== dispatch.loadQueryIntervalMs) {
+        draft.applyDispatchEvent({ type: "load-source-changed", ...draft.eventContext, loadQueryIntervalMs });
+    }
+};
+
+const countZoneServers = (draft: EntryDraft): number => {
+    const { self } = draft.state.hub;
+    let count = 0;
+    for (const { server } of draft.state.view.servers.values()) {
+        if (server.availabilityZone === self.availabilityZone) {
+            count += 1;
+        }
+    }
+    return count;
+};
+
+const updateProber = (draft: EntryDraft): void => {
+    const zoneServerCount = countZoneServers(draft);
+    const isProber = selectProbeAssignment(draft.state.hub, { atMs: draft.atMs, zoneServerCount }) !== undefined;
+    draft.update({ zoneServerCount, isProber });
+};
+
+// Tells from which age of its load report on this VM probes a server.
+const selectProbeDueAge = (draft: EntryDraft): ((server: BackendServer) => number) | undefined => {
+    const { state, atMs } = draft;
+    const { hub, zoneServerCount, isProber } = state;
+    const assignmentOf = isProber || hub.isHub ? selectProbeAssignment(hub, { atMs, zoneServerCount }) : undefined;
+    if (assignmentOf === undefined) {
+        return undefined;
+    }
+    const dueAgeMs = {
+        assigned: state.probeIntervalMs,
+        fallback: Math.max(HUB_LIMITS.proberTimeoutMs, state.probeIntervalMs),
+        none: Infinity,
+    };
+    return server => dueAgeMs[assignmentOf(server)];
+};
+
 const onTick = (draft: EntryDraft): void => {
     const { atMs } = draft;
     if (atMs - draft.state.lastViewTickAtMs >= ENTRY_TIMINGS.viewTickIntervalMs) {
         draft.update({ lastViewTickAtMs: atMs });
+        updateLoadSource(draft);
+        updateProber(draft);
         draft.applyViewEvent({ type: "view-tick", atMs, readDelayMs: selectReadDelayMs(draft.state.hub, atMs) });
     }
     draft.applyDispatchEvent({
         type: "dispatch-tick",
         ...draft.eventContext,
-        probesZone: draft.state.hub.isHub ? selectProbedZoneFilter(draft.state.hub, atMs) : undefined,
-        probeIntervalMs: draft.state.probeIntervalMs,
+        probeDueAgeMs: selectProbeDueAge(draft),
     });
     draft.applyHubEvent({
         type: "hub-tick",
@@ -43,18 +95,6 @@
     const { message, peerAddress } = event;
     draft.applyHubEvent({ type: "message-received", atMs, message });
     draft.applyViewEvent({ type: "view-summary-received", atMs, peerAddress, summary: message.summary });
-    if (message.loads.length > 0 || message.sentRequests.length > 0) {
-        draft.applyDispatchEvent({
-            type: "loads-received",
-            ...draft.eventContext,
-            loads: message.loads.map(({ instanceId, load, ageMs }) => ({
-                instanceId,
-                load,
-                measuredAtMs: atMs - ageMs,
-            })),
-            sentRequests: message.sentRequests.map(({ instanceId, ageMs }) => ({ instanceId, sentAtMs: atMs - ageMs })),
-        });
-    }
     if (message.vms.length > 0) {
         // VMs that stopped responding may return after using part of the retry budget, so the count never decreases
         // here.
@@ -62,6 +102,57 @@
     }
 };
 
+const onUpdates = (draft: EntryDraft, message: UpdatesMessage): void => {
+    const { atMs } = draft;
+    draft.applyHubEvent({ type: "updates-received", atMs, message });
+    draft.applyDispatchEvent({
+        type: "loads-received",
+        ...draft.eventContext,
+        loads: message.loads.map(({ instanceId, load, ageMs }) => ({ instanceId, load, measuredAtMs: atMs - ageMs })),
+        sentRequests: message.sentRequests.map(({ instanceId, ageMs }) => ({ instanceId, sentAtMs: atMs - ageMs })),
+        failures: message.failures,
+        vmId: message.vmId,
+    });
+};
+
+// Only a hub knows more about the servers than the VM that asks.
+const onLoadQuery = (
+    draft: EntryDraft,
+    event: Extract<EntryEvent, { readonly type: "load-query-received"; }>,
+): void => {
+    const { atMs, state } = draft;
+    const selection = state.hub.isHub
+        ? selectLoads(state.dispatch, event.query, { atMs, random: draft.nextRandom })
+        : undefined;
+    if (selection === undefined) {
+        return;
+    }
+    const servers = selection.servers.map(({ measuredAtMs, othersSentAtMs, ...server }) => ({
+        ...server,
+        ageMs: atMs - measuredAtMs,
+        sentRequestAgesMs: othersSentAtMs.map(sentAtMs => atMs - sentAtMs),
+    }));
+    draft.emit({
+        type: "send-message",
+        hosts: [event.host],
+        message: { ...selection, type: "load-answer", servers },
+    });
+};
+
+const onLoadAnswer = (
+    draft: EntryDraft,
+    event: Extract<EntryEvent, { readonly type: "load-answer-received"; }>,
+): void => {
+    const { atMs } = draft;
+    const { service, averageSlowness } = event.answer;
+    const servers = event.answer.servers.map(({ ageMs, sentRequestAgesMs, ...server }) => ({
+        ...server,
+        measuredAtMs: atMs - ageMs,
+        othersSentAtMs: sentRequestAgesMs.map(sentAgeMs => atMs - sentAgeMs),
+    }));
+    draft.applyDispatchEvent({ type: "loads-answered", ...draft.eventContext, service, averageSlowness, servers });
+};
+
 const applyEvent = (draft: EntryDraft, event: EntryEvent): void => {
     const { atMs } = draft;
     switch (event.type) {
@@ -71,6 +162,15 @@
         case "message-received":
             onMessage(draft, event);
             return;
+        case "updates-received":
+            onUpdates(draft, event.message);
+            return;
+        case "load-query-received":
+            onLoadQuery(draft, event);
+            return;
+        case "load-answer-received":
+            onLoadAnswer(draft, event);
+            return;
         case "vms-found":
             draft.applyHubEvent({ ...event, atMs });
             updateVmCount(draft, countVms(draft));
--- a/fleet/hubs/src/create-hub-state.ts
+++ b/fleet/hubs/src/create-hub-state.ts
@@ -1,15 +1,19 @@
+import { HUB_LIMITS } from "./hub-limits.js";
 import type { HubState } from "./hub-state.js";
 import type { VmInfo } from "./vm-info.js";
 
 /** Creates the state of a VM that does not know any other VM yet. */
 export const createHubState = (self: VmInfo, opts: { readonly atMs: number; }): HubState => ({
     self,
-    startedAtMs: opts.atMs,
+    expectsHubSinceMs: opts.atMs + HUB_LIMITS.joinTimeoutMs,
+    hasJoined: false,
     vms: new Map(),
     isHub: false,
-    outbox: { loads: new Map(), sentRequests: [], queuedSinceMs: undefined },
-    lastSentAtMs: -Infinity,
+    outbox: { loads: new Map(), sentRequests: [], failures: [], queuedSinceMs: undefined },
+    heartbeatSentAtMs: -Infinity,
+    peersInformedAtMs: -Infinity,
     vmListSentAtMs: -Infinity,
+    reportedFleetSize: 1,
     announcedOffset: 0,
     repeatWindowOffset: 0,
     repeatWindowStartedAtMs: -Infinity,
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -1,14 +1,22 @@
-import type { Confirmation, RegistrationChange } from "@marigoldstall/fleet.view";
+import type { Confirmation, RegistrationChange, ViewSummary } from "@marigoldstall/fleet.view";
 import { decode } from "@msgpack/msgpack";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
 import type { FleetMessage } from "./fleet-message.js";
+import type { LoadAnswer } from "./load-answer.js";
+import type { LoadQuery } from "./load-query.js";
 import type { LoadUpdate } from "./load-update.js";
 import type { SentRequest } from "./sent-request.js";
+import type { ServerFailure } from "./server-failure.js";
+import type { StatusMessage } from "./status-message.js";
+import type { UpdatesMessage } from "./updates-message.js";
 import type { VmInfo } from "./vm-info.js";
 import type { VmLiveness } from "./vm-liveness.js";
 
 type Row = readonly unknown[];
 
+// Columns of a load report, which the other columns of an answer follow.
+const LOAD_COLUMNS = 6;
+
 const rejectValue = (expected: string): never => {
     throw new TypeError(`expected ${expected}`);
 };
@@ -86,11 +94,12 @@
     return readerId === undefined ? undefined : { readerId: asString(readerId), number: asNumber(readNumber) };
 };
 
-const decodeMessage = (value: unknown): FleetMessage | undefined => {
-    const [version, sender, isHub, view, loads, sentRequests, vms] = asRow(value);
-    if (version !== FLEET_MESSAGE_VERSION) {
-        return undefined;
-    }
+const decodeFailure = (value: unknown): ServerFailure => {
+    const [instanceId, weight] = asRow(value);
+    return { instanceId: asString(instanceId), weight: asNumber(weight) };
+};
+
+const decodeSummary = (value: unknown): ViewSummary => {
     const [
         nextOffset,
         baseOffset,
@@ -100,27 +109,92 @@
         confirmationRow,
         configurationConfirmationRow,
         changes,
-    ] = asRow(view);
+    ] = asRow(value);
     const next = asNumber(nextOffset);
     return {
+        nextOffset: next < 0 ? undefined : next,
+        baseOffset: asNumber(baseOffset),
+        ageMs: asAgeMs(ageMs),
+        confirmation: decodeConfirmation(confirmationRow),
+        configurationConfirmation: decodeConfirmation(configurationConfirmationRow),
+        configurationVersion: asNumber(configurationVersion),
+        configurationAgeMs: asAgeMs(configurationAgeMs),
+        changes: asRow(changes).map(decodeRegistrationChange),
+    };
+};
+
+const decodeStatus = (row: Row): StatusMessage => {
+    const [sender, isHub, view, vms, fleetSize] = row;
+    return {
+        type: "status",
         sender: decodeVm(sender),
         isHub: asBoolean(isHub),
-        summary: {
-            nextOffset: next < 0 ? undefined : next,
-            baseOffset: asNumber(baseOffset),
-            ageMs: asAgeMs(ageMs),
-            confirmation: decodeConfirmation(confirmationRow),
-            configurationConfirmation: decodeConfirmation(configurationConfirmationRow),
-            configurationVersion: asNumber(configurationVersion),
-            configurationAgeMs: asAgeMs(configurationAgeMs),
-            changes: asRow(changes).map(decodeRegistrationChange),
-        },
+        summary: decodeSummary(view),
+        vms: asRow(vms).map(decodeVmLiveness),
+        fleetSize: asNumber(fleetSize),
+    };
+};
+
+const decodeUpdates = (row: Row): UpdatesMessage => {
+    const [vmId, loads, sentRequests, failures] = row;
+    return {
+        type: "updates",
+        vmId: asString(vmId),
         loads: asRow(loads).map(decodeLoadUpdate),
         sentRequests: asRow(sentRequests).map(decodeSentRequest),
-        vms: asRow(vms).map(decodeVmLiveness),
+        failures: asRow(failures).map(decodeFailure),
+    };
+};
+
+const decodeQuery = (row: Row): LoadQuery => {
+    const [vmId, service, workMs, responseBytes, connectedInstanceIds] = row;
+    return {
+        type: "load-query",
+        vmId: asString(vmId),
+        service: asString(service),
+        workMs: asNumber(workMs),
+        responseBytes: asNumber(responseBytes),
+        connectedInstanceIds: asRow(connectedInstanceIds).map(asString),
+    };
+};
+
+const decodeAnswer = (row: Row): LoadAnswer => {
+    const [service, averageSlowness, servers] = row;
+    return {
+        type: "load-answer",
+        service: asString(service),
+        averageSlowness: asNumber(averageSlowness),
+        servers: asRow(servers).map(server => {
+            const [sentRequestAgesMs, failures, isUnused] = asRow(server).slice(LOAD_COLUMNS);
+            return {
+                ...decodeLoadUpdate(server),
+                sentRequestAgesMs: asRow(sentRequestAgesMs).map(asAgeMs),
+                failures: asNumber(failures),
+                isUnused: asBoolean(isUnused),
+            };
+        }),
     };
 };
 
+const decodeMessage = (value: unknown): FleetMessage | undefined => {
+    const [version, type, ...row] = asRow(value);
+    if (version !== FLEET_MESSAGE_VERSION) {
+        return undefined;
+    }
+    switch (type) {
+        case "status":
+            return decodeStatus(row);
+        case "updates":
+            return decodeUpdates(row);
+        case "load-query":
+            return decodeQuery(row);
+        case "load-answer":
+            return decodeAnswer(row);
+        default:
+            return undefined;
+    }
+};
+
 /** Decodes a datagram. Returns undefined if it is malformed or has another version. */
 export const decodeFleetMessage = (bytes: Uint8Array): FleetMessage | undefined => {
     try {
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -2,8 +2,15 @@
 import { encode } from "@msgpack/msgpack";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
 import type { FleetMessage } from "./fleet-message.js";
+import type { LoadAnswer } from "./load-answer.js";
+import type { LoadQuery } from "./load-query.js";
+import type { LoadUpdate } from "./load-update.js";
+import type { StatusMessage } from "./status-message.js";
+import type { UpdatesMessage } from "./updates-message.js";
 import type { VmInfo } from "./vm-info.js";
 
+const FAILURES_PRECISION = 100;
+
 const encodeVm = (vm: VmInfo): readonly unknown[] => [vm.vmId, vm.availabilityZone, vm.host, vm.cores, vm.linkMbps];
 
 const encodeAgeMs = (ageMs: number): number => Number.isFinite(ageMs) ? Math.round(ageMs) : -1;
@@ -11,11 +18,18 @@
 const encodeConfirmation = (confirmation: Confirmation | undefined): readonly unknown[] =>
     confirmation === undefined ? [] : [confirmation.readerId, confirmation.number];
 
-/** Encodes a message as arrays without field names, so that it fits into one packet. */
-export const encodeFleetMessage = (message: FleetMessage): Uint8Array => {
+const encodeLoad = ({ instanceId, load, ageMs }: LoadUpdate): readonly unknown[] => [
+    instanceId,
+    load.inFlight,
+    load.queued,
+    load.slots,
+    load.slownessPercent ?? -1,
+    encodeAgeMs(ageMs),
+];
+
+const encodeStatus = (message: StatusMessage): readonly unknown[] => {
     const { summary } = message;
-    return encode([
-        FLEET_MESSAGE_VERSION,
+    return [
         encodeVm(message.sender),
         message.isHub,
         [
@@ -40,15 +54,50 @@
                 ]
             ),
         ],
-        message.loads.map(({ instanceId, load, ageMs }) => [
-            instanceId,
-            load.inFlight,
-            load.queued,
-            load.slots,
-            load.slownessPercent ?? -1,
-            encodeAgeMs(ageMs),
-        ]),
-        message.sentRequests.map(({ instanceId, ageMs }) => [instanceId, encodeAgeMs(ageMs)]),
         message.vms.map(vm => [encodeVm(vm.info), encodeAgeMs(vm.ageMs)]),
-    ]);
+        message.fleetSize,
+    ];
+};
+
+const encodeUpdates = (message: UpdatesMessage): readonly unknown[] => [
+    message.vmId,
+    message.loads.map(encodeLoad),
+    message.sentRequests.map(({ instanceId, ageMs }) => [instanceId, encodeAgeMs(ageMs)]),
+    message.failures.map(({ instanceId, weight }) => [instanceId, weight]),
+];
+
+const encodeQuery = (query: LoadQuery): readonly unknown[] => [
+    query.vmId,
+    query.service,
+    Math.round(query.workMs),
+    Math.round(query.responseBytes),
+    query.connectedInstanceIds,
+];
+
+const encodeAnswer = (answer: LoadAnswer): readonly unknown[] => [
+    answer.service,
+    answer.averageSlowness,
+    answer.servers.map(server => [
+        ...encodeLoad(server),
+        server.sentRequestAgesMs.map(encodeAgeMs),
+        Math.round(server.failures * FAILURES_PRECISION) / FAILURES_PRECISION,
+        server.isUnused,
+    ]),
+];
+
+const encodeBody = (message: FleetMessage): readonly unknown[] => {
+    switch (message.type) {
+        case "status":
+            return encodeStatus(message);
+        case "updates":
+            return encodeUpdates(message);
+        case "load-query":
+            return encodeQuery(message);
+        case "load-answer":
+            return encodeAnswer(message);
+    }
 };
+
+/** Encodes a message as arrays without field names, so that it fits into one packet. */
+export const encodeFleetMessage = (message: FleetMessage): Uint8Array =>
+    encode([FLEET_MESSAGE_VERSION, message.type, ...encodeBody(message)]);
--- a/fleet/hubs/src/fleet-message-version.ts
+++ b/fleet/hubs/src/fleet-message-version.ts
@@ -1,2 +1,2 @@
 /** Protocol version of the datagrams between daemons. Datagrams of other versions are ignored. */
-export const FLEET_MESSAGE_VERSION = 1;
+export const FLEET_MESSAGE_VERSION = 2;
--- a/fleet/hubs/src/hub-event.ts
+++ b/fleet/hubs/src/hub-event.ts
@@ -1,6 +1,7 @@
 import type { LoadReport } from "@marigoldstall/core.types";
 import type { ViewSummary } from "@marigoldstall/fleet.view";
-import type { FleetMessage } from "./fleet-message.js";
+import type { StatusMessage } from "./status-message.js";
+import type { UpdatesMessage } from "./updates-message.js";
 import type { VmInfo } from "./vm-info.js";
 
 /** Events of the hub reducer. `atMs` is the daemon's monotonic clock. */
@@ -12,7 +13,8 @@
         readonly summarize: (sinceOffset: number) => ViewSummary;
     }
     | { readonly type: "vms-found"; readonly atMs: number; readonly vms: readonly VmInfo[]; }
-    | { readonly type: "message-received"; readonly atMs: number; readonly message: FleetMessage; }
+    | { readonly type: "message-received"; readonly atMs: number; readonly message: StatusMessage; }
+    | { readonly type: "updates-received"; readonly atMs: number; readonly message: UpdatesMessage; }
     | {
         /** This VM received a load report directly from a backend server. */
         readonly type: "load-reported";
@@ -20,4 +22,10 @@
         readonly instanceId: string;
         readonly load: LoadReport;
     }
-    | { readonly type: "request-sent"; readonly atMs: number; readonly instanceId: string; };
+    | { readonly type: "request-sent"; readonly atMs: number; readonly instanceId: string; }
+    | {
+        readonly type: "server-failed";
+        readonly atMs: number;
+        readonly instanceId: string;
+        readonly weight: number;
+    };
--- a/fleet/hubs/src/hub-limits.ts
+++ b/fleet/hubs/src/hub-limits.ts
@@ -1,25 +1,41 @@
-/** Intervals and timeouts of the messages between VMs, in milliseconds. */
+/** Intervals and timeouts of the messages between VMs, in milliseconds unless the name says otherwise. */
 export const HUB_LIMITS = {
-    // A hub sends at least every 100 ms, so this tolerates two lost datagrams and some jitter.
-    hubTimeoutMs: 250,
+    // Interval of a hub's messages to its members. One millisecond per member bounds a hub to 1,000 datagrams per
+    // second, however large its zone is.
+    hubHeartbeatIntervalMs: 100,
+    hubHeartbeatPerMemberMs: 1,
+    // A hub counts as lost after this many intervals, which tolerates a lost datagram and some jitter.
+    hubTimeoutIntervals: 2.5,
+    // A VM that has not found the others yet acts as hub only after this time.
+    joinTimeoutMs: 3_000,
     // Additional wait per rank before a VM takes over as hub, so that only one VM does.
     takeoverStepMs: 60,
-    // Maximum time between two messages of a hub to its peers, and of a member to its hub, when there are no updates.
-    hubHeartbeatIntervalMs: 100,
+    // Maximum time between two messages of a member to its hub when there are no updates.
     memberHeartbeatIntervalMs: 500,
-    // How long updates are batched before they are sent. A hub waits at least one millisecond per member, which limits
-    // it to 1,000 datagrams per second and keeps the CPU time that a member spends on them constant as the zone grows.
-    hubBatchDelayMs: 6,
-    hubBatchDelayPerMemberMs: 1,
+    // Interval of a hub's messages to the other hubs. Updates, which flow all the time, also show that it lives.
+    hubPeerIntervalMs: 200,
+    // How long updates are batched: by a member for its hub, and by a hub for the other zones, where each datagram is
+    // billed. With the probe interval, loads of other zones stay below 100 ms old.
     memberBatchDelayMs: 3,
-    // A VM is considered live for this time after it was last seen. A hub sends the list of live VMs every second.
+    hubBatchDelayMs: 30,
+    // A VM is considered live for this time after it was last seen. A hub sends the list of the live VMs of its zone
+    // at this interval.
     vmExpiryMs: 4_000,
-    vmListIntervalMs: 1_000,
+    vmListIntervalMs: 1_500,
     // Additional delay, by rank, before a VM other than the first hub reads the store itself.
     hubReadDelayStepMs: 250,
     memberReadDelayMs: 700,
     memberReadDelayStepMs: 100,
     maxReadDelayMs: 3_000,
-    // A registration change is repeated in all messages of this period, because datagrams can get lost.
-    changeRepeatWindowMs: 250,
+    // A registration change is repeated in all heartbeats of this period, because datagrams can get lost. It covers two
+    // heartbeats to the other hubs.
+    changeRepeatWindowMs: 450,
+    // A member with waiting requests repeats its query at this interval, plus one millisecond per VM of its zone, which
+    // bounds the queries that a hub gets when the whole zone is overloaded.
+    loadQueryIntervalMs: 10,
+    loadQueryPerMemberMs: 1,
+    // Servers of a zone that one VM probes. Zones with more servers share the probes among several VMs.
+    serversPerProber: 64,
+    // After this time without a report the hub probes a server itself, whichever VM it was assigned to.
+    proberTimeoutMs: 200,
 } as const;
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -1,4 +1,5 @@
 import type { KnownVm } from "./known-vm.js";
+import type { ServerFailure } from "./server-failure.js";
 import type { VmInfo } from "./vm-info.js";
 
 /** Updates that are queued for the next message. */
@@ -6,6 +7,7 @@
     /** Latest load report by instance id of the backend server. */
     readonly loads: ReadonlyMap<string, OutboxLoad>;
     readonly sentRequests: readonly OutboxSentRequest[];
+    readonly failures: readonly ServerFailure[];
     /** When the oldest update was queued, or undefined if the outbox is empty. */
     readonly queuedSinceMs: number | undefined;
 }
@@ -16,25 +18,30 @@
     readonly slots: number;
     readonly slownessPercent: number | undefined;
     readonly measuredAtMs: number;
-    /** Whether the update originates in this VM's zone and must be forwarded to the hubs of the other zones. */
-    readonly isFromOwnZone: boolean;
 }
 
 interface OutboxSentRequest {
     readonly instanceId: string;
     readonly sentAtMs: number;
-    readonly isFromOwnZone: boolean;
 }
 
 /** State of the hub reducer. */
 export interface HubState {
     readonly self: VmInfo;
-    readonly startedAtMs: number;
+    /** From when on this VM expects to hear a hub: when it found the others, or when it gives up looking for them. */
+    readonly expectsHubSinceMs: number;
+    readonly hasJoined: boolean;
     readonly vms: ReadonlyMap<string, KnownVm>;
     readonly isHub: boolean;
+    /** Updates of this VM, and on a hub those of its members, for the hub or the hubs of the other zones. */
     readonly outbox: Outbox;
-    readonly lastSentAtMs: number;
+    /** When the last heartbeat was sent: by a member to its hub, by a hub to its members. */
+    readonly heartbeatSentAtMs: number;
+    /** When a hub last sent a heartbeat to the hubs of the other zones. */
+    readonly peersInformedAtMs: number;
     readonly vmListSentAtMs: number;
+    /** Number of live VMs in the fleet according to this VM's hub. */
+    readonly reportedFleetSize: number;
     /** Registration changes below this offset were repeated long enough and are left out of messages. */
     readonly announcedOffset: number;
     /** Value that `announcedOffset` takes when the current repeat window ends. */
--- a/fleet/hubs/src/queue-load-updates.ts
+++ b/fleet/hubs/src/queue-load-updates.ts
@@ -5,9 +5,8 @@
 export const queueLoadUpdates = (state: HubState, update: {
     readonly atMs: number;
     readonly loads: readonly LoadUpdate[];
-    readonly isFromOwnZone: boolean;
 }): HubState => {
-    const { atMs, isFromOwnZone } = update;
+    const { atMs } = update;
     const { outbox } = state;
     if (update.loads.length === 0) {
         return state;
@@ -18,7 +17,7 @@
         const queuedLoad = loads.get(instanceId);
         if (queuedLoad === undefined || queuedLoad.measuredAtMs < measuredAtMs) {
             const { inFlight, queued, slots, slownessPercent } = load;
-            loads.set(instanceId, { inFlight, queued, slots, slownessPercent, measuredAtMs, isFromOwnZone });
+            loads.set(instanceId, { inFlight, queued, slots, slownessPercent, measuredAtMs });
         }
     }
     return { ...state, outbox: { ...outbox, loads, queuedSinceMs: outbox.queuedSinceMs ?? atMs } };
--- a/fleet/hubs/src/queue-sent-request.ts
+++ b/fleet/hubs/src/queue-sent-request.ts
@@ -5,10 +5,9 @@
     readonly atMs: number;
     readonly instanceId: string;
     readonly sentAtMs: number;
-    readonly isFromOwnZone: boolean;
 }): HubState => {
     const { outbox } = state;
-    const { instanceId, sentAtMs, isFromOwnZone } = sentRequest;
-    const sentRequests = [...outbox.sentRequests, { instanceId, sentAtMs, isFromOwnZone }];
+    const { instanceId, sentAtMs } = sentRequest;
+    const sentRequests = [...outbox.sentRequests, { instanceId, sentAtMs }];
     return { ...state, outbox: { ...outbox, sentRequests, queuedSinceMs: outbox.queuedSinceMs ?? sentRequest.atMs } };
 };
--- a/fleet/hubs/src/receive-message.ts
+++ b/fleet/hubs/src/receive-message.ts
@@ -1,10 +1,8 @@
-import type { FleetMessage } from "./fleet-message.js";
 import type { HubState } from "./hub-state.js";
 import type { KnownVm } from "./known-vm.js";
-import { queueLoadUpdates } from "./queue-load-updates.js";
-import { queueSentRequest } from "./queue-sent-request.js";
+import type { StatusMessage } from "./status-message.js";
 
-const updateVms = (state: HubState, message: FleetMessage, atMs: number): ReadonlyMap<string, KnownVm> => {
+const updateVms = (state: HubState, message: StatusMessage, atMs: number): ReadonlyMap<string, KnownVm> => {
     const vms = new Map(state.vms);
     for (const { info, ageMs } of message.vms) {
         const known = vms.get(info.vmId);
@@ -23,17 +21,15 @@
     return vms;
 };
 
-/** Updates the known VMs from a message and, on a hub, queues its updates for forwarding. */
-export const receiveMessage = (state: HubState, message: FleetMessage, atMs: number): HubState => {
-    const updated = { ...state, vms: updateVms(state, message, atMs) };
-    const isFromOwnZone = message.sender.availabilityZone === state.self.availabilityZone;
-    // Another hub of the same zone sends its updates to the members itself.
-    if (!state.isHub || (isFromOwnZone && message.isHub)) {
-        return updated;
-    }
-    let next = queueLoadUpdates(updated, { atMs, loads: message.loads, isFromOwnZone });
-    for (const { instanceId, ageMs } of message.sentRequests) {
-        next = queueSentRequest(next, { atMs, instanceId, sentAtMs: atMs - ageMs, isFromOwnZone });
-    }
-    return next;
+/** Updates the known VMs from a heartbeat. */
+export const receiveMessage = (state: HubState, message: StatusMessage, atMs: number): HubState => {
+    const { sender, isHub } = message;
+    const isOwnHub = isHub && sender.availabilityZone === state.self.availabilityZone;
+    return {
+        ...state,
+        vms: updateVms(state, message, atMs),
+        hasJoined: true,
+        expectsHubSinceMs: Math.min(state.expectsHubSinceMs, atMs),
+        reportedFleetSize: isOwnHub ? message.fleetSize : state.reportedFleetSize,
+    };
 };
--- a/fleet/hubs/src/reduce-hub.ts
+++ b/fleet/hubs/src/reduce-hub.ts
@@ -2,9 +2,11 @@
 import type { HubEffect } from "./hub-effect.js";
 import type { HubEvent } from "./hub-event.js";
 import type { HubState } from "./hub-state.js";
+import { queueFailures } from "./queue-failures.js";
 import { queueLoadUpdates } from "./queue-load-updates.js";
 import { queueSentRequest } from "./queue-sent-request.js";
 import { receiveMessage } from "./receive-message.js";
+import { receiveUpdates } from "./receive-updates.js";
 import { tickHub } from "./tick-hub.js";
 
 const addVms = (
@@ -17,7 +19,8 @@
             vms.set(info.vmId, { info, lastSeenAtMs: event.atMs, lastSeenAsHubAtMs: -Infinity });
         }
     }
-    return { ...state, vms };
+    const expectsHubSinceMs = Math.min(state.expectsHubSinceMs, event.atMs);
+    return { ...state, vms, hasJoined: true, expectsHubSinceMs };
 };
 
 /** Reducer for hub selection and the messages between VMs. Each VM decides on its own whether it is the hub. */
@@ -29,15 +32,20 @@
             return { state: addVms(state, event), effects: [] };
         case "message-received":
             return { state: receiveMessage(state, event.message, event.atMs), effects: [] };
+        case "updates-received":
+            return { state: receiveUpdates(state, event.message, event.atMs), effects: [] };
         case "load-reported": {
             const { atMs, instanceId, load } = event;
-            const update = { atMs, loads: [{ instanceId, load, ageMs: 0 }], isFromOwnZone: true };
+            const update = { atMs, loads: [{ instanceId, load, ageMs: 0 }] };
             return { state: queueLoadUpdates(state, update), effects: [] };
         }
         case "request-sent": {
             const { atMs, instanceId } = event;
-            const sentRequest = { atMs, instanceId, sentAtMs: atMs, isFromOwnZone: true };
-            return { state: queueSentRequest(state, sentRequest), effects: [] };
+            return { state: queueSentRequest(state, { atMs, instanceId, sentAtMs: atMs }), effects: [] };
+        }
+        case "server-failed": {
+            const { atMs, instanceId, weight } = event;
+            return { state: queueFailures(state, { atMs, failures: [{ instanceId, weight }] }), effects: [] };
         }
     }
 };
--- a/fleet/hubs/src/select-read-delay-ms.ts
+++ b/fleet/hubs/src/select-read-delay-ms.ts
@@ -6,6 +6,9 @@
 
 /** How much longer than the first hub this VM waits before it reads the store itself. */
 export const selectReadDelayMs = (state: HubState, atMs: number): number => {
+    if (!state.hasJoined && !state.isHub) {
+        return HUB_LIMITS.maxReadDelayMs;
+    }
     if (!state.isHub) {
         const delayMs = HUB_LIMITS.memberReadDelayMs + HUB_LIMITS.memberReadDelayStepMs * selectHubRank(state, atMs);
         return Math.min(delayMs, HUB_LIMITS.maxReadDelayMs);
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -1,14 +1,20 @@
 import type { Transition } from "@marigoldstall/core.types";
 import type { ViewSummary } from "@marigoldstall/fleet.view";
 import { compareHubPriority } from "./compare-hub-priority.js";
-import type { FleetMessage } from "./fleet-message.js";
 import type { HubEffect } from "./hub-effect.js";
 import { HUB_LIMITS } from "./hub-limits.js";
 import type { HubState } from "./hub-state.js";
+import type { KnownVm } from "./known-vm.js";
+import { selectFleetSize } from "./select-fleet-size.js";
+import { selectHeartbeatIntervalMs } from "./select-heartbeat-interval-ms.js";
 import { selectHubRank } from "./select-hub-rank.js";
+import { selectHubTimeoutMs } from "./select-hub-timeout-ms.js";
 import { selectHubs } from "./select-hubs.js";
 import { selectLiveVms } from "./select-live-vms.js";
 import { selectMessageDelayMs } from "./select-message-delay-ms.js";
+import type { StatusMessage } from "./status-message.js";
+import type { UpdatesMessage } from "./updates-message.js";
+import type { VmLiveness } from "./vm-liveness.js";
 
 interface TickHubOptions {
     readonly atMs: number;
@@ -17,7 +23,7 @@
 
 // Time since the last message of a hub in this VM's zone with a higher priority.
 const selectHubSilenceMs = (state: HubState, atMs: number): number => {
-    let lastHubSeenAtMs = state.startedAtMs;
+    let lastHubSeenAtMs = state.expectsHubSinceMs;
     for (const { info, lastSeenAsHubAtMs } of state.vms.values()) {
         const hasPriority = info.availabilityZone === state.self.availabilityZone
             && compareHubPriority(info, state.self) < 0;
@@ -32,8 +38,9 @@
 // priority. Nothing is agreed between VMs.
 const updateHubRole = (state: HubState, atMs: number, effects: HubEffect[]): HubState => {
     const hubSilenceMs = selectHubSilenceMs(state, atMs);
-    const isHub = hubSilenceMs >= HUB_LIMITS.hubTimeoutMs
-        && hubSilenceMs >= HUB_LIMITS.hubTimeoutMs + HUB_LIMITS.takeoverStepMs * selectHubRank(state, atMs);
+    const hubTimeoutMs = selectHubTimeoutMs(state, atMs);
+    const isHub = hubSilenceMs >= hubTimeoutMs
+        && hubSilenceMs >= hubTimeoutMs + HUB_LIMITS.takeoverStepMs * selectHubRank(state, atMs);
     if (isHub === state.isHub) {
         return state;
     }
@@ -41,53 +48,92 @@
     return { ...state, isHub };
 };
 
-const isVmListDue = (state: HubState, atMs: number): boolean =>
-    state.isHub && atMs - state.vmListSentAtMs >= HUB_LIMITS.vmListIntervalMs;
+const isInOwnZone = (state: HubState, vm: KnownVm): boolean => vm.info.availabilityZone === state.self.availabilityZone;
 
-const createMessage = (state: HubState, opts: TickHubOptions, scope: "all" | "own-zone"): FleetMessage => {
-    const { outbox, isHub, self } = state;
-    const { atMs } = opts;
-    const isInScope = (item: { readonly isFromOwnZone: boolean; }): boolean => scope === "all" || item.isFromOwnZone;
+// The VMs of this zone, and the hubs of the others, which a member has to know when it takes over as hub.
+const selectAnnouncedVms = (state: HubState, atMs: number): readonly VmLiveness[] => {
+    const hubIds = new Set([...selectHubs(state, atMs).values()].map(({ vmId }) => vmId));
+    return selectLiveVms(state, atMs)
+        .filter(vm => isInOwnZone(state, vm) || hubIds.has(vm.info.vmId))
+        .map(({ info, lastSeenAtMs }) => ({ info, ageMs: atMs - lastSeenAtMs }));
+};
+
+const createHeartbeat = (
+    state: HubState,
+    opts: TickHubOptions & { readonly includesVms: boolean; },
+): StatusMessage => ({
+    type: "status",
+    sender: state.self,
+    isHub: state.isHub,
+    summary: opts.summarize(state.announcedOffset),
+    vms: opts.includesVms ? selectAnnouncedVms(state, opts.atMs) : [],
+    fleetSize: selectFleetSize(state, opts.atMs),
+});
+
+const createUpdates = (state: HubState, atMs: number): UpdatesMessage => ({
+    type: "updates",
+    vmId: state.self.vmId,
+    loads: [...state.outbox.loads].map(([instanceId, load]) => ({ instanceId, load, ageMs: atMs - load.measuredAtMs })),
+    sentRequests: state.outbox.sentRequests.map(({ instanceId, sentAtMs }) => ({
+        instanceId,
+        ageMs: atMs - sentAtMs,
+    })),
+    failures: state.outbox.failures,
+});
+
+// The hubs to which this VM reports: its own one, or those of the other zones if it is the hub itself.
+const selectReceivers = (state: HubState, atMs: number): readonly string[] =>
+    [...selectHubs(state, atMs)]
+        .filter(([zone]) => (zone === state.self.availabilityZone) !== state.isHub)
+        .map(([, hub]) => hub.host);
+
+const sendUpdates = (state: HubState, atMs: number, effects: HubEffect[]): HubState => {
+    const { queuedSinceMs } = state.outbox;
+    const batchDelayMs = state.isHub ? HUB_LIMITS.hubBatchDelayMs : HUB_LIMITS.memberBatchDelayMs;
+    if (queuedSinceMs === undefined || atMs - queuedSinceMs < batchDelayMs) {
+        return state;
+    }
+    const hosts = selectReceivers(state, atMs);
+    if (hosts.length > 0) {
+        effects.push({ type: "send-message", hosts, message: createUpdates(state, atMs) });
+    }
     return {
-        sender: self,
-        isHub,
-        summary: opts.summarize(state.announcedOffset),
-        loads: [...outbox.loads].filter(([, load]) => isInScope(load)).map(([instanceId, load]) => ({
-            instanceId,
-            load,
-            ageMs: atMs - load.measuredAtMs,
-        })),
-        sentRequests: outbox.sentRequests.filter(isInScope).map(({ instanceId, sentAtMs }) => ({
-            instanceId,
-            ageMs: atMs - sentAtMs,
-        })),
-        vms: isVmListDue(state, atMs)
-            ? selectLiveVms(state, atMs).map(({ info, lastSeenAtMs }) => ({ info, ageMs: atMs - lastSeenAtMs }))
-            : [],
+        ...state,
+        outbox: { loads: new Map(), sentRequests: [], failures: [], queuedSinceMs: undefined },
     };
 };
 
-const sendMessages = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): void => {
+const isVmListDue = (state: HubState, atMs: number): boolean =>
+    state.isHub && atMs - state.vmListSentAtMs >= HUB_LIMITS.vmListIntervalMs;
+
+const sendHeartbeat = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
     const { atMs } = opts;
-    const hubs = selectHubs(state, atMs);
-    const ownZone = state.self.availabilityZone;
-    if (!state.isHub) {
-        const hub = hubs.get(ownZone);
-        if (hub !== undefined) {
-            effects.push({ type: "send-message", hosts: [hub.host], message: createMessage(state, opts, "all") });
-        }
-        return;
+    const includesVms = isVmListDue(state, atMs);
+    const intervalMs = state.isHub ? selectHeartbeatIntervalMs(state, atMs) : HUB_LIMITS.memberHeartbeatIntervalMs;
+    if (!includesVms && atMs - state.heartbeatSentAtMs < intervalMs) {
+        return state;
+    }
+    const hosts = state.isHub
+        ? selectLiveVms(state, atMs).filter(vm => isInOwnZone(state, vm)).map(vm => vm.info.host)
+        : selectReceivers(state, atMs);
+    if (hosts.length > 0) {
+        effects.push({ type: "send-message", hosts, message: createHeartbeat(state, { ...opts, includesVms }) });
     }
-    const members = selectLiveVms(state, atMs).filter(vm => vm.info.availabilityZone === ownZone);
-    const otherHubs = [...hubs].filter(([zone]) => zone !== ownZone);
-    if (members.length > 0) {
-        const hosts = members.map(vm => vm.info.host);
-        effects.push({ type: "send-message", hosts, message: createMessage(state, opts, "all") });
+    return { ...advanceRepeatWindow(state, opts), heartbeatSentAtMs: atMs };
+};
+
+// Traffic between zones is billed, so the other hubs get fewer heartbeats than the members.
+const sendHeartbeatToPeers = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
+    const { atMs } = opts;
+    const includesVms = isVmListDue(state, atMs);
+    if (!state.isHub || (!includesVms && atMs - state.peersInformedAtMs < HUB_LIMITS.hubPeerIntervalMs)) {
+        return state;
     }
-    if (otherHubs.length > 0) {
-        const hosts = otherHubs.map(([, hub]) => hub.host);
-        effects.push({ type: "send-message", hosts, message: createMessage(state, opts, "own-zone") });
+    const hosts = selectReceivers(state, atMs);
+    if (hosts.length > 0) {
+        effects.push({ type: "send-message", hosts, message: createHeartbeat(state, { ...opts, includesVms }) });
     }
+    return { ...state, peersInformedAtMs: atMs };
 };
 
 // Registration changes are repeated for a window of time and left out of the messages after that.
@@ -111,14 +157,11 @@
     if (selectMessageDelayMs(updated, atMs) > 0) {
         return { state: updated, effects };
     }
-    sendMessages(updated, opts, effects);
-    return {
-        state: {
-            ...advanceRepeatWindow(updated, opts),
-            outbox: { loads: new Map(), sentRequests: [], queuedSinceMs: undefined },
-            lastSentAtMs: atMs,
-            vmListSentAtMs: isVmListDue(updated, atMs) ? atMs : updated.vmListSentAtMs,
-        },
+    const isListDue = isVmListDue(updated, atMs);
+    const sent = sendHeartbeat(
+        sendHeartbeatToPeers(sendUpdates(updated, atMs, effects), opts, effects),
+        opts,
         effects,
-    };
+    );
+    return { state: isListDue ? { ...sent, vmListSentAtMs: atMs } : sent, effects };
 };
--- /dev/null
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -0,0 +1,92 @@
+import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
+import { expect } from "chai";
+import { createVm } from "./create-vm.js";
+import { LOAD } from "./load.js";
+import { SUMMARY } from "./summary.js";
+
+describe("fleet.hubs, datagram encoding", () => {
+    it("decodes an encoded message to an equal one", () => {
+        const message: FleetMessage = {
+            type: "status",
+            sender: createVm("1", "a"),
+            isHub: true,
+            summary: {
+                ...SUMMARY,
+                changes: [
+                    { offset: 4, instanceId: "i-1", server: undefined },
+                    {
+                        offset: 5,
+                        instanceId: "i-2",
+                        server: {
+                            instanceId: "i-2",
+                            startedAtUnixMs: 1770000000000,
+                            service: "one",
+                            address: "127.0.0.1:1",
+                            availabilityZone: "a",
+                            slots: 2,
+                            isDraining: true,
+                            warmUpMs: 30,
+                        },
+                    },
+                ],
+            },
+            vms: [{ info: createVm("2", "b"), ageMs: 100 }],
+            fleetSize: 3,
+        };
+        expect(decodeFleetMessage(encodeFleetMessage(message))).to.deep.equal(message);
+    });
+
+    it("decodes encoded updates, a load query and its answer to equal ones", () => {
+        const messages: readonly FleetMessage[] = [
+            {
+                type: "updates",
+                vmId: "1",
+                loads: [{ instanceId: "i-2", load: LOAD, ageMs: 12 }],
+                sentRequests: [{ instanceId: "i-2", ageMs: 3 }],
+                failures: [{ instanceId: "i-2", weight: 0.5 }],
+            },
+            {
+                type: "load-query",
+                vmId: "1",
+                service: "one",
+                workMs: 160,
+                responseBytes: 800,
+                connectedInstanceIds: ["i-2"],
+            },
+            {
+                type: "load-answer",
+                service: "one",
+                averageSlowness: 1.5,
+                servers: [
+                    {
+                        instanceId: "i-2",
+                        load: LOAD,
+                        ageMs: 12,
+                        sentRequestAgesMs: [3, 4],
+                        failures: 0.5,
+                        isUnused: true,
+                    },
+                ],
+            },
+        ];
+        for (const message of messages) {
+            expect(decodeFleetMessage(encodeFleetMessage(message))).to.deep.equal(message);
+        }
+    });
+
+    it("rejects a truncated or malformed datagram and one of another version", () => {
+        const bytes = encodeFleetMessage({
+            type: "status",
+            sender: createVm("1", "a"),
+            isHub: false,
+            summary: SUMMARY,
+            vms: [],
+            fleetSize: 1,
+        });
+        expect(decodeFleetMessage(bytes.subarray(0, 9))).to.equal(undefined);
+        expect(decodeFleetMessage(Uint8Array.from([1]))).to.equal(undefined);
+        const other = Uint8Array.from(bytes);
+        other[1] = 9;
+        expect(decodeFleetMessage(other)).to.equal(undefined);
+    });
+});
--- a/routing/dispatch/src/count-occupied.ts
+++ b/routing/dispatch/src/count-occupied.ts
@@ -8,7 +8,7 @@
     const reported = isValid ? load.inFlight + load.queued : 0;
     const sinceAtMs = isValid ? measuredAtMs - DISPATCH_LIMITS.sendTransitMs : -Infinity;
     const unreported =
-        server.unreportedSendsAtMs.filter(sentAtMs =>
+        server.unreportedSends.filter(({ sentAtMs }) =>
             sentAtMs > sinceAtMs && atMs - sentAtMs <= DISPATCH_LIMITS.unreportedSendValidForMs
         ).length;
     return Math.max(server.ownInFlight, reported + unreported);
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -11,6 +11,7 @@
     availabilityZone: opts.availabilityZone,
     retryBudget: opts.retryBudget,
     vmCount: INITIAL_VM_COUNT,
+    loadQueryIntervalMs: undefined,
     configuration: undefined,
     services: new Map(),
     requests: new Map(),
--- a/routing/dispatch/src/create-service.ts
+++ b/routing/dispatch/src/create-service.ts
@@ -13,6 +13,8 @@
     slowness: DISPATCH_LIMITS.initialSlowness,
     lastSlotFactor: DISPATCH_LIMITS.initialLastSlotFactor,
     reportsLoad: true,
+    loadsQueriedAtMs: -Infinity,
+    loadsAnsweredAtMs: -Infinity,
     requests: rollingCounts.empty,
     resends: rollingCounts.empty,
 });
--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -4,25 +4,23 @@
 import type { DispatchEffect } from "./dispatch-effect.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { DispatchState } from "./dispatch-state.js";
+import { RandomSequence } from "./random-sequence.js";
 import type { RequestState } from "./request-state.js";
 import type { ServerState } from "./server-state.js";
 
-const MULTIPLIER = 16_807;
-const MODULUS = 2_147_483_647;
-
 /** Working copy of the state during one event. Its maps are copied on first write. */
 export class DispatchDraft {
     readonly atMs: number;
     readonly effects: DispatchEffect[] = [];
     private current: DispatchState;
-    private seed: number;
+    private readonly randomSequence: RandomSequence;
     private readonly copiedMaps = new Set<keyof DispatchState>();
     private readonly copiedServerMaps = new Map<string, Map<string, ServerState>>();
 
     constructor(state: DispatchState, opts: { readonly atMs: number; readonly random: number; }) {
         this.current = state;
         this.atMs = opts.atMs;
-        this.seed = 1 + Math.floor(opts.random * (MODULUS - 2));
+        this.randomSequence = new RandomSequence(opts.random);
     }
 
     get state(): DispatchState {
@@ -35,8 +33,7 @@
 
     /** Next value of a pseudo-random sequence that is seeded with the event's random number. */
     nextRandom(): number {
-        this.seed = this.seed * MULTIPLIER % MODULUS;
-        return this.seed / MODULUS;
+        return this.randomSequence.next();
     }
 
     service(name: string): DispatchService {
--- a/routing/dispatch/src/dispatch-effect.ts
+++ b/routing/dispatch/src/dispatch-effect.ts
@@ -34,5 +34,19 @@
         readonly address: string;
         readonly healthPath: string;
     }
+    | {
+        /** Asks the hub which servers suit a request. */
+        readonly type: "query-loads";
+        readonly service: string;
+        readonly workMs: number;
+        readonly responseBytes: number;
+        readonly connectedInstanceIds: readonly string[];
+    }
+    | {
+        /** Tells the other VMs of a failure that this VM has seen. */
+        readonly type: "report-failure";
+        readonly instanceId: string;
+        readonly weight: number;
+    }
     | { readonly type: "close-connections"; readonly instanceId: string; readonly address: string; }
     | { readonly type: "log-decision"; readonly decision: DecisionRecord; };
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -1,5 +1,6 @@
-import type { LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BackendServer, LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
+import type { LoadSelection } from "./load-selection.js";
 
 interface Timed {
     readonly atMs: number;
@@ -54,7 +55,12 @@
                 readonly measuredAtMs: number;
             }[];
             readonly sentRequests: readonly { readonly instanceId: string; readonly sentAtMs: number; }[];
+            readonly failures: readonly { readonly instanceId: string; readonly weight: number; }[];
+            /** VM that sent the message with these updates. */
+            readonly vmId: string;
         }
+        | ({ readonly type: "loads-answered"; } & LoadSelection)
+        | { readonly type: "load-source-changed"; readonly loadQueryIntervalMs: number | undefined; }
         | {
             readonly type: "probe-answered";
             readonly instanceId: string;
@@ -72,8 +78,7 @@
         | { readonly type: "vm-count-changed"; readonly vmCount: number; }
         | {
             readonly type: "dispatch-tick";
-            /** Whether this VM probes the servers of a zone; undefined when it probes none. */
-            readonly probesZone: ((availabilityZone: string) => boolean) | undefined;
-            readonly probeIntervalMs: number;
+            /** Age of a server's load report from which on this VM probes it; undefined when it probes none. */
+            readonly probeDueAgeMs: ((server: BackendServer) => number) | undefined;
         }
     );
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -19,6 +19,20 @@
     // Maximum number of checks per request, and by how much another server has to be better to replace a checked one.
     maxChecks: 4,
     moveMarginMs: 25,
+    // A VM that has no load reports of its own asks its hub when the last answer is older than this, and decides by what
+    // it knows if there is no answer within the second time. A round trip within a zone takes below 1 ms.
+    loadsFreshForMs: 10,
+    loadAnswerTimeoutMs: 8,
+    // Servers in the answer to a load query. They are the best ones for the request, so that a few collisions with
+    // other VMs still leave a choice.
+    answeredServers: 16,
+    // Servers with a valid report below which a VM also considers those that its hub has not recommended.
+    minReportedServers: 4,
+    // Servers with idle connections that a load query names.
+    maxConnectedServers: 8,
+    // A server of the own zone that joined and got no request yet is taken first among equals, even if it still warms
+    // up, so that new capacity comes into use.
+    unusedBonusShare: 0.6,
     // An older report is ignored.
     reportValidForMs: 1_000,
     // Approximate time until a sent request reaches the server and counts in its load reports.
@@ -28,10 +42,12 @@
     onTimeWorkFactor: 1.1,
     // A late request takes any free slot once no more than this multiple of its work is left until its deadline.
     nearDeadlineWorkFactor: 2.5,
-    // Round trip to another availability zone, and the transfer time per KB of a response. The latter also stands for
-    // the price of cross-zone traffic.
+    // Round trip to another availability zone, and what a KB between zones counts: a response in the own zone may take
+    // this much longer. It stands for the price of traffic between zones, as a transfer takes far less.
     crossZoneRoundTripMs: 3,
-    crossZoneMsPerKb: 1,
+    crossZoneMsPerKb: 5,
+    // Headers of a request and its response, and the preflight check.
+    exchangeOverheadKb: 1,
     // New connections are billed. One is avoided if another server costs less than this share of the work more. The
     // value is below the cost of taking the last slot of a server.
     newConnectionShare: 0.45,
--- a/routing/dispatch/src/dispatch-service.ts
+++ b/routing/dispatch/src/dispatch-service.ts
@@ -19,6 +19,9 @@
     readonly lastSlotFactor: number;
     /** Whether its servers report their load; assumed until one of them answers a preflight check without a report. */
     readonly reportsLoad: boolean;
+    /** When this VM last asked its hub for the loads of the servers, and when it last got an answer. */
+    readonly loadsQueriedAtMs: number;
+    readonly loadsAnsweredAtMs: number;
     readonly requests: RollingCount;
     /** Sends beyond the first of each request: retries and hedges. */
     readonly resends: RollingCount;
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -8,6 +8,8 @@
     readonly retryBudget: EntrySettings["retryBudget"];
     /** Number of VMs that share the retry budget. */
     readonly vmCount: number;
+    /** Minimum time between two load queries for a service; undefined while this VM has no hub to ask. */
+    readonly loadQueryIntervalMs: number | undefined;
     readonly configuration: RoutingConfiguration | undefined;
     readonly services: ReadonlyMap<string, DispatchService>;
     readonly requests: ReadonlyMap<string, RequestState>;
--- a/routing/dispatch/src/drain-queue.ts
+++ b/routing/dispatch/src/drain-queue.ts
@@ -1,3 +1,4 @@
+import { awaitsLoads } from "./awaits-loads.js";
 import { chooseServerOrWait } from "./choose-server-or-wait.js";
 import { compareWaitingRequests } from "./compare-waiting-requests.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
@@ -6,6 +7,7 @@
 import { isTooLate } from "./is-too-late.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
+import { requestLoads } from "./request-loads.js";
 import type { RequestState } from "./request-state.js";
 import { selectRemainingMs } from "./select-remaining-ms.js";
 import { selectWorkMs } from "./select-work-ms.js";
@@ -24,7 +26,11 @@
 /** Sends the waiting requests of a service that a server can take now, and rejects those that cannot be served. */
 export const drainQueue = (draft: DispatchDraft, name: string): void => {
     const { atMs } = draft;
+    if (awaitsLoads(draft, draft.service(name))) {
+        return;
+    }
     let aheadCount = 0;
+    let firstWaiting: RequestState | undefined;
     for (const request of sortQueue(draft, name)) {
         const service = draft.service(name);
         if (isTooLate(service, request, atMs)) {
@@ -46,7 +52,12 @@
             }
             else {
                 aheadCount += 1;
+                firstWaiting ??= request;
             }
         }
     }
+    const { loadQueryIntervalMs } = draft.state;
+    if (firstWaiting !== undefined && loadQueryIntervalMs !== undefined) {
+        requestLoads(draft, name, { route: firstWaiting.route, minIntervalMs: loadQueryIntervalMs });
+    }
 };
--- a/routing/dispatch/src/end-attempt.ts
+++ b/routing/dispatch/src/end-attempt.ts
@@ -9,7 +9,9 @@
         draft.updateServer(attempt.instanceId, {
             ownInFlight: Math.max(0, server.ownInFlight - 1),
             // An attempt that ended before any report counted it no longer occupies a slot.
-            unreportedSendsAtMs: server.unreportedSendsAtMs.filter(sentAtMs => sentAtMs !== attempt.startedAtMs),
+            unreportedSends: server.unreportedSends.filter(send =>
+                send.vmId !== undefined || send.sentAtMs !== attempt.startedAtMs
+            ),
         });
     }
     draft.setRequestOfAttempt(attempt.attemptId, undefined);
--- a/routing/dispatch/src/estimate-eligible-servers.ts
+++ b/routing/dispatch/src/estimate-eligible-servers.ts
@@ -3,9 +3,21 @@
 import type { DispatchService } from "./dispatch-service.js";
 import { estimateServer } from "./estimate-server.js";
 import type { RequestState } from "./request-state.js";
+import { selectEligibleServers } from "./select-eligible-servers.js";
 import { selectResponseBytes } from "./select-response-bytes.js";
 import { selectWorkMs } from "./select-work-ms.js";
 import type { ServerEstimate } from "./server-estimate.js";
+import type { ServerState } from "./server-state.js";
+
+// A VM that asks a hub knows the loads of the servers that the hub recommends. The others would look as good as the
+// average of the service, so they are candidates only if the hub has recommended too few.
+const selectReportedServers = (draft: DispatchDraft, eligible: readonly ServerState[]): readonly ServerState[] => {
+    if (draft.state.loadQueryIntervalMs === undefined) {
+        return eligible;
+    }
+    const reported = eligible.filter(server => draft.atMs - server.measuredAtMs <= DISPATCH_LIMITS.reportValidForMs);
+    return reported.length >= DISPATCH_LIMITS.minReportedServers ? reported : eligible;
+};
 
 /** Estimates for the servers that a request may be sent to, with or without a free slot. */
 export const estimateEligibleServers = (
@@ -14,19 +26,13 @@
     request: RequestState,
 ): readonly ServerEstimate[] => {
     const { atMs } = draft;
-    const candidates = [...service.servers.values()].filter(({ server }) =>
-        !server.isDraining && !request.triedInstanceIds.includes(server.instanceId)
-    );
-    const notEjected = candidates.filter(server => server.ejectedUntilMs <= atMs);
-    // Ejected servers are skipped only as long as enough others remain.
-    const eligible = notEjected.length >= candidates.length * (1 - DISPATCH_LIMITS.maxEjectedShare)
-        ? notEjected
-        : candidates;
+    const { triedInstanceIds } = request;
     const opts = {
         atMs,
         availabilityZone: draft.state.availabilityZone,
         workMs: selectWorkMs(service, request.route),
         responseBytes: selectResponseBytes(service, request.route),
     };
-    return eligible.map(server => estimateServer(service, server, opts));
+    const eligible = selectEligibleServers(service, { atMs, triedInstanceIds });
+    return selectReportedServers(draft, eligible).map(server => estimateServer(service, server, opts));
 };
--- a/routing/dispatch/src/estimate-server.ts
+++ b/routing/dispatch/src/estimate-server.ts
@@ -44,11 +44,14 @@
     const zoneRoundTripMs = isSameZone ? 0 : DISPATCH_LIMITS.crossZoneRoundTripMs;
     const totalMs = waitMs + durationMs + zoneRoundTripMs;
     const reportBasedMs = waitMs + workMs * coldFactor * slotFactor * slowness + zoneRoundTripMs;
-    const transferMs = isSameZone ? 0 : opts.responseBytes / BYTES_PER_KB * DISPATCH_LIMITS.crossZoneMsPerKb;
+    const transferKb = opts.responseBytes / BYTES_PER_KB + DISPATCH_LIMITS.exchangeOverheadKb;
+    const transferMs = isSameZone ? 0 : transferKb * DISPATCH_LIMITS.crossZoneMsPerKb;
     const connectionMs = server.idleConnections > 0 ? 0 : workMs * DISPATCH_LIMITS.newConnectionShare;
     const preferenceMs = server.preference * workMs * DISPATCH_LIMITS.preferenceShare;
     const penaltyMs = decayFailures(server, atMs) * DISPATCH_LIMITS.failurePenaltyMs
         + (server.isUnhealthy ? DISPATCH_LIMITS.unhealthyPenaltyMs : 0);
-    const costMs = totalMs + transferMs + connectionMs + preferenceMs + penaltyMs;
-    return { server, occupied, reportBasedMs, slowness, takesLastSlot, reportAgeMs, totalMs, costMs };
+    const unusedBonusMs = server.isUsed || !isSameZone ? 0 : workMs * DISPATCH_LIMITS.unusedBonusShare;
+    const commonCostMs = totalMs + transferMs + penaltyMs - unusedBonusMs;
+    const costMs = commonCostMs + connectionMs + preferenceMs;
+    return { server, occupied, reportBasedMs, slowness, takesLastSlot, reportAgeMs, totalMs, commonCostMs, costMs };
 };
--- a/routing/dispatch/src/index.ts
+++ b/routing/dispatch/src/index.ts
@@ -4,5 +4,8 @@
 export type { DispatchEvent } from "./dispatch-event.js";
 export { DISPATCH_LIMITS } from "./dispatch-limits.js";
 export type { DispatchState } from "./dispatch-state.js";
+export type { LoadSelection } from "./load-selection.js";
+export { RandomSequence } from "./random-sequence.js";
 export { reduceDispatch } from "./reduce-dispatch.js";
 export { selectAttempt } from "./select-attempt.js";
+export { selectLoads } from "./select-loads.js";
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -5,6 +5,7 @@
 import { drainQueue } from "./drain-queue.js";
 import { matchRoute } from "./match-route.js";
 import { pickDestination } from "./pick-destination.js";
+import { requestLoads } from "./request-loads.js";
 
 type RequestArrived = Extract<DispatchEvent, { readonly type: "request-arrived"; }>;
 
@@ -80,5 +81,8 @@
         queue: [...service.queue, requestKey],
         requests: rollingCounts.add(service.requests, draft.atMs),
     });
+    if (draft.atMs - service.loadsAnsweredAtMs > DISPATCH_LIMITS.loadsFreshForMs) {
+        requestLoads(draft, name, { route, minIntervalMs: DISPATCH_LIMITS.loadAnswerTimeoutMs });
+    }
     drainQueue(draft, name);
 };
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -5,12 +5,13 @@
 
 const createServer = (
     server: BackendServer,
-    opts: { readonly atMs: number; readonly preference: number; },
+    opts: { readonly atMs: number; readonly preference: number; readonly isUsed: boolean; },
 ): ServerState => ({
     server,
     load: undefined,
     measuredAtMs: -Infinity,
-    unreportedSendsAtMs: [],
+    unreportedSends: [],
+    isUsed: opts.isUsed,
     preference: opts.preference,
     ownInFlight: 0,
     idleConnections: 0,
@@ -36,7 +37,7 @@
     draft.emit({ type: "close-connections", instanceId, address: known.server.address });
 };
 
-const upsertServer = (draft: DispatchDraft, server: BackendServer): void => {
+const upsertServer = (draft: DispatchDraft, server: BackendServer, isUsed: boolean): void => {
     const { instanceId } = server;
     const known = draft.server(instanceId);
     const isSameProcess = known?.server.startedAtUnixMs === server.startedAtUnixMs
@@ -46,20 +47,21 @@
     }
     const next = known !== undefined && isSameProcess
         ? { ...known, server }
-        : createServer(server, { atMs: draft.atMs, preference: draft.nextRandom() });
-    const servers = new Map(draft.service(server.service).servers).set(instanceId, next);
-    draft.updateService(server.service, { servers });
+        : createServer(server, { atMs: draft.atMs, preference: draft.nextRandom(), isUsed });
+    draft.setServer(server.service, next);
     draft.setServiceOfServer(instanceId, server.service);
 };
 
 /** Applies changed registrations of backend servers. */
 export const onServersChanged = (draft: DispatchDraft, changes: readonly RegistrationChange[]): void => {
+    // Servers that this VM finds when it starts are taken as in use; only those that join later are new capacity.
+    const isFirstList = draft.state.servicesByInstance.size === 0;
     for (const { instanceId, server } of changes) {
         if (server === undefined) {
             removeServer(draft, instanceId);
         }
         else {
-            upsertServer(draft, server);
+            upsertServer(draft, server, isFirstList);
         }
         draft.log({
             kind: server === undefined ? "server-removed" : server.isDraining ? "server-draining" : "server-registered",
--- a/routing/dispatch/src/record-failure.ts
+++ b/routing/dispatch/src/record-failure.ts
@@ -2,7 +2,10 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 
-/** Counts a failure of a server, and ejects the server for a while after several in a row. */
+/**
+ * Counts a failure of a server that this VM has seen, tells the other VMs, and ejects the server for a while after
+ * several in a row.
+ */
 export const recordFailure = (
     draft: DispatchDraft,
     instanceId: string,
@@ -13,6 +16,7 @@
         return;
     }
     const { atMs } = draft;
+    draft.emit({ type: "report-failure", instanceId, weight: opts.weight });
     const failuresInRow = server.failuresInRow + 1;
     const shouldEject = failuresInRow >= DISPATCH_LIMITS.failuresBeforeEjection && server.ejectedUntilMs <= atMs;
     const durationMs = Math.min(DISPATCH_LIMITS.ejectionMs * 2 ** server.ejections, DISPATCH_LIMITS.maxEjectionMs);
--- a/routing/dispatch/src/record-load.ts
+++ b/routing/dispatch/src/record-load.ts
@@ -20,11 +20,12 @@
     draft.updateServer(instanceId, {
         load,
         measuredAtMs,
-        unreportedSendsAtMs: server.unreportedSendsAtMs.filter(sentAtMs =>
+        unreportedSends: server.unreportedSends.filter(({ sentAtMs }) =>
             sentAtMs > measuredAtMs - DISPATCH_LIMITS.sendTransitMs
         ),
     });
-    if (load.slownessPercent !== undefined) {
+    // A VM that asks a hub for loads learns those of selected servers only, and gets the average with the answer.
+    if (load.slownessPercent !== undefined && draft.state.loadQueryIntervalMs === undefined) {
         const service = draft.service(server.server.service);
         const weight = DISPATCH_LIMITS.slownessWeight;
         draft.setService({
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -7,6 +7,8 @@
 import { onAttemptAnswered } from "./on-attempt-answered.js";
 import { onAttemptFailed } from "./on-attempt-failed.js";
 import { onCallerLeft } from "./on-caller-left.js";
+import { onLoadsAnswered } from "./on-loads-answered.js";
+import { onLoadsReceived } from "./on-loads-received.js";
 import { onRequestArrived } from "./on-request-arrived.js";
 import { onServerChecked } from "./on-server-checked.js";
 import { onServersChanged } from "./on-servers-changed.js";
@@ -24,22 +26,6 @@
     }
 };
 
-const onLoadsReceived = (
-    draft: DispatchDraft,
-    event: Extract<DispatchEvent, { readonly type: "loads-received"; }>,
-): void => {
-    for (const { instanceId, load, measuredAtMs } of event.loads) {
-        recordLoad(draft, instanceId, { load, measuredAtMs });
-    }
-    for (const { instanceId, sentAtMs } of event.sentRequests) {
-        const server = draft.server(instanceId);
-        if (server !== undefined) {
-            draft.updateServer(instanceId, { unreportedSendsAtMs: [...server.unreportedSendsAtMs, sentAtMs] });
-        }
-    }
-    drainAllQueues(draft);
-};
-
 const applyEvent = (draft: DispatchDraft, event: DispatchEvent): void => {
     switch (event.type) {
         case "request-arrived":
@@ -59,6 +45,13 @@
             return;
         case "loads-received":
             onLoadsReceived(draft, event);
+            drainAllQueues(draft);
+            return;
+        case "loads-answered":
+            onLoadsAnswered(draft, event);
+            return;
+        case "load-source-changed":
+            draft.update({ loadQueryIntervalMs: event.loadQueryIntervalMs });
             return;
         case "probe-answered":
             draft.updateServer(event.instanceId, { probedAtMs: undefined, isUnhealthy: !event.isHealthy });
--- /dev/null
+++ b/routing/dispatch/src/select-loads.ts
@@ -0,0 +1,74 @@
+import { decayFailures } from "./decay-failures.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import type { DispatchService } from "./dispatch-service.js";
+import type { DispatchState } from "./dispatch-state.js";
+import { estimateServer } from "./estimate-server.js";
+import type { LoadSelection } from "./load-selection.js";
+import { selectEligibleServers } from "./select-eligible-servers.js";
+import type { ServerState } from "./server-state.js";
+
+interface LoadQuestion {
+    readonly service: string;
+    readonly vmId: string;
+    readonly workMs: number;
+    readonly responseBytes: number;
+    readonly connectedInstanceIds: readonly string[];
+}
+
+const describeServer = (server: ServerState, opts: { readonly atMs: number; readonly vmId: string; }) => {
+    const { load, measuredAtMs, unreportedSends, isUsed } = server;
+    return load === undefined ? [] : [{
+        instanceId: server.server.instanceId,
+        load,
+        measuredAtMs,
+        othersSentAtMs: unreportedSends
+            .filter(({ vmId, sentAtMs }) =>
+                vmId !== opts.vmId && opts.atMs - sentAtMs <= DISPATCH_LIMITS.unreportedSendValidForMs
+            )
+            .map(({ sentAtMs }) => sentAtMs),
+        failures: decayFailures(server, opts.atMs),
+        isUnused: !isUsed,
+    }];
+};
+
+const rankServers = (
+    state: DispatchState,
+    service: DispatchService,
+    opts: { readonly question: LoadQuestion; readonly atMs: number; readonly random: () => number; },
+): readonly ServerState[] => {
+    const { atMs, question: { workMs, responseBytes } } = opts;
+    const { availabilityZone } = state;
+    return selectEligibleServers(service, { atMs })
+        .map(server => {
+            const { commonCostMs } = estimateServer(service, server, { atMs, availabilityZone, workMs, responseBytes });
+            return { server, costMs: commonCostMs + opts.random() * DISPATCH_LIMITS.costJitterMs };
+        })
+        .sort((a, b) => a.costMs - b.costMs)
+        .slice(0, DISPATCH_LIMITS.answeredServers)
+        .map(({ server }) => server);
+};
+
+/**
+ * Answers the load query of another VM: the servers that suit its request best by what is known here, and those to
+ * which it has a connection. Nothing is reserved, the VM decides itself.
+ */
+export const selectLoads = (
+    state: DispatchState,
+    question: LoadQuestion,
+    opts: { readonly atMs: number; readonly random: () => number; },
+): LoadSelection | undefined => {
+    const service = state.services.get(question.service);
+    if (service === undefined) {
+        return undefined;
+    }
+    const { atMs } = opts;
+    const { vmId, connectedInstanceIds } = question;
+    const best = rankServers(state, service, { ...opts, question });
+    const connected = connectedInstanceIds.flatMap(instanceId => service.servers.get(instanceId) ?? []);
+    const selected = new Set([...best, ...connected]);
+    return {
+        service: question.service,
+        averageSlowness: service.slowness,
+        servers: [...selected].flatMap(server => describeServer(server, { atMs, vmId })),
+    };
+};
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -36,11 +36,12 @@
     });
     // The slot was reserved when the attempt started; from now on, it counts from the time of the send.
     draft.updateServer(instanceId, {
-        unreportedSendsAtMs: [
-            ...(draft.server(instanceId)?.unreportedSendsAtMs ?? []).filter(sentAtMs =>
-                sentAtMs !== attempt.startedAtMs
+        isUsed: true,
+        unreportedSends: [
+            ...(draft.server(instanceId)?.unreportedSends ?? []).filter(send =>
+                send.vmId !== undefined || send.sentAtMs !== attempt.startedAtMs
             ),
-            atMs,
+            { sentAtMs: atMs, vmId: undefined },
         ],
     });
     if (isResend) {
--- a/routing/dispatch/src/server-estimate.ts
+++ b/routing/dispatch/src/server-estimate.ts
@@ -11,6 +11,8 @@
     readonly reportAgeMs: number;
     /** Expected time until the complete response is back, allowing for an outdated report. */
     readonly totalMs: number;
-    /** `totalMs` plus penalties for failures, billed connections and traffic, and this VM's preference. */
+    /** `totalMs` plus penalties for failures and billed traffic; the same on every VM of the zone. */
+    readonly commonCostMs: number;
+    /** `commonCostMs` plus the penalty for a new connection, and this VM's preference. */
     readonly costMs: number;
 }
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -1,12 +1,14 @@
 import type { BackendServer, LoadReport } from "@marigoldstall/core.types";
+import type { UnreportedSend } from "./unreported-send.js";
 
 /** What this daemon knows about one backend server. */
 export interface ServerState {
     readonly server: BackendServer;
     readonly load: LoadReport | undefined;
     readonly measuredAtMs: number;
-    /** Send times of requests, from any VM, that the load report does not count yet. */
-    readonly unreportedSendsAtMs: readonly number[];
+    readonly unreportedSends: readonly UnreportedSend[];
+    /** Whether it was there when this VM started, or a request from any VM to it is known. */
+    readonly isUsed: boolean;
     /** Random number from 0 to 1, drawn once. Among equal servers, this VM chooses one with a low value. */
     readonly preference: number;
     readonly ownInFlight: number;
--- a/routing/dispatch/src/start-attempt.ts
+++ b/routing/dispatch/src/start-attempt.ts
@@ -17,7 +17,7 @@
 }): void => {
     const { atMs } = draft;
     const { estimate, isHedge, candidateCount } = opts;
-    const { server, unreportedSendsAtMs, ownInFlight } = estimate.server;
+    const { server, unreportedSends, ownInFlight } = estimate.server;
     const { instanceId, address } = server;
     const healthPath = draft.state.configuration?.services.get(server.service)?.healthPath;
     const needsCheck = healthPath !== undefined && draft.service(server.service).reportsLoad
@@ -53,9 +53,9 @@
     });
     draft.updateServer(instanceId, {
         ownInFlight: ownInFlight + 1,
-        unreportedSendsAtMs: [
-            ...unreportedSendsAtMs.filter(sentAtMs => atMs - sentAtMs <= DISPATCH_LIMITS.unreportedSendValidForMs),
-            atMs,
+        unreportedSends: [
+            ...unreportedSends.filter(({ sentAtMs }) => atMs - sentAtMs <= DISPATCH_LIMITS.unreportedSendValidForMs),
+            { sentAtMs: atMs, vmId: undefined },
         ],
     });
     if (needsCheck) {
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -4,6 +4,7 @@
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { estimateSlowChance } from "./estimate-slow-chance.js";
 import { hasRetryBudget } from "./has-retry-budget.js";
+import { requestLoads } from "./request-loads.js";
 import type { RequestState } from "./request-state.js";
 import { startAttempt } from "./start-attempt.js";
 
@@ -26,6 +27,10 @@
         return;
     }
     const service = draft.service(request.service);
+    const { loadQueryIntervalMs } = draft.state;
+    if (loadQueryIntervalMs !== undefined) {
+        requestLoads(draft, request.service, { route, minIntervalMs: loadQueryIntervalMs });
+    }
     const estimates = estimateEligibleServers(draft, service, request);
     const best = chooseServer(draft, estimates);
     if (best === undefined) {
--- /dev/null
+++ b/routing/dispatch/src/unreported-send.ts
@@ -0,0 +1,6 @@
+/** A request sent to a server that the server's load report does not count yet. */
+export interface UnreportedSend {
+    readonly sentAtMs: number;
+    /** VM that sent it, undefined for this one. A hub leaves out the requests of the VM that asks for loads. */
+    readonly vmId: string | undefined;
+}
