--- a/fleet/hubs/src/receive-status.ts
+++ b/fleet/hubs/src/receive-status.ts
@@ -1,5 +1,6 @@
 import type { HubState } from "./hub-state.js";
 import type { KnownVm } from "./known-vm.js";
+import { markJoined } from "./mark-joined.js";
 import type { StatusMessage } from "./status-message.js";
 
 const updateVms = (state: HubState, message: StatusMessage, atMs: number): ReadonlyMap<string, KnownVm> => {
@@ -26,10 +27,8 @@
     const { sender, isHub } = message;
     const isOwnHub = isHub && sender.availabilityZone === state.self.availabilityZone;
     return {
-        ...state,
+        ...markJoined(state, atMs),
         vms: updateVms(state, message, atMs),
-        hasJoined: true,
-        expectsHubSinceMs: Math.min(state.expectsHubSinceMs, atMs),
         reportedFleetSize: isOwnHub ? message.fleetSize : state.reportedFleetSize,
     };
 };
--- a/fleet/hubs/src/reduce-hub.ts
+++ b/fleet/hubs/src/reduce-hub.ts
@@ -2,6 +2,7 @@
 import type { HubEffect } from "./hub-effect.js";
 import type { HubEvent } from "./hub-event.js";
 import type { HubState } from "./hub-state.js";
+import { markJoined } from "./mark-joined.js";
 import { queueFailures } from "./queue-failures.js";
 import { queueLoadUpdates } from "./queue-load-updates.js";
 import { queueSentRequest } from "./queue-sent-request.js";
@@ -19,8 +20,7 @@
             vms.set(info.vmId, { info, lastSeenAtMs: event.atMs, lastSeenAsHubAtMs: -Infinity });
         }
     }
-    const expectsHubSinceMs = Math.min(state.expectsHubSinceMs, event.atMs);
-    return { ...state, vms, hasJoined: true, expectsHubSinceMs };
+    return { ...markJoined(state, event.atMs), vms };
 };
 
 /** Reducer for hub selection and the messages between VMs. Each VM decides on its own whether it is the hub. */
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -5,6 +5,7 @@
 import { HUB_LIMITS } from "./hub-limits.js";
 import type { HubState } from "./hub-state.js";
 import type { KnownVm } from "./known-vm.js";
+import { selectBatchDelayMs } from "./select-batch-delay-ms.js";
 import { selectFleetSize } from "./select-fleet-size.js";
 import { selectHeartbeatIntervalMs } from "./select-heartbeat-interval-ms.js";
 import { selectHubRank } from "./select-hub-rank.js";
@@ -89,8 +90,7 @@
 
 const sendUpdates = (state: HubState, atMs: number, effects: HubEffect[]): HubState => {
     const { queuedSinceMs } = state.outbox;
-    const batchDelayMs = state.isHub ? HUB_LIMITS.hubBatchDelayMs : HUB_LIMITS.memberBatchDelayMs;
-    if (queuedSinceMs === undefined || atMs - queuedSinceMs < batchDelayMs) {
+    if (queuedSinceMs === undefined || atMs - queuedSinceMs < selectBatchDelayMs(state)) {
         return state;
     }
     const hosts = selectReceivers(state, atMs);
