--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -308,8 +308,8 @@
             case "read-store":
                 this.metrics.storeReads.inc({ topic: effect.topic });
                 void (effect.topic === "registrations"
-                    ? this.storeReader.readRegistrations(effect.fromOffset)
-                    : this.storeReader.readConfiguration(effect.fromOffset));
+                    ? this.storeReader.readRegistrations(effect.from)
+                    : this.storeReader.readConfiguration(effect.from));
                 return;
             case "fetch-view-snapshot":
                 void this.peerRpc.fetchSnapshot(effect.peerAddress);
@@ -323,6 +323,8 @@
                 this.callerListener.applyLimits(effect.configuration.limits);
                 this.log.write("configuration-in-force", { version: effect.configuration.version });
                 return;
+            case "store-restored":
+            case "outdated-read-ignored":
             case "store-lost":
             case "store-regained": {
                 const { type, ...fields } = effect;
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -11,24 +11,28 @@
 import { VmSchema } from "./vm-schema.js";
 
 const ConfirmationSchema = Schema.Struct({ readerId: Schema.String, number: Schema.Int });
+const registrationFields = {
+    offset: Schema.Int,
+    instanceId: Schema.String,
+    server: Schema.Struct({
+        instanceId: Schema.String,
+        startedAtUnixMs: Schema.Finite,
+        service: Schema.String,
+        address: Schema.String,
+        availabilityZone: Schema.String,
+        slots: Schema.Int,
+        isDraining: Schema.Boolean,
+        warmUpMs: Schema.Finite,
+    }),
+};
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
+    // VMs of earlier releases send neither the era nor withheld registrations.
+    era: Schema.optional(Schema.Int),
     nextOffset: Schema.Int,
     ageMs: Schema.Finite,
     confirmation: Schema.optional(ConfirmationSchema),
-    registrations: Schema.Array(Schema.Struct({
-        offset: Schema.Int,
-        instanceId: Schema.String,
-        server: Schema.Struct({
-            instanceId: Schema.String,
-            startedAtUnixMs: Schema.Finite,
-            service: Schema.String,
-            address: Schema.String,
-            availabilityZone: Schema.String,
-            slots: Schema.Int,
-            isDraining: Schema.Boolean,
-            warmUpMs: Schema.Finite,
-        }),
-    })),
+    registrations: Schema.Array(Schema.Struct(registrationFields)),
+    withheld: Schema.optional(Schema.Array(Schema.Struct({ ...registrationFields, remainingMs: Schema.Finite }))),
 }));
 const decodeVms = Schema.decodeUnknownOption(Schema.Array(VmSchema));
 const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
@@ -99,7 +103,12 @@
         const decoded = Option.getOrUndefined(decodeSnapshot(result));
         const snapshot: ViewSnapshot | undefined = decoded === undefined
             ? undefined
-            : { ...decoded, confirmation: decoded.confirmation };
+            : {
+                ...decoded,
+                era: decoded.era ?? 0,
+                withheld: decoded.withheld ?? [],
+                confirmation: decoded.confirmation,
+            };
         if (snapshot !== undefined) {
             this.opts.dispatch({ type: "view-snapshot-received", snapshot });
         }
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -83,7 +83,7 @@
     draft.applyHubEvent({
         type: "hub-tick",
         atMs,
-        summarize: sinceOffset => selectViewSummary(draft.state.view, { atMs, sinceOffset }),
+        summarize: since => selectViewSummary(draft.state.view, { atMs, since }),
     });
 };
 
--- a/daemon/entry/src/store-reader.ts
+++ b/daemon/entry/src/store-reader.ts
@@ -1,4 +1,4 @@
-import type { RegistrationChange } from "@marigoldstall/fleet.view";
+import type { RegistrationChange, StorePosition } from "@marigoldstall/fleet.view";
 import {
     CONFIGURATION_KEY,
     decodeConfiguration,
@@ -25,53 +25,56 @@
         this.opts = opts;
     }
 
-    async readRegistrations(fromOffset: number | undefined): Promise<void> {
+    async readRegistrations(from: StorePosition | undefined): Promise<void> {
         const { store, nowMs, dispatch } = this.opts;
         const startedAtMs = nowMs();
-        if (fromOffset === undefined) {
+        if (from === undefined) {
             const list = await store.listNewest("registrations");
             if (list.isErr()) {
                 this.handleReadFailure("registrations", list.error);
                 return;
             }
-            const { records, nextOffset } = list.value;
+            const { era, records, nextOffset } = list.value;
             dispatch({
                 type: "registrations-listed",
                 startedAtMs,
+                era,
                 registrations: this.decodeRegistrations(records),
                 nextOffset,
             });
             return;
         }
-        const page = await store.read("registrations", fromOffset);
+        const page = await store.read("registrations", from.offset);
         if (page.isErr()) {
             this.handleReadFailure("registrations", page.error);
             return;
         }
-        const { records, nextOffset, endOffset } = page.value;
+        const { era, records, nextOffset, endOffset } = page.value;
         dispatch({
             type: "registrations-read",
             startedAtMs,
+            era,
+            from,
             changes: this.decodeRegistrations(records),
             nextOffset,
             endOffset,
         });
     }
 
-    async readConfiguration(fromOffset: number | undefined): Promise<void> {
+    async readConfiguration(from: StorePosition | undefined): Promise<void> {
         const { store, nowMs, dispatch } = this.opts;
         const startedAtMs = nowMs();
-        const read = fromOffset === undefined
+        const read = from === undefined
             ? await store.listNewest("configuration")
-            : await store.read("configuration", fromOffset);
+            : await store.read("configuration", from.offset);
         if (read.isErr()) {
             this.handleReadFailure("configuration", read.error);
             return;
         }
-        const { records, nextOffset } = read.value;
+        const { era, records, nextOffset } = read.value;
         const text = records.filter(record => record.key === CONFIGURATION_KEY).at(-1)?.value;
         const configuration = text === undefined ? undefined : this.parseConfiguration(text);
-        dispatch({ type: "configuration-read", startedAtMs, nextOffset, configuration });
+        dispatch({ type: "configuration-read", startedAtMs, era, from, nextOffset, configuration });
     }
 
     /** Decodes a configuration. Logs a malformed one and returns undefined, so that the last valid one stays active. */
--- a/daemon/entry/test/fleet-joiner.test.ts
+++ b/daemon/entry/test/fleet-joiner.test.ts
@@ -31,7 +31,7 @@
         listNewest: () => {
             calls.push("list");
             const records = [{ offset: 0, key: "c", value: JSON.stringify(vm("c")) }];
-            return Promise.resolve(ok({ records, nextOffset: 1 }));
+            return Promise.resolve(ok({ era: 0, records, nextOffset: 1 }));
         },
     };
     const joiner = new FleetJoiner({
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -54,6 +54,8 @@
     /** Load reports that each VM has received in datagrams. */
     readonly receivedLoads = new Map<string, number>();
     atMs = 1_000;
+    storeLatencyMs = STORE_LATENCY_MS;
+    private era = 1;
     private readonly settings: readonly EntrySettings[];
     private readonly delayMs: number;
     private readonly records: RegistrationChange[] = [];
@@ -108,6 +110,17 @@
         }
     }
 
+    /** Copies the store. The returned function restores it, which loses everything that was written in between. */
+    copyStore(): () => void {
+        const recordCount = this.records.length;
+        const configurationCount = this.configurations.length;
+        return () => {
+            this.records.length = recordCount;
+            this.configurations.length = configurationCount;
+            this.era += 1;
+        };
+    }
+
     publishConfiguration(version: number): void {
         this.configurations.push({
             text: String(version),
@@ -276,30 +289,33 @@
     }
 
     private readStore(vmId: string, effect: Extract<EntryEffect, { readonly type: "read-store"; }>): void {
-        const { topic, fromOffset } = effect;
+        const { topic, from } = effect;
         const startedAtMs = this.atMs;
         this.storeReads.push({ vmId, atMs: startedAtMs });
         if (this.withoutStore.has(vmId)) {
             this.schedule(STORE_TIMEOUT_MS, vmId, () => ({ type: "store-read-failed", topic, isExpired: false }));
             return;
         }
+        const nextOffset = topic === "configuration" ? this.configurations.length : this.records.length;
+        if (from !== undefined && from.offset > nextOffset) {
+            this.schedule(this.storeLatencyMs, vmId, () => ({ type: "store-read-failed", topic, isExpired: true }));
+            return;
+        }
+        const { era } = this;
         if (topic === "configuration") {
-            const configuration = this.configurations.at(-1);
-            const nextOffset = this.configurations.length;
-            this.schedule(STORE_LATENCY_MS, vmId, () => ({
-                type: "configuration-read",
-                startedAtMs,
-                configuration: nextOffset > (fromOffset ?? 0) ? configuration : undefined,
-                nextOffset,
-            }));
+            const configuration = nextOffset > (from?.offset ?? 0) ? this.configurations.at(-1) : undefined;
+            this.schedule(
+                this.storeLatencyMs,
+                vmId,
+                () => ({ type: "configuration-read", startedAtMs, era, from, configuration, nextOffset }),
+            );
             return;
         }
-        const nextOffset = this.records.length;
-        const changes = this.records.slice(fromOffset ?? 0);
-        this.schedule(STORE_LATENCY_MS, vmId, () =>
-            fromOffset === undefined
-                ? { type: "registrations-listed", startedAtMs, registrations: selectNewest(changes), nextOffset }
-                : { type: "registrations-read", startedAtMs, changes, nextOffset, endOffset: nextOffset });
+        const changes = this.records.slice(from?.offset ?? 0);
+        this.schedule(this.storeLatencyMs, vmId, () =>
+            from === undefined
+                ? { type: "registrations-listed", startedAtMs, era, registrations: selectNewest(changes), nextOffset }
+                : { type: "registrations-read", startedAtMs, era, from, changes, nextOffset, endOffset: nextOffset });
     }
 }
 
--- a/fleet/hubs/src/create-hub-state.ts
+++ b/fleet/hubs/src/create-hub-state.ts
@@ -14,7 +14,7 @@
     peersInformedAtMs: -Infinity,
     vmListSentAtMs: -Infinity,
     reportedFleetSize: 1,
-    announcedOffset: 0,
-    repeatWindowOffset: 0,
+    announced: undefined,
+    repeatWindowEnd: undefined,
     repeatWindowStartedAtMs: -Infinity,
 });
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -109,11 +109,14 @@
         confirmationRow,
         configurationConfirmationRow,
         changes,
+        // VMs of earlier releases send no era.
+        eraColumn = 0,
     ] = asRow(value);
-    const next = asNumber(nextOffset);
+    const offset = asNumber(nextOffset);
+    const era = asNumber(eraColumn);
     return {
-        nextOffset: next < 0 ? undefined : next,
-        baseOffset: asNumber(baseOffset),
+        next: offset < 0 ? undefined : { era, offset },
+        base: { era, offset: asNumber(baseOffset) },
         ageMs: asAgeMs(ageMs),
         confirmation: decodeConfirmation(confirmationRow),
         configurationConfirmation: decodeConfirmation(configurationConfirmationRow),
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -33,8 +33,8 @@
         encodeVm(message.sender),
         message.isHub,
         [
-            summary.nextOffset ?? -1,
-            summary.baseOffset,
+            summary.next?.offset ?? -1,
+            summary.base.offset,
             encodeAgeMs(summary.ageMs),
             summary.configurationVersion,
             encodeAgeMs(summary.configurationAgeMs),
@@ -53,6 +53,7 @@
                     Math.round(server.warmUpMs),
                 ]
             ),
+            summary.next?.era ?? 0,
         ],
         message.vms.map(vm => [encodeVm(vm.info), encodeAgeMs(vm.ageMs)]),
         message.fleetSize,
--- a/fleet/hubs/src/hub-event.ts
+++ b/fleet/hubs/src/hub-event.ts
@@ -1,5 +1,5 @@
 import type { LoadReport } from "@marigoldstall/core.types";
-import type { ViewSummary } from "@marigoldstall/fleet.view";
+import type { StorePosition, ViewSummary } from "@marigoldstall/fleet.view";
 import type { StatusMessage } from "./status-message.js";
 import type { UpdatesMessage } from "./updates-message.js";
 import type { VmInfo } from "./vm-info.js";
@@ -9,8 +9,8 @@
     | {
         readonly type: "hub-tick";
         readonly atMs: number;
-        /** Summarizes the view for the next message, without the changes before `sinceOffset`. */
-        readonly summarize: (sinceOffset: number) => ViewSummary;
+        /** Summarizes the view for the next message, without the changes before `since`. */
+        readonly summarize: (since: StorePosition | undefined) => ViewSummary;
     }
     | { readonly type: "vms-found"; readonly atMs: number; readonly vms: readonly VmInfo[]; }
     | { readonly type: "status-received"; readonly atMs: number; readonly message: StatusMessage; }
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from "@marigoldstall/fleet.view";
 import type { KnownVm } from "./known-vm.js";
 import type { ServerFailure } from "./server-failure.js";
 import type { VmInfo } from "./vm-info.js";
@@ -42,9 +43,9 @@
     readonly vmListSentAtMs: number;
     /** Number of live VMs in the fleet according to this VM's hub. */
     readonly reportedFleetSize: number;
-    /** Registration changes below this offset were repeated long enough and are left out of messages. */
-    readonly announcedOffset: number;
-    /** Value that `announcedOffset` takes when the current repeat window ends. */
-    readonly repeatWindowOffset: number;
+    /** Registration changes before this position were repeated long enough and are left out of messages. */
+    readonly announced: StorePosition | undefined;
+    /** Value that `announced` takes when the current repeat window ends. */
+    readonly repeatWindowEnd: StorePosition | undefined;
     readonly repeatWindowStartedAtMs: number;
 }
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -1,5 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
-import type { ViewSummary } from "@marigoldstall/fleet.view";
+import type { StorePosition, ViewSummary } from "@marigoldstall/fleet.view";
 import { compareHubPriority } from "./compare-hub-priority.js";
 import type { HubEffect } from "./hub-effect.js";
 import { HUB_LIMITS } from "./hub-limits.js";
@@ -19,7 +19,7 @@
 
 interface TickHubOptions {
     readonly atMs: number;
-    readonly summarize: (sinceOffset: number) => ViewSummary;
+    readonly summarize: (since: StorePosition | undefined) => ViewSummary;
 }
 
 // Time since the last message of a hub in this VM's zone with a higher priority.
@@ -66,7 +66,7 @@
     type: "status",
     sender: state.self,
     isHub: state.isHub,
-    summary: opts.summarize(state.announcedOffset),
+    summary: opts.summarize(state.announced),
     vms: opts.includesVms ? selectAnnouncedVms(state, opts.atMs) : [],
     fleetSize: selectFleetSize(state, opts.atMs),
 });
@@ -143,8 +143,8 @@
     }
     return {
         ...state,
-        announcedOffset: state.repeatWindowOffset,
-        repeatWindowOffset: opts.summarize(Infinity).nextOffset ?? 0,
+        announced: state.repeatWindowEnd,
+        repeatWindowEnd: opts.summarize(undefined).next,
         repeatWindowStartedAtMs: opts.atMs,
     };
 };
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -1,4 +1,5 @@
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
+import { decode, encode } from "@msgpack/msgpack";
 import { expect } from "chai";
 import { createVm } from "./create-vm.js";
 import { LOAD } from "./load.js";
@@ -12,6 +13,8 @@
             isHub: true,
             summary: {
                 ...SUMMARY,
+                next: { era: 2, offset: 6 },
+                base: { era: 2, offset: 4 },
                 changes: [
                     { offset: 4, instanceId: "i-1", server: undefined },
                     {
@@ -74,6 +77,25 @@
         }
     });
 
+    // During a rolling upgrade, VMs of both releases belong to the same fleet.
+    it("decodes a status of a release that sends no era as one of era 0", () => {
+        const message: FleetMessage = {
+            type: "status",
+            sender: createVm("1", "a"),
+            isHub: true,
+            summary: { ...SUMMARY, next: { era: 2, offset: 6 }, base: { era: 2, offset: 4 } },
+            vms: [],
+            fleetSize: 3,
+        };
+        const row = decode(encodeFleetMessage(message)) as unknown[][];
+        row[4]?.pop();
+        const decoded = decodeFleetMessage(encode(row));
+        expect(decoded).to.deep.equal({
+            ...message,
+            summary: { ...SUMMARY, next: { era: 0, offset: 6 }, base: { era: 0, offset: 4 } },
+        });
+    });
+
     it("rejects a truncated or malformed datagram and one of another version", () => {
         const bytes = encodeFleetMessage({
             type: "status",
--- a/fleet/hubs/test/summary.ts
+++ b/fleet/hubs/test/summary.ts
@@ -1,8 +1,8 @@
 import type { ViewSummary } from "@marigoldstall/fleet.view";
 
 export const SUMMARY: ViewSummary = {
-    nextOffset: 0,
-    baseOffset: 0,
+    next: { era: 0, offset: 0 },
+    base: { era: 0, offset: 0 },
     changes: [],
     ageMs: 10,
     confirmation: { readerId: "a/1", number: 4 },
--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -1,7 +1,9 @@
 import type { Transition } from "@marigoldstall/core.types";
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
+import { comparePositions } from "./compare-positions.js";
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
+import { isOutdatedEra } from "./is-outdated-era.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
 import { VIEW_LIMITS } from "./view-limits.js";
@@ -11,26 +13,28 @@
 
 const applyPeerRegistrations = (state: ViewState, event: SummaryReceived, effects: ViewEffect[]): ViewState => {
     const { summary, atMs } = event;
-    const ownOffset = state.registrationReading.nextOffset;
-    if (summary.nextOffset === undefined) {
+    const { next: peerNext } = summary;
+    const ownNext = state.registrationReading.next;
+    if (peerNext === undefined || isOutdatedEra(state, peerNext.era)) {
         return state;
     }
     const confirmedAtMs = atMs - summary.ageMs;
-    if (ownOffset === undefined || ownOffset < summary.baseOffset) {
+    if (ownNext === undefined || ownNext.era < peerNext.era || comparePositions(ownNext, summary.base) < 0) {
         if (atMs - state.snapshotRequestedAtMs < VIEW_LIMITS.fetchRetryIntervalMs) {
             return state;
         }
         effects.push({ type: "fetch-view-snapshot", peerAddress: event.peerAddress });
         return { ...state, snapshotRequestedAtMs: atMs };
     }
-    if (ownOffset > summary.nextOffset) {
+    if (comparePositions(ownNext, peerNext) > 0) {
         return state;
     }
     const confirmed = confirmRegistrations(state, { atMs, confirmedAtMs, confirmation: summary.confirmation });
     const { state: next, applied } = applyRegistrationChanges(confirmed, {
         atMs,
+        era: peerNext.era,
         changes: summary.changes,
-        nextOffset: summary.nextOffset,
+        nextOffset: peerNext.offset,
     });
     if (applied.length > 0) {
         effects.push({ type: "servers-changed", changes: applied, source: event.peerAddress });
--- a/fleet/view/src/apply-registration-changes.ts
+++ b/fleet/view/src/apply-registration-changes.ts
@@ -1,6 +1,6 @@
-import { isSameServer } from "./is-same-server.js";
-import type { KnownServer } from "./known-server.js";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectLaterPosition } from "./select-later-position.js";
+import { ServersDraft } from "./servers-draft.js";
 import { VIEW_LIMITS } from "./view-limits.js";
 import type { ViewState } from "./view-state.js";
 
@@ -8,6 +8,7 @@
 
 interface ApplyRegistrationChangesOptions {
     readonly atMs: number;
+    readonly era: number;
     readonly changes: readonly RegistrationChange[];
     readonly nextOffset: number;
 }
@@ -18,53 +19,24 @@
     readonly applied: readonly RegistrationChange[];
 }
 
-const applyChange = (
-    servers: Map<string, KnownServer>,
-    change: RegistrationChange,
-    opts: { readonly atMs: number; readonly retainRemovedUntilMs: number; },
-): "none" | "propagated" | "changed" => {
-    const { instanceId, offset, server } = change;
-    const known = servers.get(instanceId);
-    if (known !== undefined && known.offset >= offset) {
-        return "none";
-    }
-    if (server === undefined) {
-        if (known === undefined) {
-            return "none";
-        }
-        // A draining server does not register again.
-        if (opts.retainRemovedUntilMs > opts.atMs && !known.server.isDraining) {
-            servers.set(instanceId, { ...known, offset, retainedUntilMs: opts.retainRemovedUntilMs });
-            return "propagated";
-        }
-        servers.delete(instanceId);
-        return "changed";
-    }
-    servers.set(instanceId, { server, offset, retainedUntilMs: undefined });
-    if (known === undefined || !isSameServer(known.server, server)) {
-        return "changed";
-    }
-    // Peers that retain the expired registration must learn that it was renewed.
-    return known.retainedUntilMs === undefined ? "none" : "propagated";
-};
-
-const advanceNextOffset = (state: ViewState, offset: number): ViewState => {
+const advance = (state: ViewState, opts: ApplyRegistrationChangesOptions): ViewState => {
     const { registrationReading } = state;
-    const nextOffset = Math.max(offset, registrationReading.nextOffset ?? 0);
-    return { ...state, registrationReading: { ...registrationReading, nextOffset } };
+    const next = selectLaterPosition({ era: opts.era, offset: opts.nextOffset }, registrationReading.next);
+    return { ...state, registrationReading: { ...registrationReading, next } };
 };
 
-/** Applies registration changes in the order of their offsets. */
+/** Applies registration changes of one era in the order of their offsets. */
 export const applyRegistrationChanges = (state: ViewState, opts: ApplyRegistrationChangesOptions): AppliedChanges => {
     if (opts.changes.length === 0) {
-        return { state: advanceNextOffset(state, opts.nextOffset), applied: [] };
+        return { state: advance(state, opts), applied: [] };
     }
-    const servers = new Map(state.servers);
+    const { atMs, era } = opts;
     const retainRemovedUntilMs = state.outageEndedAtMs + VIEW_LIMITS.expiredRetentionMs;
+    const draft = new ServersDraft(state, { atMs, era, retainRemovedUntilMs });
     const applied: RegistrationChange[] = [];
     const propagated: RegistrationChange[] = [];
     for (const change of opts.changes) {
-        const result = applyChange(servers, change, { atMs: opts.atMs, retainRemovedUntilMs });
+        const result = draft.apply(change);
         if (result === "changed") {
             applied.push(change);
         }
@@ -78,10 +50,10 @@
     return {
         applied,
         state: {
-            ...advanceNextOffset(state, opts.nextOffset),
-            servers,
+            ...advance(state, opts),
+            ...draft.finish(),
             recentChanges: recent.slice(dropped.length),
-            recentBaseOffset: lastDropped === undefined ? state.recentBaseOffset : lastDropped.offset + 1,
+            recentBase: lastDropped === undefined ? state.recentBase : { era, offset: lastDropped.offset + 1 },
         },
     };
 };
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -1,34 +1,62 @@
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
 import type { RegistrationChange } from "./registration-change.js";
+import { ServersDraft } from "./servers-draft.js";
+import { VIEW_LIMITS } from "./view-limits.js";
+import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewState } from "./view-state.js";
 
 interface ApplyRegistrationListOptions {
     readonly atMs: number;
+    readonly era: number;
     readonly registrations: readonly RegistrationChange[];
+    /** Registrations that the peer that sent the list withholds. */
+    readonly withheld?: ViewSnapshot["withheld"];
     readonly nextOffset: number;
 }
 
+// The list of a restored copy may contain servers that have left, and lacks servers that will register again.
+const withholdOutdated = (
+    state: ViewState,
+    opts: ApplyRegistrationListOptions,
+): { readonly state: ViewState; readonly current: readonly RegistrationChange[]; } => {
+    const { atMs, era, withheld = [] } = opts;
+    const isFirstOfEra = state.listedEra !== undefined && state.listedEra !== era;
+    const outageEndedAtMs = isFirstOfEra ? atMs : state.outageEndedAtMs;
+    const draft = new ServersDraft(state, {
+        atMs,
+        era,
+        retainRemovedUntilMs: outageEndedAtMs + VIEW_LIMITS.expiredRetentionMs,
+    });
+    const untilMs = atMs + state.heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
+    const current = isFirstOfEra
+        ? opts.registrations.filter(registration => !draft.withhold(registration, untilMs))
+        : opts.registrations;
+    for (const { remainingMs, ...registration } of withheld) {
+        draft.adoptWithheld(registration, atMs + remainingMs);
+    }
+    return { state: { ...state, ...draft.finish(), outageEndedAtMs, listedEra: era }, current };
+};
+
+const createRemovals = (state: ViewState, opts: ApplyRegistrationListOptions): readonly RegistrationChange[] => {
+    const { era, nextOffset, withheld = [] } = opts;
+    const listed = new Set([...opts.registrations, ...withheld].map(registration => registration.instanceId));
+    const expected = [...state.servers.values()].filter(({ position, retainedUntilMs }) =>
+        position.era < era || (retainedUntilMs === undefined && position.offset < nextOffset)
+    );
+    return [...expected, ...state.withheld.values()]
+        .filter(({ server }) => !listed.has(server.instanceId))
+        .map(({ server }) => ({ offset: nextOffset - 1, instanceId: server.instanceId, server: undefined }));
+};
+
 /** Applies a complete list of registrations and removes the servers that it does not contain. */
 export const applyRegistrationList = (
-    state: ViewState,
+    before: ViewState,
     opts: ApplyRegistrationListOptions,
 ): ReturnType<typeof applyRegistrationChanges> => {
-    const listed = new Set(opts.registrations.map(registration => registration.instanceId));
-    const removals = [...state.servers.values()]
-        .filter(known =>
-            !listed.has(known.server.instanceId) && known.retainedUntilMs === undefined
-            && known.offset < opts.nextOffset
-        )
-        .map(known => ({
-            offset: opts.nextOffset - 1,
-            instanceId: known.server.instanceId,
-            server: undefined,
-        }));
-    const result = applyRegistrationChanges(state, {
-        atMs: opts.atMs,
-        changes: [...opts.registrations, ...removals],
-        nextOffset: opts.nextOffset,
-    });
+    const { atMs, era, nextOffset } = opts;
+    const { state, current } = withholdOutdated(before, opts);
+    const changes = [...current, ...createRemovals(state, opts)];
+    const result = applyRegistrationChanges(state, { atMs, era, changes, nextOffset });
     // The individual changes that led to this list are unknown, so peers with an older view need the complete list too.
-    return { ...result, state: { ...result.state, recentChanges: [], recentBaseOffset: opts.nextOffset } };
+    return { ...result, state: { ...result.state, recentChanges: [], recentBase: { era, offset: nextOffset } } };
 };
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -10,7 +10,7 @@
 /** Creates an empty view. */
 export const createViewState = (opts: CreateViewStateOptions): ViewState => {
     const reading = {
-        nextOffset: undefined,
+        next: undefined,
         confirmedAtMs: -Infinity,
         confirmation: undefined,
         latestReadNumbers: new Map<string, number>(),
@@ -22,12 +22,16 @@
         readerId: opts.readerId,
         heartbeatMs: opts.heartbeatMs ?? VIEW_LIMITS.defaultHeartbeatMs,
         firstReadAtMs: opts.firstReadAtMs ?? -Infinity,
+        storeEra: undefined,
+        listedEra: undefined,
         servers: new Map(),
+        withheld: new Map(),
+        departed: new Map(),
         configuration: undefined,
         registrationReading: reading,
         configurationReading: reading,
         recentChanges: [],
-        recentBaseOffset: 0,
+        recentBase: { era: 0, offset: 0 },
         outageEndedAtMs: -Infinity,
         snapshotRequestedAtMs: -Infinity,
         configurationRequestedAtMs: -Infinity,
--- a/fleet/view/src/index.ts
+++ b/fleet/view/src/index.ts
@@ -6,6 +6,7 @@
 export type { RegistrationChange } from "./registration-change.js";
 export { selectViewSnapshot } from "./select-view-snapshot.js";
 export { selectViewSummary } from "./select-view-summary.js";
+export type { StorePosition } from "./store-position.js";
 export type { ViewEffect } from "./view-effect.js";
 export type { ViewEvent } from "./view-event.js";
 export { VIEW_LIMITS } from "./view-limits.js";
--- /dev/null
+++ b/fleet/view/src/observe-era.ts
@@ -0,0 +1,15 @@
+import type { Transition } from "@marigoldstall/core.types";
+import type { ViewEffect } from "./view-effect.js";
+import type { ViewState } from "./view-state.js";
+
+/** Records the era of a response of the store. Reports a restore of the store once. */
+export const observeEra = (state: ViewState, era: number): Transition<ViewState, ViewEffect> => {
+    const { storeEra } = state;
+    if (storeEra !== undefined && storeEra >= era) {
+        return { state, effects: [] };
+    }
+    const effects: readonly ViewEffect[] = storeEra === undefined
+        ? []
+        : [{ type: "store-restored", era, previousEra: storeEra }];
+    return { state: { ...state, storeEra: era }, effects };
+};
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -3,11 +3,15 @@
 import { applyPeerSummary } from "./apply-peer-summary.js";
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
 import { applyRegistrationList } from "./apply-registration-list.js";
+import { comparePositions } from "./compare-positions.js";
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
+import { isOutdatedEra } from "./is-outdated-era.js";
 import { nextConfirmation } from "./next-confirmation.js";
+import { observeEra } from "./observe-era.js";
 import { onResumed } from "./on-resumed.js";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectLaterPosition } from "./select-later-position.js";
 import { tickView } from "./tick-view.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
@@ -21,12 +25,34 @@
     registrationReading: { ...state.registrationReading, isReading: false, failedAtMs: -Infinity },
 });
 
-const onRegistrationsRead = (
+const ignoreOutdatedRead = (
     state: ViewState,
+    event: { readonly topic: "registrations" | "configuration"; readonly era: number; },
+): Transition<ViewState, ViewEffect> => {
+    const { topic, era } = event;
+    const field = topic === "registrations" ? "registrationReading" : "configurationReading";
+    return {
+        state: { ...state, [field]: { ...state[field], isReading: false } },
+        effects: [{ type: "outdated-read-ignored", topic, era }],
+    };
+};
+
+const onRegistrationsRead = (
+    before: ViewState,
     event: Extract<ViewEvent, { readonly type: "registrations-read"; }>,
 ): Transition<ViewState, ViewEffect> => {
-    const { atMs, startedAtMs } = event;
+    const { atMs, startedAtMs, era } = event;
+    if (isOutdatedEra(before, era)) {
+        return ignoreOutdatedRead(before, { topic: "registrations", era });
+    }
+    const { state, effects: restored } = observeEra(before, era);
     const regained = storeRegainedEffects(state.registrationReading, "registrations", atMs);
+    if (event.from.era !== era) {
+        // The store was restored in between, so these are not the records that follow this view.
+        const next = finishRegistrationRead(state);
+        const registrationReading = { ...next.registrationReading, startedAtMs: -Infinity };
+        return { state: { ...next, registrationReading }, effects: [...restored, ...regained] };
+    }
     // A page that ends before the end of the topic does not prove that the view is current.
     const confirmed = event.nextOffset >= event.endOffset
         ? confirmRegistrations(state, {
@@ -36,14 +62,21 @@
         })
         : state;
     const { state: next, applied } = applyRegistrationChanges(confirmed, event);
-    return { state: finishRegistrationRead(next), effects: [...regained, ...serversChangedEffects(applied, "store")] };
+    return {
+        state: finishRegistrationRead(next),
+        effects: [...restored, ...regained, ...serversChangedEffects(applied, "store")],
+    };
 };
 
 const onRegistrationsListed = (
-    state: ViewState,
+    before: ViewState,
     event: Extract<ViewEvent, { readonly type: "registrations-listed"; }>,
 ): Transition<ViewState, ViewEffect> => {
-    const { atMs } = event;
+    const { atMs, era } = event;
+    if (isOutdatedEra(before, era)) {
+        return ignoreOutdatedRead(before, { topic: "registrations", era });
+    }
+    const { state, effects: restored } = observeEra(before, era);
     const regained = storeRegainedEffects(state.registrationReading, "registrations", atMs);
     const confirmed = confirmRegistrations(state, {
         atMs,
@@ -51,30 +84,58 @@
         confirmation: nextConfirmation(state, state.registrationReading),
     });
     const { state: next, applied } = applyRegistrationList(confirmed, event);
-    return { state: finishRegistrationRead(next), effects: [...regained, ...serversChangedEffects(applied, "store")] };
+    return {
+        state: finishRegistrationRead(next),
+        effects: [...restored, ...regained, ...serversChangedEffects(applied, "store")],
+    };
 };
 
 const onConfigurationRead = (
-    state: ViewState,
+    before: ViewState,
     event: Extract<ViewEvent, { readonly type: "configuration-read"; }>,
 ): Transition<ViewState, ViewEffect> => {
+    const { era, from } = event;
+    // Versions only rise, so a newer version counts even in a response from before a restore.
+    const { state: adopted, effects: adoptions } = adoptConfiguration(before, event.configuration);
+    if (isOutdatedEra(before, era)) {
+        const ignored = ignoreOutdatedRead(adopted, { topic: "configuration", era });
+        return { state: ignored.state, effects: [...adoptions, ...ignored.effects] };
+    }
+    const { state, effects: restored } = observeEra(adopted, era);
     const reading = state.configurationReading;
-    const { state: next, effects } = adoptConfiguration(state, event.configuration);
-    return {
-        state: {
-            ...next,
-            configurationReading: {
-                ...confirmReading(reading, {
-                    confirmedAtMs: event.startedAtMs,
-                    confirmation: nextConfirmation(state, reading),
-                }),
-                nextOffset: Math.max(event.nextOffset, reading.nextOffset ?? 0),
-                isReading: false,
-                failedAtMs: -Infinity,
-            },
-        },
-        effects: [...storeRegainedEffects(reading, "configuration", event.atMs), ...effects],
-    };
+    const effects = [...restored, ...storeRegainedEffects(reading, "configuration", event.atMs), ...adoptions];
+    const finished = { ...reading, isReading: false, failedAtMs: -Infinity };
+    if (from !== undefined && from.era !== era) {
+        // The store was restored in between, so records before this response may be missing.
+        return { state: { ...state, configurationReading: { ...finished, startedAtMs: -Infinity } }, effects };
+    }
+    const confirmed = confirmReading(finished, {
+        confirmedAtMs: event.startedAtMs,
+        confirmation: nextConfirmation(state, reading),
+    });
+    const next = selectLaterPosition({ era, offset: event.nextOffset }, reading.next);
+    return { state: { ...state, configurationReading: { ...confirmed, next } }, effects };
+};
+
+const onViewSnapshotReceived = (
+    before: ViewState,
+    event: Extract<ViewEvent, { readonly type: "view-snapshot-received"; }>,
+): Transition<ViewState, ViewEffect> => {
+    const { snapshot, atMs } = event;
+    const { era, nextOffset } = snapshot;
+    const ownNext = before.registrationReading.next;
+    const isOlder = ownNext !== undefined && comparePositions({ era, offset: nextOffset }, ownNext) < 0;
+    if (isOlder || isOutdatedEra(before, era)) {
+        return { state: before, effects: [] };
+    }
+    const { state, effects: restored } = observeEra(before, era);
+    const confirmed = confirmRegistrations(state, {
+        atMs,
+        confirmedAtMs: atMs - snapshot.ageMs,
+        confirmation: snapshot.confirmation,
+    });
+    const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
+    return { state: next, effects: [...restored, ...serversChangedEffects(applied, "peer")] };
 };
 
 const onStoreReadFailed = (
@@ -85,7 +146,7 @@
     const reading = state[field];
     const { atMs } = event;
     if (event.isExpired) {
-        const next = { ...reading, nextOffset: undefined, isReading: false, startedAtMs: -Infinity };
+        const next = { ...reading, next: undefined, isReading: false, startedAtMs: -Infinity };
         return { state: { ...state, [field]: next }, effects: [] };
     }
     const isFirst = reading.failedAtMs === -Infinity;
@@ -123,19 +184,8 @@
             return onStoreReadFailed(state, event);
         case "view-summary-received":
             return applyPeerSummary(state, event);
-        case "view-snapshot-received": {
-            const { snapshot, atMs } = event;
-            if (snapshot.nextOffset < (state.registrationReading.nextOffset ?? 0)) {
-                return { state, effects: [] };
-            }
-            const confirmed = confirmRegistrations(state, {
-                atMs,
-                confirmedAtMs: atMs - snapshot.ageMs,
-                confirmation: snapshot.confirmation,
-            });
-            const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
-            return { state: next, effects: serversChangedEffects(applied, "peer") };
-        }
+        case "view-snapshot-received":
+            return onViewSnapshotReceived(state, event);
         case "peer-configuration-received": {
             const { state: next, effects } = adoptConfiguration(state, event.configuration);
             if (effects.length === 0) {
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -3,15 +3,22 @@
 
 /** The registrations for a peer without the expired ones, or undefined if this daemon has not received any list yet. */
 export const selectViewSnapshot = (state: ViewState, atMs: number): ViewSnapshot | undefined => {
-    const { nextOffset, confirmedAtMs, confirmation } = state.registrationReading;
-    if (nextOffset === undefined) {
+    const { next, confirmedAtMs, confirmation } = state.registrationReading;
+    if (next === undefined) {
         return undefined;
     }
     return {
-        nextOffset,
+        era: next.era,
+        nextOffset: next.offset,
         registrations: [...state.servers.values()]
             .filter(known => known.retainedUntilMs === undefined)
-            .map(known => ({ offset: known.offset, instanceId: known.server.instanceId, server: known.server })),
+            .map(({ position, server }) => ({ offset: position.offset, instanceId: server.instanceId, server })),
+        withheld: [...state.withheld.values()].map(({ position, server, untilMs }) => ({
+            offset: position.offset,
+            instanceId: server.instanceId,
+            server,
+            remainingMs: untilMs - atMs,
+        })),
         ageMs: atMs - confirmedAtMs,
         confirmation,
     };
--- a/fleet/view/src/tick-view.ts
+++ b/fleet/view/src/tick-view.ts
@@ -1,5 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
-import type { RegistrationChange } from "./registration-change.js";
+import { endRetention } from "./end-retention.js";
 import type { ViewEffect } from "./view-effect.js";
 import { VIEW_LIMITS } from "./view-limits.js";
 import type { ViewState } from "./view-state.js";
@@ -30,7 +30,7 @@
         && (isInitial || atMs - reading.confirmedAtMs >= intervalMs + opts.readDelayMs);
 };
 
-/** Starts the reads that are due, and removes expired registrations whose retention has ended. */
+/** Starts the reads that are due, and ends the retention of expired and the withholding of restored registrations. */
 export const tickView = (
     state: ViewState,
     opts: { readonly atMs: number; readonly readDelayMs: number; },
@@ -45,26 +45,15 @@
             : VIEW_LIMITS.configurationIntervalMs;
         const reading = next[field];
         const isInitial = topic === "registrations"
-            ? reading.nextOffset === undefined
+            ? reading.next === undefined
             : next.configuration === undefined;
         if (isDue(reading, { atMs, intervalMs, readDelayMs, isInitial, firstReadAtMs: next.firstReadAtMs })) {
             next = { ...next, [field]: { ...reading, isReading: true, startedAtMs: atMs } };
-            effects.push({ type: "read-store", topic, fromOffset: reading.nextOffset });
+            // In a restored store, a position of an earlier era denotes other records.
+            const from = reading.next?.era === next.storeEra ? reading.next : undefined;
+            effects.push({ type: "read-store", topic, from });
         }
     }
-    const expired: RegistrationChange[] = [];
-    for (const { retainedUntilMs, offset, server } of next.servers.values()) {
-        if (retainedUntilMs !== undefined && retainedUntilMs <= atMs) {
-            expired.push({ offset, instanceId: server.instanceId, server: undefined });
-        }
-    }
-    if (expired.length > 0) {
-        const servers = new Map(next.servers);
-        for (const change of expired) {
-            servers.delete(change.instanceId);
-        }
-        next = { ...next, servers };
-        effects.push({ type: "servers-changed", changes: expired, source: "expired" });
-    }
-    return { state: next, effects };
+    const ended = endRetention(next, atMs);
+    return { state: ended.state, effects: [...effects, ...ended.effects] };
 };
--- a/fleet/view/src/view-event.ts
+++ b/fleet/view/src/view-event.ts
@@ -1,6 +1,7 @@
 import type { Confirmation } from "./confirmation.js";
 import type { KnownConfiguration } from "./known-configuration.js";
 import type { RegistrationChange } from "./registration-change.js";
+import type { StorePosition } from "./store-position.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewSummary } from "./view-summary.js";
 
@@ -18,6 +19,9 @@
         readonly type: "registrations-read";
         readonly atMs: number;
         readonly startedAtMs: number;
+        /** Era of the response. The offsets of the changes belong to it. */
+        readonly era: number;
+        readonly from: StorePosition;
         readonly changes: readonly RegistrationChange[];
         readonly nextOffset: number;
         readonly endOffset: number;
@@ -26,6 +30,7 @@
         readonly type: "registrations-listed";
         readonly atMs: number;
         readonly startedAtMs: number;
+        readonly era: number;
         readonly registrations: readonly RegistrationChange[];
         readonly nextOffset: number;
     }
@@ -34,6 +39,9 @@
         readonly type: "configuration-read";
         readonly atMs: number;
         readonly startedAtMs: number;
+        readonly era: number;
+        /** Undefined if the topic was listed. */
+        readonly from: StorePosition | undefined;
         readonly configuration: KnownConfiguration | undefined;
         readonly nextOffset: number;
     }
--- a/fleet/view/src/view-limits.ts
+++ b/fleet/view/src/view-limits.ts
@@ -13,6 +13,11 @@
     defaultHeartbeatMs: 1_500,
     // Backend servers register again within about 2 s after an outage of the store ends.
     expiredRetentionMs: 2_300,
+    // A restored store removes the registrations of servers that have left after three missed heartbeats. One more
+    // leaves time to read the removal.
+    withheldHeartbeats: 4,
+    // How long a removed server is remembered. Longer than a restored copy is old.
+    departedRetentionMs: 60_000,
     // Minimum time between two fetches from peers, after which a lost response is requested again.
     fetchRetryIntervalMs: 250,
     // A read without a result after this time is considered lost. The client's own timeout is shorter.
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -1,12 +1,15 @@
 import type { Confirmation } from "./confirmation.js";
+import type { DepartedServer } from "./departed-server.js";
 import type { KnownConfiguration } from "./known-configuration.js";
 import type { KnownServer } from "./known-server.js";
 import type { RegistrationChange } from "./registration-change.js";
+import type { StorePosition } from "./store-position.js";
+import type { WithheldServer } from "./withheld-server.js";
 
 /** Read progress of a topic. */
 interface TopicReading {
-    /** Offset of the next record to read. Undefined until the topic was listed. */
-    readonly nextOffset: number | undefined;
+    /** Position of the next record to read. Undefined until the topic was listed. */
+    readonly next: StorePosition | undefined;
     /** Last time at which the store is known to have had nothing newer than this view. */
     readonly confirmedAtMs: number;
     /** The read that showed this, by this daemon or by a peer. */
@@ -26,14 +29,20 @@
     readonly heartbeatMs: number;
     /** A VM without a view waits until this time plus its read delay for the view of a peer. */
     readonly firstReadAtMs: number;
+    /** Latest era of the store in a response to this VM or to a peer. Undefined before the first response. */
+    readonly storeEra: number | undefined;
+    /** Era of the latest complete list of registrations. */
+    readonly listedEra: number | undefined;
     readonly servers: ReadonlyMap<string, KnownServer>;
+    readonly withheld: ReadonlyMap<string, WithheldServer>;
+    readonly departed: ReadonlyMap<string, DepartedServer>;
     readonly configuration: KnownConfiguration | undefined;
     readonly registrationReading: TopicReading;
     readonly configurationReading: TopicReading;
     /** The latest changes for the summaries sent to peers, oldest first. */
     readonly recentChanges: readonly RegistrationChange[];
-    /** A peer whose view has reached this offset needs only the recent changes. */
-    readonly recentBaseOffset: number;
+    /** A peer whose view has reached this position needs only the recent changes. */
+    readonly recentBase: StorePosition;
     /** When the last outage of the store ended. */
     readonly outageEndedAtMs: number;
     readonly snapshotRequestedAtMs: number;
--- a/fleet/view/src/view-summary.ts
+++ b/fleet/view/src/view-summary.ts
@@ -1,12 +1,13 @@
 import type { Confirmation } from "./confirmation.js";
 import type { RegistrationChange } from "./registration-change.js";
+import type { StorePosition } from "./store-position.js";
 
 /** Summary of the sender's view in a datagram. */
 export interface ViewSummary {
-    /** Offset after the last registration change in the sender's view. Undefined if the sender has no view. */
-    readonly nextOffset: number | undefined;
-    /** A view that has reached this offset needs only `changes` to reach `nextOffset`. */
-    readonly baseOffset: number;
+    /** Position after the last registration change in the sender's view. Undefined if the sender has no view. */
+    readonly next: StorePosition | undefined;
+    /** A view that has reached this position needs only `changes` to reach `next`. */
+    readonly base: StorePosition;
     readonly changes: readonly RegistrationChange[];
     readonly ageMs: number;
     readonly confirmation: Confirmation | undefined;
--- a/fleet/view/test/reduce-view.test.ts
+++ b/fleet/view/test/reduce-view.test.ts
@@ -1,113 +1,28 @@
-import type { BackendServer } from "@marigoldstall/core.types";
-import {
-    createViewState,
-    reduceView,
-    type RegistrationChange,
-    selectViewSnapshot,
-    selectViewSummary,
-    VIEW_LIMITS,
-    type ViewEffect,
-    type ViewEvent,
-    type ViewState,
-} from "@marigoldstall/fleet.view";
+import { selectViewSnapshot, selectViewSummary, VIEW_LIMITS, type ViewEffect } from "@marigoldstall/fleet.view";
 import { expect } from "chai";
+import { ViewHarness } from "./view-harness.js";
 
-const server = (instanceId: string, fields: Partial<BackendServer> = {}): BackendServer => ({
-    instanceId,
-    startedAtUnixMs: 1,
-    service: "one",
-    address: "127.0.0.1:8080",
-    availabilityZone: "east",
-    slots: 2,
-    isDraining: false,
-    warmUpMs: 0,
-    ...fields,
-});
-
-const registered = (offset: number, instanceId: string, fields: Partial<BackendServer> = {}): RegistrationChange => ({
-    offset,
-    instanceId,
-    server: server(instanceId, fields),
-});
-
-const removed = (offset: number, instanceId: string): RegistrationChange => ({
-    offset,
-    instanceId,
-    server: undefined,
-});
-
-class View {
-    state: ViewState;
-    effects: ViewEffect[] = [];
-
-    constructor(readerId = "reader") {
-        this.state = createViewState({ readerId });
-    }
-
-    apply(event: ViewEvent): readonly ViewEffect[] {
-        const { state, effects } = reduceView(this.state, event);
-        this.state = state;
-        this.effects.push(...effects);
-        return effects;
-    }
-
-    tick(atMs: number, readDelayMs = 0): readonly ViewEffect[] {
-        return this.apply({ type: "view-tick", atMs, readDelayMs });
-    }
-
-    list(atMs: number, nextOffset: number, registrations: readonly RegistrationChange[]): readonly ViewEffect[] {
-        return this.apply({ type: "registrations-listed", atMs, startedAtMs: atMs - 5, registrations, nextOffset });
-    }
-
-    read(atMs: number, nextOffset: number, changes: readonly RegistrationChange[]): readonly ViewEffect[] {
-        return this.apply({
-            type: "registrations-read",
-            atMs,
-            startedAtMs: atMs - 5,
-            changes,
-            nextOffset,
-            endOffset: nextOffset,
-        });
-    }
-
-    fail(atMs: number): readonly ViewEffect[] {
-        return this.apply({ type: "store-read-failed", atMs, topic: "registrations", isExpired: false });
-    }
-
-    get ids(): readonly string[] {
-        return [...this.state.servers.keys()];
-    }
-}
-
-const configuration = (version: number) => ({
-    text: `version ${version}`,
-    configuration: {
-        version,
-        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-        routesByHost: new Map(),
-        services: new Map(),
-    },
-});
+const { configuration, registered, removed } = ViewHarness;
 
 describe("reduceView", () => {
     describe("reading the store", () => {
         it("lists first and reads on from there", () => {
-            const view = new View();
+            const view = new ViewHarness();
             expect(view.tick(0)).to.deep.include({
                 type: "read-store",
                 topic: "registrations",
-                fromOffset: undefined,
+                from: undefined,
             });
             view.list(10, 5, [registered(4, "a")]);
             expect(view.tick(10 + VIEW_LIMITS.registrationIntervalMs)).to.deep.include({
                 type: "read-store",
                 topic: "registrations",
-                fromOffset: 5,
+                from: { era: 0, offset: 5 },
             });
         });
 
         it("does not read the store while its view is fresh enough for its read delay", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.tick(0);
             view.list(10, 5, []);
             const topics = view.tick(700, 250).filter(effect =>
@@ -117,7 +32,7 @@
         });
 
         it("lists the topic again when the next records were deleted", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.tick(0);
             view.list(10, 5, [registered(4, "a"), registered(3, "b")]);
             view.tick(500);
@@ -125,7 +40,7 @@
             expect(view.tick(1_000)).to.deep.include({
                 type: "read-store",
                 topic: "registrations",
-                fromOffset: undefined,
+                from: undefined,
             });
             const effects = view.list(1_010, 90, [registered(80, "a")]);
             expect(effects).to.deep.include({
@@ -136,7 +51,7 @@
         });
 
         it("reads again when the previous read did not finish in time", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.tick(0);
             expect(view.tick(VIEW_LIMITS.readTimeoutMs + 1).length).to.be.greaterThan(0);
         });
@@ -144,21 +59,21 @@
 
     describe("registration changes", () => {
         it("reports a change once and ignores heartbeats", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.list(0, 1, [registered(0, "a")]);
             expect(view.read(10, 2, [registered(1, "a", { warmUpMs: 100 })])).to.deep.equal([]);
             expect(view.read(20, 3, [registered(2, "a", { isDraining: true })]).length).to.equal(1);
         });
 
         it("ignores a change with a lower offset than the known one", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.list(0, 9, [registered(8, "a", { isDraining: true })]);
             view.read(10, 9, [registered(5, "a")]);
             expect(view.state.servers.get("a")?.server.isDraining).to.equal(true);
         });
 
         it("removes a server immediately when there was no outage of the store", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.list(0, 1, [registered(0, "a")]);
             view.read(500, 2, [removed(1, "a")]);
             expect(view.ids).to.deep.equal([]);
@@ -166,8 +81,8 @@
     });
 
     describe("after an outage of the store", () => {
-        const afterOutage = (): View => {
-            const view = new View();
+        const afterOutage = (): ViewHarness => {
+            const view = new ViewHarness();
             view.list(0, 2, [registered(0, "a"), registered(1, "b")]);
             view.fail(600);
             view.read(6_000, 4, [removed(2, "a"), removed(3, "b")]);
@@ -184,7 +99,7 @@
         });
 
         it("does not retain a draining server", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.list(0, 1, [registered(0, "a", { isDraining: true })]);
             view.read(6_000, 2, [removed(1, "a")]);
             expect(view.ids).to.deep.equal([]);
@@ -194,12 +109,12 @@
             const view = afterOutage();
             const effects = view.read(7_000, 5, [registered(4, "a")]);
             expect(effects).to.deep.equal([]);
-            const announced = selectViewSummary(view.state, { atMs: 7_000, sinceOffset: 4 }).changes;
+            const announced = selectViewSummary(view.state, { atMs: 7_000, since: { era: 0, offset: 4 } }).changes;
             expect(announced.map(change => change.instanceId)).to.deep.equal(["a"]);
         });
 
         it("reports the start and the end of an outage once each", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.list(0, 0, []);
             expect(view.fail(600).map(effect => effect.type)).to.deep.equal(["store-lost"]);
             expect(view.fail(2_200)).to.deep.equal([]);
@@ -208,22 +123,27 @@
     });
 
     describe("summaries of a peer", () => {
-        const createPair = (): { readonly reader: View; readonly follower: View; } => {
-            const reader = new View();
+        const createPair = (): { readonly reader: ViewHarness; readonly follower: ViewHarness; } => {
+            const reader = new ViewHarness();
             reader.list(0, 2, [registered(0, "a"), registered(1, "b")]);
-            const follower = new View("follower");
+            const follower = new ViewHarness("follower");
             const snapshot = selectViewSnapshot(reader.state, 10);
             if (snapshot !== undefined) {
                 follower.apply({ type: "view-snapshot-received", atMs: 10, snapshot });
             }
             return { reader, follower };
         };
-        const sendSummary = (reader: View, follower: View, atMs: number, sinceOffset = 0): readonly ViewEffect[] =>
+        const sendSummary = (
+            reader: ViewHarness,
+            follower: ViewHarness,
+            atMs: number,
+            sinceOffset = 0,
+        ): readonly ViewEffect[] =>
             follower.apply({
                 type: "view-summary-received",
                 atMs,
                 peerAddress: "127.0.0.2:8003",
-                summary: selectViewSummary(reader.state, { atMs, sinceOffset }),
+                summary: selectViewSummary(reader.state, { atMs, since: { era: 0, offset: sinceOffset } }),
             });
 
         it("applies the changes and the age of the peer's view", () => {
@@ -242,10 +162,10 @@
             reader.read(500, 3, []);
             for (let atMs = 510; atMs < 1_000; atMs += 20) {
                 const delayMs = 8;
-                const toFollower = selectViewSummary(reader.state, { atMs, sinceOffset: 0 });
+                const toFollower = selectViewSummary(reader.state, { atMs, since: undefined });
                 const peer = { type: "view-summary-received", peerAddress: "127.0.0.2:8003" } as const;
                 follower.apply({ ...peer, atMs: atMs + delayMs, summary: toFollower });
-                const toReader = selectViewSummary(follower.state, { atMs: atMs + delayMs, sinceOffset: 0 });
+                const toReader = selectViewSummary(follower.state, { atMs: atMs + delayMs, since: undefined });
                 reader.apply({ ...peer, atMs: atMs + 2 * delayMs, summary: toReader });
             }
             expect(reader.state.registrationReading.confirmedAtMs).to.equal(495);
@@ -272,7 +192,7 @@
     describe("configuration", () => {
         // Store requests are billed, and otherwise each VM would read the configuration once more at startup.
         it("is not read from the store while a peer's view of it is fresh", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.apply({
                 type: "peer-configuration-received",
                 atMs: 5,
@@ -287,11 +207,13 @@
         });
 
         it("is never replaced by an older version", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.apply({
                 type: "configuration-read",
                 atMs: 0,
                 startedAtMs: 0,
+                era: 0,
+                from: undefined,
                 nextOffset: 1,
                 configuration: configuration(7),
             });
@@ -306,9 +228,9 @@
         });
 
         it("is fetched from a peer that has a newer one", () => {
-            const view = new View();
+            const view = new ViewHarness();
             const summary = {
-                ...selectViewSummary(view.state, { atMs: 0, sinceOffset: 0 }),
+                ...selectViewSummary(view.state, { atMs: 0, since: undefined }),
                 configurationVersion: 3,
                 configurationAgeMs: 10,
             };
@@ -325,7 +247,7 @@
     // The clock of a suspended VM stands still, so its view would count as current after minutes.
     describe("after the VM was suspended", () => {
         it("reads the store again before the usual interval has passed", () => {
-            const view = new View();
+            const view = new ViewHarness();
             view.list(1_000, 1, [registered(0, "a")]);
             const atMs = 1_000 + VIEW_LIMITS.registrationIntervalMs / 2;
             expect(view.tick(atMs).some(effect => isRegistrationRead(effect))).to.equal(false);
