fix(entry): take the first view after a restart from a seed

What callers see: a VM that starts while the store holds a restored copy reads an older configuration than the one in force, and servers that have left, and serves by them until a hub tells it better.

Cause: a restarted VM read the store at once and asked the seeds at the same time. The store cannot know what it has lost; the VMs do.

Change: a restarted VM asks the seeds first, for the configuration and the registrations too, and reads the store when a seed has sent its view, when none can be reached, or after 250 ms. A registration that a peer withholds is withheld on the VM that has just read it as well. If all seeds start as well, the store is all there is, and its copy is served until the operator has written again: that remains.

Ruled out: reading both and dropping the older configuration. It is in force for the time between the two answers, which is what callers see.

--- a/daemon/entry/src/create-entry-state.ts
+++ b/daemon/entry/src/create-entry-state.ts
@@ -10,7 +10,7 @@
 // times at which a zone has two hubs.
 const PERIODIC_PROBE_SHARE = 0.5;
 const MS_PER_SECOND = 1_000;
-// The hubs are known after 250 ms.
+// The hubs are known after 250 ms at the first start.
 const FIRST_READ_DELAY_MS = 300;
 
 /** Creates the initial state of the daemon. */
@@ -21,9 +21,9 @@
     view: createViewState({
         readerId: `${settings.vmId}/${opts.incarnation}`,
         heartbeatMs: settings.heartbeatMs,
-        // A restarted VM reads the store immediately because callers are waiting for it. When all VMs start together,
-        // only the hubs read the store and share the result.
-        ...settings.isFirstStart ? { firstReadAtMs: opts.atMs + FIRST_READ_DELAY_MS } : {},
+        // When all VMs start together, only the hubs read the store and share the result. A restarted VM asks the seeds
+        // first, since the store may just have been restored from a copy that is older than what is in force.
+        firstReadAtMs: settings.isFirstStart ? opts.atMs + FIRST_READ_DELAY_MS : Infinity,
     }),
     hub: createHubState(toVmInfo(settings), opts),
     dispatch: createDispatchState(settings),
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -94,12 +94,16 @@
             store: this.store,
             log,
             fetchPeerVms: address => this.peerRpc.fetchVms(address),
+            fetchPeerView: address => this.peerRpc.fetchView(address),
             hasHub: () => selectLiveHub(this.state.hub, clock.atMs()) !== undefined,
             isHub: () => this.state.hub.isHub,
             random: () => clock.random(),
             onVmsFound: vms => {
                 dispatch({ type: "vms-found", vms });
             },
+            onSeedsAsked: () => {
+                dispatch({ type: "seeds-asked" });
+            },
         });
         this.fleetSocket = new FleetSocket({
             host: settings.host,
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -13,6 +13,8 @@
 export type EntryEvent =
     | { readonly type: "tick"; }
     | { readonly type: "status-received"; readonly message: StatusMessage; readonly peerAddress: string; }
+    /** The seeds have sent their views or cannot be reached, so the VM may read its first view from the store. */
+    | { readonly type: "seeds-asked"; }
     /** The VM was suspended for a time that the clock did not count. */
     | { readonly type: "resumed"; readonly uncountedMs: number; }
     | { readonly type: "updates-received"; readonly message: UpdatesMessage; }
--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -28,6 +28,9 @@
     // Datagrams that arrive within this time after a pause may have waited in the socket meanwhile, so that the ages in
     // them are wrong. They are dropped.
     datagramSettleMs: 50,
+    // A restarted VM waits this long for the view of a seed before it reads the store. A seed that runs answers within
+    // two round trips; a VM without power does not answer at all.
+    seedWaitMs: 250,
     joinRetryDelayMs: 400,
     // At the first start of the whole system all VMs write their entry within 0.3 s. A VM lists the entries after the
     // delay, a part of the spread by chance, and up to the last delay by its bandwidth, unless a hub has found it by then.
--- a/daemon/entry/src/fleet-joiner.ts
+++ b/daemon/entry/src/fleet-joiner.ts
@@ -21,11 +21,15 @@
     readonly log: JsonLogger;
     /** Fetches the VMs that a peer knows. Empty if the peer does not respond. */
     readonly fetchPeerVms: (address: string) => Promise<readonly VmInfo[]>;
+    /** Fetches what a peer knows of the store. */
+    readonly fetchPeerView: (address: string) => Promise<void>;
     /** Whether a hub has found this VM. */
     readonly hasHub: () => boolean;
     readonly isHub: () => boolean;
     readonly random: () => number;
     readonly onVmsFound: (vms: readonly VmInfo[]) => void;
+    /** Called once a restarted VM has the view of a seed, or need not wait for one any longer. */
+    readonly onSeedsAsked: () => void;
 }
 
 /**
@@ -49,7 +53,7 @@
     /** Retries until a seed has answered, or this VM's entry is in the store and the others know it. */
     async join(): Promise<void> {
         const { isFirstStart } = this.opts.settings;
-        if (!isFirstStart && await this.joinThroughSeed()) {
+        if (!isFirstStart && await this.joinAfterRestart()) {
             return;
         }
         await Effect.runPromise(
@@ -60,9 +64,17 @@
         );
     }
 
+    private async joinAfterRestart(): Promise<boolean> {
+        const timer = setTimeout(this.opts.onSeedsAsked, ENTRY_TIMINGS.seedWaitMs);
+        const hasJoined = await this.joinThroughSeed();
+        clearTimeout(timer);
+        this.opts.onSeedsAsked();
+        return hasJoined;
+    }
+
     // A seed that knows nobody has just started itself.
     private async joinThroughSeed(): Promise<boolean> {
-        const { settings, log, fetchPeerVms, onVmsFound } = this.opts;
+        const { settings, log, fetchPeerVms, fetchPeerView, onVmsFound } = this.opts;
         const addresses = settings.seedAddresses.filter(address => address !== settings.listen.control);
         try {
             const { address, vms } = await Promise.any(addresses.map(async address => {
@@ -71,6 +83,7 @@
             }));
             log.write("joined-by-peer", { peer: address, vms: vms.length });
             onVmsFound(vms);
+            await fetchPeerView(address);
             return true;
         }
         catch (error) {
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -98,6 +98,11 @@
         return Option.getOrElse(decodeVms(await this.call(peerAddress, "fleet.vms")), () => []);
     }
 
+    /** Fetches all that a peer knows of the store. */
+    async fetchView(peerAddress: string): Promise<void> {
+        await Promise.all([this.fetchConfiguration(peerAddress), this.fetchSnapshot(peerAddress)]);
+    }
+
     async fetchSnapshot(peerAddress: string): Promise<void> {
         const result = await this.call(peerAddress, "view.snapshot");
         const decoded = Option.getOrUndefined(decodeSnapshot(result));
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -189,6 +189,7 @@
             draft.applyHubEvent({ ...event, atMs });
             updateVmCount(draft, countVms(draft));
             return;
+        case "seeds-asked":
         case "registrations-read":
         case "registrations-listed":
         case "configuration-read":
--- a/daemon/entry/test/fleet-joiner.test.ts
+++ b/daemon/entry/test/fleet-joiner.test.ts
@@ -49,12 +49,19 @@
             calls.push(address);
             return Promise.resolve((seeds[address] ?? []).map(vm));
         },
+        fetchPeerView: address => {
+            calls.push(`view of ${address}`);
+            return Promise.resolve();
+        },
         hasHub: () => fixture.hasHub === true,
         isHub: () => fixture.isHub === true,
         random: () => 0,
         onVmsFound: vms => {
             found.push(vms.map(info => info.vmId));
         },
+        onSeedsAsked: () => {
+            calls.push("seeds asked");
+        },
     });
     return { joiner, calls, found };
 };
@@ -66,7 +73,7 @@
         const seeds = { "gone:1": [], "b:1": ["b", "d"] };
         const { joiner, calls, found } = createJoiner({ isFirstStart: true, rejectedWrites: 1, seeds });
         await joiner.join();
-        expect(calls).to.deep.equal(["write", "gone:1", "b:1", "write", "list"]);
+        expect(calls).to.deep.equal(["write", "gone:1", "b:1", "view of b:1", "write", "list"]);
         expect(found).to.deep.equal([["b", "d"], ["c"]]);
     });
 
@@ -74,7 +81,7 @@
     it("makes no store call when a VM restarts and a seed knows the fleet", async () => {
         const { joiner, calls, found } = createJoiner({ isFirstStart: false, seeds: { "b:1": ["b", "d"] } });
         await joiner.join();
-        expect(calls).to.deep.equal(["b:1"]);
+        expect(calls).to.deep.equal(["b:1", "view of b:1", "seeds asked"]);
         expect(found).to.deep.equal([["b", "d"]]);
     });
 
@@ -83,7 +90,7 @@
         const seeds = { "gone:1": [], "b:1": ["b"] };
         const { joiner, calls, found } = createJoiner({ isFirstStart: false, seeds });
         await joiner.join();
-        expect(calls).to.deep.equal(["gone:1", "b:1", "write", "list"]);
+        expect(calls).to.deep.equal(["gone:1", "b:1", "seeds asked", "write", "list"]);
         expect(found).to.deep.equal([["c"]]);
     });
 
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -61,6 +61,7 @@
     private readonly records: RegistrationChange[] = [];
     private readonly configurations: { readonly text: string; readonly configuration: RoutingConfiguration; }[] = [];
     private readonly scheduled = new Map<number, (() => void)[]>();
+    private incarnation = 1;
     private random = 0.123;
     private requestCount = 0;
 
@@ -84,14 +85,26 @@
         }
     }
 
-    /** Restarts a VM with an empty state, before it has read the list of VMs. */
-    restart(vmId: string): EntryState {
+    /** Restarts a VM with an empty state, before it has read the list of VMs. It reaches no seed unless one is given. */
+    restart(vmId: string, opts: { readonly seedId?: string; } = {}): EntryState {
         const settings = this.settings.find(one => one.vmId === vmId);
         if (settings === undefined) {
             throw new Error(`VM ${vmId} does not exist in the model`);
         }
-        const state = createEntryState({ ...settings, isFirstStart: false }, { atMs: this.atMs, incarnation: "2" });
+        const { seedId } = opts;
+        this.incarnation += 1;
+        const incarnation = String(this.incarnation);
+        const state = createEntryState({ ...settings, isFirstStart: false }, { atMs: this.atMs, incarnation });
         this.states.set(vmId, state);
+        if (seedId === undefined) {
+            this.dispatch(vmId, { type: "seeds-asked" });
+            return state;
+        }
+        const vms = this.settings.map(one => this.state(one.vmId).hub.self);
+        this.schedule(RPC_LATENCY_MS, vmId, () => ({ type: "vms-found", vms }));
+        this.runEffect(vmId, { type: "fetch-peer-configuration", peerAddress: seedId });
+        this.runEffect(vmId, { type: "fetch-view-snapshot", peerAddress: seedId });
+        this.schedule(RPC_LATENCY_MS, vmId, () => ({ type: "seeds-asked" }));
         return state;
     }
 
@@ -99,6 +112,11 @@
         this.records.push({ offset: this.records.length, instanceId: server.instanceId, server });
     }
 
+    /** Registers a new server in the first zone. */
+    registerServer(instanceId: string): void {
+        this.register(createServer(instanceId, 0));
+    }
+
     remove(instanceId: string): void {
         this.records.push({ offset: this.records.length, instanceId, server: undefined });
     }
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -18,7 +18,11 @@
 const withholdOutdated = (
     state: ViewState,
     opts: ApplyRegistrationListOptions,
-): { readonly state: ViewState; readonly current: readonly RegistrationChange[]; } => {
+): {
+    readonly state: ViewState;
+    readonly current: readonly RegistrationChange[];
+    readonly removed: readonly RegistrationChange[];
+} => {
     const { atMs, era, withheld = [] } = opts;
     const isFirstOfEra = state.listedEra !== undefined && state.listedEra !== era;
     const outageEndedAtMs = isFirstOfEra ? atMs : state.outageEndedAtMs;
@@ -31,10 +35,12 @@
     const current = isFirstOfEra
         ? opts.registrations.filter(registration => !draft.withhold(registration, untilMs))
         : opts.registrations;
-    for (const { remainingMs, ...registration } of withheld) {
-        draft.adoptWithheld(registration, atMs + remainingMs);
-    }
-    return { state: { ...state, ...draft.finish(), outageEndedAtMs, listedEra: era }, current };
+    const removed = withheld
+        .filter(({ remainingMs, ...registration }) =>
+            draft.adoptWithheld(registration, atMs + remainingMs) === "changed"
+        )
+        .map(({ offset, instanceId }) => ({ offset, instanceId, server: undefined }));
+    return { state: { ...state, ...draft.finish(), outageEndedAtMs, listedEra: era }, current, removed };
 };
 
 const createRemovals = (state: ViewState, opts: ApplyRegistrationListOptions): readonly RegistrationChange[] => {
@@ -54,9 +60,12 @@
     opts: ApplyRegistrationListOptions,
 ): ReturnType<typeof applyRegistrationChanges> => {
     const { atMs, era, nextOffset } = opts;
-    const { state, current } = withholdOutdated(before, opts);
+    const { state, current, removed } = withholdOutdated(before, opts);
     const changes = [...current, ...createRemovals(state, opts)];
     const result = applyRegistrationChanges(state, { atMs, era, changes, nextOffset });
     // The individual changes that led to this list are unknown, so peers with an older view need the complete list too.
-    return { ...result, state: { ...result.state, recentChanges: [], recentBase: { era, offset: nextOffset } } };
+    return {
+        applied: [...removed, ...result.applied],
+        state: { ...result.state, recentChanges: [], recentBase: { era, offset: nextOffset } },
+    };
 };
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -172,6 +172,8 @@
     switch (event.type) {
         case "view-tick":
             return tickView(state, event);
+        case "seeds-asked":
+            return { state: { ...state, firstReadAtMs: -Infinity }, effects: [] };
         case "resumed":
             return { state: onResumed(state, event.uncountedMs), effects: [] };
         case "registrations-read":
--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -74,14 +74,17 @@
     }
 
     /** Withholds a registration that a peer withholds, unless this view has a later one. */
-    adoptWithheld(registration: RegistrationChange, untilMs: number): void {
+    adoptWithheld(registration: RegistrationChange, untilMs: number): ChangeResult {
         const { instanceId, server } = registration;
         const position = this.positionOf(registration);
         const known = this.servers.get(instanceId);
-        const isKnown = known !== undefined && comparePositions(known.position, position) >= 0;
-        if (server !== undefined && !isKnown && !this.withheld.has(instanceId)) {
-            this.withheld.set(instanceId, { server, position, untilMs });
+        const isLater = known !== undefined && comparePositions(known.position, position) > 0;
+        if (server === undefined || isLater || this.withheld.has(instanceId)) {
+            return "none";
         }
+        // A VM that starts may have read the registration without knowing that the server had left.
+        this.withheld.set(instanceId, { server, position, untilMs });
+        return this.servers.delete(instanceId) ? "changed" : "none";
     }
 
     finish(): Pick<ViewState, "servers" | "departed" | "withheld"> {
--- a/fleet/view/src/view-event.ts
+++ b/fleet/view/src/view-event.ts
@@ -13,6 +13,8 @@
         readonly atMs: number;
         readonly readDelayMs: number;
     }
+    /** The seeds have sent their views or cannot be reached, so the VM may read its first view from the store. */
+    | { readonly type: "seeds-asked"; readonly atMs: number; }
     /** The VM was suspended for a time that the clock did not count. */
     | { readonly type: "resumed"; readonly atMs: number; readonly uncountedMs: number; }
     | {
