fix(view): tell peers that a withheld registration was removed

What callers see: after a restore, a server that has left is used for a while, 6 s after the restore, by all VMs but the reader of the store.

Cause: the reader ends the withholding of a registration when it is removed, but counted the removal as no change, as it knew no such server. So the removal was not announced, and the other VMs used the server once their time of withholding had passed.

Ruled out: the order of positions; the members were at the right offset.

--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -41,9 +41,9 @@
         if (latest !== undefined && comparePositions(latest.position, position) >= 0) {
             return "none";
         }
-        this.withheld.delete(instanceId);
+        const wasWithheld = this.withheld.delete(instanceId);
         if (server === undefined) {
-            return known === undefined ? "none" : this.remove(known, position);
+            return known !== undefined ? this.remove(known, position) : wasWithheld ? "propagated" : "none";
         }
         return this.hasDrained(server) ? "none" : this.register(server, position);
     }
