feat(stand-ins): restore the store stand-in from an older copy

Callers saw: nothing yet. The stand-in had neither, so that no test and no soak could play it.

Cause: the stand-in only ever appended. A read beyond the end also answered 200 with an empty page, where the platform answers 410.

Change: all answers carry Store-Era, also errors. takeCopy and restore replace the topics, so that offsets go back and are given out again; a read beyond the end gets 410 with the first offset. log-newest returns pages, with a hook between them. The fault "late-answers" processes a call at once and answers later, so that an answer from before a restore arrives after it. Registrations can be removed and expire when they are not renewed; one that is renewed unchanged appends no record any more, as on the platform, so that offsets do not catch up by heartbeats alone. The published configuration has a route that names its version, by which a caller can tell which version is in force.

Conclusion: restores can be played; the product does not read the header yet.

--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -25,6 +25,7 @@
     readonly proxy: FaultProxy;
     readonly proxyPort: number;
     readonly zone: string;
+    readonly startedAtUnixMs: number;
 }
 
 interface SoakSiteOptions {
@@ -135,7 +136,7 @@
         await server.listen(SERVER_HOST);
         const proxy = new FaultProxy({ host: SERVER_HOST, targetPort: () => server.port });
         const proxyPort = await proxy.listen(SERVER_HOST);
-        const entry = { server, proxy, proxyPort, zone };
+        const entry = { server, proxy, proxyPort, zone, startedAtUnixMs: Date.now() };
         this.servers.push(entry);
         this.register(entry);
     }
@@ -179,9 +180,10 @@
         }
     }
 
-    private register({ server, proxyPort, zone }: SoakServerEntry): void {
+    private register({ server, proxyPort, zone, startedAtUnixMs }: SoakServerEntry): void {
         this.store.register({
             instanceId: server.instanceId,
+            startedAtUnixMs,
             service: SERVICE,
             address: `${SERVER_HOST}:${proxyPort}`,
             availabilityZone: zone,
--- a/stand-ins/platform/src/keyed-topic.ts
+++ b/stand-ins/platform/src/keyed-topic.ts
@@ -1,14 +1,24 @@
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 
+interface NewestRecords {
+    readonly items: readonly { readonly key: string; readonly value: string; readonly offset: number; }[];
+    readonly hasMore: boolean;
+    readonly end: number;
+}
+
 /** Topic that keeps its records in order, and indexes the newest record of each key. An empty value deletes the key. */
 export class KeyedTopic {
     private readonly records: Buffer[] = [];
     private readonly newestByKey = new Map<string, { readonly offset: number; readonly value: Buffer; }>();
-    private firstOffset = 0;
+    private retainedFromOffset = 0;
+
+    get firstOffset(): number {
+        return this.retainedFromOffset;
+    }
 
     get endOffset(): number {
-        return this.firstOffset + this.records.length;
+        return this.retainedFromOffset + this.records.length;
     }
 
     put(key: string, value: string): number {
@@ -31,15 +41,35 @@
         return offset;
     }
 
+    /** Returns a copy that later changes to this topic do not affect. */
+    clone(): KeyedTopic {
+        const copy = new KeyedTopic();
+        copy.records.push(...this.records);
+        for (const [key, newest] of this.newestByKey) {
+            copy.newestByKey.set(key, newest);
+        }
+        copy.retainedFromOffset = this.retainedFromOffset;
+        return copy;
+    }
+
+    get keys(): readonly string[] {
+        return [...this.newestByKey.keys()];
+    }
+
+    /** Returns the newest value of a key, or undefined if the topic does not hold the key. */
+    get(key: string): string | undefined {
+        return this.newestByKey.get(key)?.value.toString("utf8");
+    }
+
     /** Discards all records. The newest record of each key can still be listed. */
     truncate(): void {
-        this.firstOffset = this.endOffset;
+        this.retainedFromOffset = this.endOffset;
         this.records.length = 0;
     }
 
-    /** Returns the encoded records from `fromOffset` on, or undefined when that offset has been truncated. */
+    /** Returns the encoded records from `fromOffset` on, or undefined if the topic does not hold that offset. */
     read(fromOffset: number): Buffer | undefined {
-        if (fromOffset < this.firstOffset) {
+        if (fromOffset < this.firstOffset || fromOffset > this.endOffset) {
             return undefined;
         }
         const header = Buffer.alloc(2 * OFFSET_BYTES);
@@ -53,12 +83,15 @@
         return Buffer.concat([header, ...records]);
     }
 
-    listNewest(): unknown {
-        const items = [...this.newestByKey].map(([key, { offset, value }]) => ({
+    /** Lists the newest records of at most `limit` keys, in the order of the keys, from the key after `after` on. */
+    listNewest(opts: { readonly after?: string; readonly limit?: number; } = {}): NewestRecords {
+        const { after = "", limit = Infinity } = opts;
+        const rest = [...this.newestByKey].filter(([key]) => key > after).sort(([a], [b]) => a < b ? -1 : 1);
+        const items = rest.slice(0, limit).map(([key, { offset, value }]) => ({
             key,
             value: value.toString("base64"),
             offset,
         }));
-        return { items, hasMore: false, end: this.endOffset };
+        return { items, hasMore: items.length < rest.length, end: this.endOffset };
     }
 }
--- a/stand-ins/platform/src/store-stand-in.ts
+++ b/stand-ins/platform/src/store-stand-in.ts
@@ -1,22 +1,48 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { KeyedTopic } from "./keyed-topic.js";
+import type { NewestPage } from "./newest-page.js";
 import type { PublishedService } from "./published-service.js";
 import type { RegisteredServer } from "./registered-server.js";
+import type { StoreCopy } from "./store-copy.js";
 import type { StoreFault } from "./store-fault.js";
 
 const LENGTH_BYTES = 4;
 const CONFIGURATION_TOPIC = "keyed.op";
+const CONFIGURATION_KEY = "config";
 const REGISTRATIONS_TOPIC = "keyed.servers";
+const SERVICE_WITHOUT_SERVERS = "none";
+const APPEND_PATH = "/api/log-append";
 const VERSION_DIGITS = 8;
 const HEXADECIMAL = 16;
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_GONE = 410;
+const STATUS_UNAVAILABLE = 503;
 
-/** In-memory stand-in for the platform's store, with fault injection. */
+/** Answer to a call, with the era in which the call was processed. */
+interface StoreAnswer {
+    readonly status: number;
+    readonly era: number;
+    readonly body: string | Buffer;
+}
+
+/**
+ * In-memory stand-in for the platform's store, with fault injection. It can be restored from a copy: everything written
+ * since is lost, offsets go back, and the era rises by one.
+ */
 export class StoreStandIn {
     fault: StoreFault = { kind: "none" };
     /** Number of calls received, including those that a fault affected. */
     callCount = 0;
-    private readonly topics = new Map<string, KeyedTopic>();
+    /** Maximum number of keys in one answer to `log-newest`. */
+    newestPageSize = 500;
+    /** Called with each page of `log-newest`, before it is sent. */
+    onNewestListed: (page: NewestPage) => void = () => undefined;
+    private topics = new Map<string, KeyedTopic>();
+    private currentEra = 1;
+    /** Time of the latest write of each registration. */
+    private readonly registeredAtMs = new Map<string, number>();
     private readonly server: Server;
 
     constructor() {
@@ -43,29 +69,61 @@
         this.server.closeAllConnections();
     }
 
+    /** Number of restores plus one, which all answers state in the header `Store-Era`. */
+    get era(): number {
+        return this.currentEra;
+    }
+
+    /** Returns a copy of all topics, from which the store can be restored later. */
+    takeCopy(): StoreCopy {
+        return new Map([...this.topics].map(([name, topic]) => [name, topic.clone()]));
+    }
+
+    /** Replaces all topics by those of a copy. Records that were appended since are lost. */
+    restore(copy: StoreCopy): void {
+        this.topics = new Map([...copy].map(([name, topic]) => [name, topic.clone()]));
+        this.currentEra += 1;
+        // A registration of the copy expires when its server stays silent from now on.
+        this.registeredAtMs.clear();
+        for (const instanceId of this.topic(REGISTRATIONS_TOPIC).keys) {
+            this.registeredAtMs.set(instanceId, performance.now());
+        }
+    }
+
     /** Writes a configuration version to the configuration topic, as an operator does. */
     publish(published: PublishedService): void {
         const { host, service, version } = published;
-        const rule = (name: string, kind: string): unknown => ({
+        const rule = (name: string, opts: { readonly kind: string; readonly destination: string; }): unknown => ({
             name,
-            routeType: kind,
+            routeType: opts.kind,
             targetLatency: "400ms",
             priority: 2,
             match: { pathPrefix: `/${name}/` },
-            action: { service, timeout: "1500ms", maxAttempts: 2 },
+            action: { service: opts.destination, timeout: "1500ms", maxAttempts: 2 },
         });
         const configuration = {
             version: version.toString(HEXADECIMAL).padStart(VERSION_DIGITS, "0"),
             limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" },
-            listeners: [{ host, rules: [rule("read", "safe"), rule("write", "unsafe")] }],
-            clusters: [{ name: service, healthPath: "/health", maxConns: 220 }],
+            listeners: [{
+                host,
+                rules: [
+                    rule("read", { kind: "safe", destination: service }),
+                    rule("write", { kind: "unsafe", destination: service }),
+                    rule(`version-${version}`, { kind: "safe", destination: SERVICE_WITHOUT_SERVERS }),
+                ],
+            }],
+            clusters: [service, SERVICE_WITHOUT_SERVERS].map(name => ({ name, healthPath: "/health", maxConns: 220 })),
         };
-        this.topic(CONFIGURATION_TOPIC).put("config", JSON.stringify(configuration));
+        this.topic(CONFIGURATION_TOPIC).put(CONFIGURATION_KEY, JSON.stringify(configuration));
     }
 
-    /** Writes the registration of a backend server to the registrations topic, as the server does. */
+    /**
+     * Writes the registration of a backend server to the registrations topic, as the server does. An unchanged
+     * registration is renewed without a new record.
+     */
     register(server: RegisteredServer): void {
-        const entry = {
+        const value = JSON.stringify({
+            born: server.startedAtUnixMs,
             service: server.service,
             address: server.address,
             zone: server.availabilityZone,
@@ -73,9 +131,29 @@
             capacity: server.slots,
             state: server.isDraining ? "draining" : "ready",
             warmupLeft: "0ms",
-            seq: this.callCount,
-        };
-        this.topic(REGISTRATIONS_TOPIC).put(server.instanceId, JSON.stringify(entry));
+            seq: 1,
+        });
+        const topic = this.topic(REGISTRATIONS_TOPIC);
+        if (topic.get(server.instanceId) !== value) {
+            topic.put(server.instanceId, value);
+        }
+        this.registeredAtMs.set(server.instanceId, performance.now());
+    }
+
+    /** Removes the registration of a backend server that has left. */
+    unregister(instanceId: string): void {
+        this.topic(REGISTRATIONS_TOPIC).put(instanceId, "");
+        this.registeredAtMs.delete(instanceId);
+    }
+
+    /** Removes the registrations that were not renewed for a time. */
+    expireRegistrations(maxSilentMs: number): void {
+        const minRegisteredAtMs = performance.now() - maxSilentMs;
+        for (const [instanceId, registeredAtMs] of this.registeredAtMs) {
+            if (registeredAtMs < minRegisteredAtMs) {
+                this.unregister(instanceId);
+            }
+        }
     }
 
     /** Discards the records of the registrations topic. The newest registration of each server can still be listed. */
@@ -97,26 +175,42 @@
         const { kind, callers, delayMs } = this.fault;
         const isAffected = callers === undefined || callers.includes(request.socket.remoteAddress ?? "");
         const url = new URL(request.url ?? "/", "http://store");
-        if (!isAffected || kind === "none") {
-            this.respond(url, body, response);
-        }
-        else if (kind === "busy") {
-            response.writeHead(503).end();
-        }
-        else if (kind === "reset") {
-            request.socket.resetAndDestroy();
-        }
-        else if (kind === "slow") {
-            setTimeout(() => {
-                this.respond(url, body, response);
-            }, delayMs);
-        }
-        else if (kind === "answers-lost" && url.pathname === "/api/log-append") {
-            this.append(url, body);
-            request.socket.destroy();
+        const respond = (): void => {
+            send(response, this.process(url, body));
+        };
+        if (!isAffected) {
+            respond();
+            return;
         }
-        else if (kind === "answers-lost") {
-            this.respond(url, body, response);
+        switch (kind) {
+            case "none":
+                respond();
+                return;
+            case "busy":
+                send(response, this.answer(STATUS_UNAVAILABLE, "{}"));
+                return;
+            case "reset":
+                request.socket.resetAndDestroy();
+                return;
+            case "slow":
+                setTimeout(respond, delayMs);
+                return;
+            case "late-answers": {
+                const answer = this.process(url, body);
+                setTimeout(() => {
+                    send(response, answer);
+                }, delayMs);
+                return;
+            }
+            case "answers-lost":
+                if (url.pathname === APPEND_PATH) {
+                    this.append(url, body);
+                    request.socket.destroy();
+                    return;
+                }
+                respond();
+                return;
+            case "silent":
         }
     }
 
@@ -131,26 +225,35 @@
         return { offset, end: topic.endOffset };
     }
 
-    private respond(url: URL, body: Buffer, response: ServerResponse): void {
-        const topic = this.topic(url.searchParams.get("topic") ?? "");
+    private answer(status: number, body: string | Buffer): StoreAnswer {
+        return { status, era: this.currentEra, body };
+    }
+
+    private process(url: URL, body: Buffer): StoreAnswer {
+        const topicName = url.searchParams.get("topic") ?? "";
+        const topic = this.topic(topicName);
         switch (url.pathname) {
-            case "/api/log-append":
-                response.end(JSON.stringify(this.append(url, body)));
-                return;
-            case "/api/log-newest":
-                response.end(JSON.stringify(topic.listNewest()));
-                return;
+            case APPEND_PATH:
+                return this.answer(STATUS_OK, JSON.stringify(this.append(url, body)));
+            case "/api/log-newest": {
+                const after = url.searchParams.get("after") ?? "";
+                const list = topic.listNewest({ after, limit: this.newestPageSize });
+                const answer = this.answer(STATUS_OK, JSON.stringify(list));
+                this.onNewestListed({ topic: topicName, after, hasMore: list.hasMore });
+                return answer;
+            }
             case "/api/log-read": {
                 const records = topic.read(Number(url.searchParams.get("from")));
-                if (records === undefined) {
-                    response.writeHead(410).end("{}");
-                    return;
-                }
-                response.end(records);
-                return;
+                return records === undefined
+                    ? this.answer(STATUS_GONE, JSON.stringify({ first: topic.firstOffset }))
+                    : this.answer(STATUS_OK, records);
             }
             default:
-                response.writeHead(404).end();
+                return this.answer(STATUS_NOT_FOUND, "");
         }
     }
 }
+
+const send = (response: ServerResponse, answer: StoreAnswer): void => {
+    response.writeHead(answer.status, { "Store-Era": String(answer.era) }).end(answer.body);
+};
