fix(view): keep what is known of a server before a restored copy of it

What callers see: after a restore of the store, requests go to the address that a server had when the copy was made; a VM that has read the copy by itself uses a server that drains, and no peer ever corrects it.

Cause: only the start of the process was held against the copy. An entry of the same process at a lower offset may be older too. And two views of the same position count as equal, though one of them was made from the copy alone and the other knows of a drain from before.

A VM fetches the view of a peer once if it has not had any, and at the same position a draining entry goes before a ready one.

Ruled out: comparing ages of the views. Both were read a moment ago.

--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -19,7 +19,8 @@
         return state;
     }
     const confirmedAtMs = atMs - summary.ageMs;
-    if (ownNext === undefined || ownNext.era < peerNext.era || comparePositions(ownNext, summary.base) < 0) {
+    const isBehind = ownNext === undefined || ownNext.era < peerNext.era || comparePositions(ownNext, summary.base) < 0;
+    if (isBehind || !state.hasPeerView) {
         if (atMs - state.snapshotRequestedAtMs < VIEW_LIMITS.fetchRetryIntervalMs) {
             return state;
         }
--- a/fleet/view/src/end-retention.ts
+++ b/fleet/view/src/end-retention.ts
@@ -30,14 +30,16 @@
     }
     const servers = new Map(state.servers);
     const withheld = new Map(state.withheld);
+    const departed = new Map(state.departed);
     const changes: RegistrationChange[] = [];
     for (const { server, position } of due) {
         withheld.delete(server.instanceId);
+        departed.delete(server.instanceId);
         servers.set(server.instanceId, { server, position, retainedUntilMs: undefined });
         changes.push({ offset: position.offset, instanceId: server.instanceId, server });
     }
     effects.push({ type: "servers-changed", changes, source: "restored" });
-    return { ...state, servers, withheld };
+    return { ...state, servers, withheld, departed };
 };
 
 const forgetDeparted = (state: ViewState, atMs: number): ViewState => {
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -135,7 +135,8 @@
         confirmation: snapshot.confirmation,
     });
     const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
-    return { state: next, effects: [...restored, ...serversChangedEffects(applied, "peer")] };
+    const effects = [...restored, ...serversChangedEffects(applied, "peer")];
+    return { state: { ...next, hasPeerView: true }, effects };
 };
 
 const onStoreReadFailed = (
--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -38,7 +38,7 @@
         const position = this.positionOf(change);
         const known = this.servers.get(instanceId);
         const latest = this.withheld.get(instanceId) ?? known;
-        if (latest !== undefined && comparePositions(latest.position, position) >= 0) {
+        if (latest !== undefined && !isNews(latest, { server, position })) {
             return "none";
         }
         const wasWithheld = this.withheld.delete(instanceId);
@@ -49,26 +49,23 @@
     }
 
     /**
-     * Withholds a registration of a restored copy if it is older than what is known: the server was removed, or its
-     * process was replaced. Returns whether it was withheld.
+     * Withholds a registration of a restored copy if it may be older than what is known. A server that is known stays in
+     * use for the time in which it registers again. Returns whether the registration was withheld.
      */
-    withhold(registration: RegistrationChange, untilMs: number): boolean {
+    withhold(registration: RegistrationChange, expiredAtMs: number): boolean {
         const { instanceId, server } = registration;
-        if (server === undefined) {
-            return false;
-        }
         const known = this.servers.get(instanceId);
-        const later = known?.server ?? this.departed.get(instanceId)?.server;
-        const order = later === undefined ? undefined : compareStarts(server, later);
-        const isOutdated = order !== undefined && (known === undefined ? order <= 0 : order < 0);
-        if (!isOutdated) {
+        if (server === undefined || !this.isOutdated(registration, server)) {
             return false;
         }
+        const position = this.positionOf(registration);
+        const isSameProcess = known !== undefined && (compareStarts(server, known.server) ?? 0) === 0;
+        const untilMs = isSameProcess ? this.opts.retainRemovedUntilMs : expiredAtMs;
         if (known !== undefined) {
-            this.remove(known, this.positionOf(registration));
+            this.remove(known, position);
         }
         if (!this.hasDrained(server)) {
-            this.withheld.set(instanceId, { server, position: this.positionOf(registration), untilMs });
+            this.withheld.set(instanceId, { server, position, untilMs });
         }
         return true;
     }
@@ -78,13 +75,17 @@
         const { instanceId, server } = registration;
         const position = this.positionOf(registration);
         const known = this.servers.get(instanceId);
-        const isLater = known !== undefined && comparePositions(known.position, position) > 0;
-        if (server === undefined || isLater || this.withheld.has(instanceId)) {
+        const order = known === undefined ? -1 : comparePositions(known.position, position);
+        if (server === undefined || order > 0 || this.withheld.has(instanceId)) {
             return "none";
         }
-        // A VM that starts may have read the registration without knowing that the server had left.
         this.withheld.set(instanceId, { server, position, untilMs });
-        return this.servers.delete(instanceId) ? "changed" : "none";
+        if (order < 0) {
+            return known === undefined ? "none" : this.remove(known, position);
+        }
+        // A VM that starts may have read the registration without knowing that the server had left.
+        this.servers.delete(instanceId);
+        return "changed";
     }
 
     finish(): Pick<ViewState, "servers" | "departed" | "withheld"> {
@@ -120,12 +121,37 @@
         return known.retainedUntilMs === undefined ? "none" : "propagated";
     }
 
+    private isOutdated(registration: RegistrationChange, server: BackendServer): boolean {
+        const known = this.servers.get(registration.instanceId);
+        if (known === undefined) {
+            const departed = this.departed.get(registration.instanceId)?.server;
+            return departed !== undefined && (compareStarts(server, departed) ?? 0) <= 0;
+        }
+        const order = compareStarts(server, known.server) ?? 0;
+        if (order !== 0) {
+            return order < 0;
+        }
+        // A drain counts in any case. Anything else at a lower offset is from before the restore, or about to be written
+        // again.
+        return !server.isDraining && !known.server.isDraining && registration.offset < known.position.offset
+            && !isSameServer(known.server, server);
+    }
+
     private hasDrained(server: BackendServer): boolean {
         const departed = this.departed.get(server.instanceId)?.server;
         return departed !== undefined && departed.isDraining && compareStarts(server, departed) === 0;
     }
 }
 
+// Views of the same position differ if one of them knows that the process drains and the other has read only the copy.
+const isNews = (
+    latest: { readonly server: BackendServer; readonly position: StorePosition; },
+    change: { readonly server: BackendServer | undefined; readonly position: StorePosition; },
+): boolean => {
+    const order = comparePositions(change.position, latest.position);
+    return order > 0 || (order === 0 && change.server?.isDraining === true && !latest.server.isDraining);
+};
+
 // A process that drains never becomes ready again. A restored copy may contain its registration from before.
 const keepDraining = (registered: BackendServer, known: BackendServer): BackendServer =>
     known.isDraining && compareStarts(registered, known) === 0 ? { ...registered, isDraining: true } : registered;
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -33,6 +33,8 @@
     readonly storeEra: number | undefined;
     /** Era of the latest complete list of registrations. */
     readonly listedEra: number | undefined;
+    /** Whether the view was compared with that of a peer, which may know more than a restored store. */
+    readonly hasPeerView: boolean;
     readonly servers: ReadonlyMap<string, KnownServer>;
     readonly withheld: ReadonlyMap<string, WithheldServer>;
     readonly departed: ReadonlyMap<string, DepartedServer>;
