fix(soak): use addresses of the process for each soak

Callers saw: the second of two soaks on one machine could not open its ports.

Cause: the store, the backend servers and the VMs had fixed loopback addresses.

Change: the subnet follows from the process id, as in the tests with real sockets.

Conclusion: soaks of different processes no longer collide, except for process ids that differ by a multiple of 16,384.

--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -13,8 +13,11 @@
 import type { VmFault } from "./vm-fault.js";
 
 const PROGRAM = resolve("target/marigoldstall-entry.cjs");
-const STORE_HOST = "127.0.20.1";
-const SERVER_HOST = "127.0.21.1";
+// Soaks that run at the same time, as separate processes, use different subnets of the loopback network.
+const SUBNET = `127.${64 + (process.pid >> 8) % 64}.${process.pid % 256}`;
+const STORE_HOST = `${SUBNET}.1`;
+const SERVER_HOST = `${SUBNET}.2`;
+const FIRST_VM_HOST_NUMBER = 10;
 const PORTS = { caller: 28_641, ready: 28_640, control: 28_649, fleet: 27_620 };
 const DRAIN_LIMIT_MS = 2_000;
 const HEARTBEAT_MS = 1_500;
@@ -68,7 +71,7 @@
     }
 
     hostOf(vmId: string): string {
-        return `127.0.22.${Number(vmId.slice(3)) + 1}`;
+        return `${SUBNET}.${FIRST_VM_HOST_NUMBER + Number(vmId.slice(3))}`;
     }
 
     process(vmId: string): ManagedProcess | undefined {
