fix(entry): rejoin the fleet when the view learns of a restore

What callers see: nothing directly. After a restore from a copy that is older than a VM's entry, VMs that look for the others in the store do not find that VM, and may form a fleet of their own.

Change: the effect store-restored, once per VM and restore, starts it with the live VMs that the hub slice knows.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -1,6 +1,6 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
-import { selectLiveHub } from "@marigoldstall/fleet.hubs";
+import { selectLiveHub, selectLiveVms } from "@marigoldstall/fleet.hubs";
 import { StoreClient } from "@marigoldstall/platform.adapter";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
@@ -328,6 +328,9 @@
                 this.log.write("configuration-in-force", { version: effect.configuration.version });
                 return;
             case "store-restored":
+                this.log.write("store-restored", { era: effect.era, previousEra: effect.previousEra });
+                void this.joiner.rejoin(() => selectLiveVms(this.state.hub, this.clock.atMs()).map(vm => vm.info));
+                return;
             case "outdated-read-ignored":
             case "store-lost":
             case "store-regained": {
--- a/daemon/entry/test/entry-site.ts
+++ b/daemon/entry/test/entry-site.ts
@@ -1,6 +1,7 @@
 import { type Outcome, PlatformCaller, PlatformServer, StoreStandIn } from "@marigoldstall-private/platform";
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { EntryDaemon } from "@marigoldstall/daemon.entry";
+import { StoreClient } from "@marigoldstall/platform.adapter";
 import { request as httpRequest } from "node:http";
 
 const PORTS = { caller: 28_741, ready: 28_740, control: 28_749, fleet: 27_720 };
@@ -22,11 +23,12 @@
     readonly store = new StoreStandIn();
     private readonly daemons: EntryDaemon[] = [];
     private readonly callers: PlatformCaller[] = [];
-    private readonly hosts: readonly string[];
+    readonly hosts: readonly string[];
     private readonly servers = new Map<string, PlatformServer>();
     private readonly serverHost = nextHost();
     private readonly instanceIdByRequest = new Map<string, string>();
     private requestCount = 0;
+    private storeClient: StoreClient | undefined;
 
     constructor(opts: { readonly vmCount: number; }) {
         this.hosts = [...Array(opts.vmCount).keys()].map(nextHost);
@@ -46,6 +48,7 @@
             this.servers.set(instanceId, server);
         }
         const storeAddress = await this.store.listen(nextHost());
+        this.storeClient = new StoreClient({ address: storeAddress });
         opts.whenStored();
         for (const host of this.hosts) {
             const daemon = new EntryDaemon({ settings: this.createSettings(host, storeAddress) });
@@ -103,6 +106,12 @@
         return true;
     }
 
+    /** VMs that have an entry in the store, sorted. */
+    async findRegisteredVms(): Promise<readonly string[]> {
+        const list = await this.storeClient?.listNewest("vms");
+        return list?.isOk() === true ? list.value.records.map(record => record.key).sort() : [];
+    }
+
     async wait(durationMs: number): Promise<void> {
         await new Promise(resolve => {
             setTimeout(resolve, durationMs);
@@ -117,6 +126,7 @@
         for (const server of this.servers.values()) {
             server.close();
         }
+        this.storeClient?.close();
         this.store.close();
     }
 
--- a/daemon/entry/test/store-restore-socket.test.ts
+++ b/daemon/entry/test/store-restore-socket.test.ts
@@ -5,6 +5,8 @@
 const CONFIGURATION_LIMIT_MS = 2_000;
 // Time in which all daemons read a change.
 const SETTLE_MS = 1_500;
+// Twice what a VM that has just started needs to become the hub of its zone.
+const REJOIN_LIMIT_MS = 9_000;
 const TEST_TIMEOUT_MS = 60_000;
 const SLOTS = 2;
 const CHANGED_SLOTS = 3;
@@ -62,6 +64,31 @@
         expect(await site.isInForce(4)).to.equal(true);
     }).timeout(TEST_TIMEOUT_MS);
 
+    // A VM that looks for the others in the store would not find a VM whose entry is younger than the copy.
+    it("write the entries of the VMs again that the copy lacks", async () => {
+        const instanceIds = ["a"];
+        site = new EntrySite({ vmCount: 2 });
+        let copy: ReturnType<EntrySite["store"]["takeCopy"]> | undefined;
+        await site.start({
+            instanceIds,
+            whenStored: () => {
+                site.publish(1);
+                site.register("a");
+                copy = site.store.takeCopy();
+            },
+        });
+        await site.wait(SETTLE_MS);
+        site.store.restore(copy ?? new Map());
+        expect(await site.findRegisteredVms()).to.deep.equal([]);
+        for (let waitedMs = 0; waitedMs < REJOIN_LIMIT_MS; waitedMs += SETTLE_MS) {
+            await site.wait(SETTLE_MS);
+            if ((await site.findRegisteredVms()).length === site.hosts.length) {
+                break;
+            }
+        }
+        expect(await site.findRegisteredVms()).to.deep.equal([...site.hosts].sort());
+    }).timeout(TEST_TIMEOUT_MS);
+
     // Page 1 comes from before the restore, page 2 from the copy. By the next read the offsets have reached the end
     // that page 1 named.
     it("send no requests to a draining server when the store is restored between two pages of a list", async () => {
