fix(view): tell peers of every removal

What callers see: after a restore, a VM that has read the restored copy itself keeps using a server that has left, for good, although the store has removed the registration.

Cause: a view that has seen a server drain and leave neither uses nor withholds the registration of the copy. It counted the later removal as no change, as it knew no such server, and did not announce it. A VM that had read the copy at the same offset moved on past the removal without it.

Ruled out: a second list by the VM; it follows its hub and has no reason to read.

Change: a removal of an unknown server is announced as well.

Figures: the new test "removes a server that a peer lists although this view had seen it drain" failed before and passes now.

--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -41,9 +41,10 @@
         if (latest !== undefined && comparePositions(latest.position, position) >= 0) {
             return "none";
         }
-        const wasWithheld = this.withheld.delete(instanceId);
+        this.withheld.delete(instanceId);
         if (server === undefined) {
-            return known !== undefined ? this.remove(known, position) : wasWithheld ? "propagated" : "none";
+            // A peer that read a restored copy may use a server that this view withholds or does not know.
+            return known === undefined ? "propagated" : this.remove(known, position);
         }
         return this.hasDrained(server) ? "none" : this.register(server, position);
     }
