fix(view): ignore records that a view already contains

What callers see: a server that was removed is used again, for good, or a drain is unknown to the members of a zone, when a read of the store takes longer than the read of a peer that started later.

Cause: the view forgets the position of a removed server, so an earlier registration in a delayed response registers it again. A delayed list also moved the base of the announced changes back without the changes after it, so members that apply the next summary skip these.

Ruled out: the era; both responses are of the same one.

Change: a list that ends before the own position is ignored, and records before it are dropped from reads and summaries.

Figures: three new tests of "the order in which facts of the store reach a view" failed before and pass now.

--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -4,6 +4,7 @@
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
+import { selectNewChanges } from "./select-new-changes.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
 import { VIEW_LIMITS } from "./view-limits.js";
@@ -33,7 +34,7 @@
     const { state: next, applied } = applyRegistrationChanges(confirmed, {
         atMs,
         era: peerNext.era,
-        changes: summary.changes,
+        changes: selectNewChanges(state, { era: peerNext.era, changes: summary.changes }),
         nextOffset: peerNext.offset,
     });
     if (applied.length > 0) {
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -12,6 +12,8 @@
 import { onResumed } from "./on-resumed.js";
 import type { RegistrationChange } from "./registration-change.js";
 import { selectLaterPosition } from "./select-later-position.js";
+import { selectNewChanges } from "./select-new-changes.js";
+import type { StorePosition } from "./store-position.js";
 import { tickView } from "./tick-view.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
@@ -25,6 +27,11 @@
     registrationReading: { ...state.registrationReading, isReading: false, failedAtMs: -Infinity },
 });
 
+const isBeforeOwnPosition = (state: ViewState, position: StorePosition): boolean => {
+    const { next } = state.registrationReading;
+    return next !== undefined && comparePositions(position, next) < 0;
+};
+
 const ignoreOutdatedRead = (
     state: ViewState,
     event: { readonly topic: "registrations" | "configuration"; readonly era: number; },
@@ -61,7 +68,8 @@
             confirmation: nextConfirmation(state, state.registrationReading),
         })
         : state;
-    const { state: next, applied } = applyRegistrationChanges(confirmed, event);
+    const changes = selectNewChanges(state, event);
+    const { state: next, applied } = applyRegistrationChanges(confirmed, { ...event, changes });
     return {
         state: finishRegistrationRead(next),
         effects: [...restored, ...regained, ...serversChangedEffects(applied, "store")],
@@ -78,6 +86,10 @@
     }
     const { state, effects: restored } = observeEra(before, era);
     const regained = storeRegainedEffects(state.registrationReading, "registrations", atMs);
+    if (isBeforeOwnPosition(state, { era, offset: event.nextOffset })) {
+        // A peer has told of later changes since, which the list does not contain.
+        return { state: finishRegistrationRead(state), effects: regained };
+    }
     const confirmed = confirmRegistrations(state, {
         atMs,
         confirmedAtMs: event.startedAtMs,
@@ -123,9 +135,7 @@
 ): Transition<ViewState, ViewEffect> => {
     const { snapshot, atMs } = event;
     const { era, nextOffset } = snapshot;
-    const ownNext = before.registrationReading.next;
-    const isOlder = ownNext !== undefined && comparePositions({ era, offset: nextOffset }, ownNext) < 0;
-    if (isOlder || isOutdatedEra(before, era)) {
+    if (isBeforeOwnPosition(before, { era, offset: nextOffset }) || isOutdatedEra(before, era)) {
         return { state: before, effects: [] };
     }
     const { state, effects: restored } = observeEra(before, era);
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -11,6 +11,13 @@
     receiver.apply({ type: "view-summary-received", atMs, peerAddress: PEER_ADDRESS, summary });
 };
 
+const listTwo = (readerId: string): ViewHarness => {
+    const view = new ViewHarness(readerId);
+    view.era = 1;
+    view.list(0, 40, [registered(38, "a"), registered(39, "b")]);
+    return view;
+};
+
 // Facts of one history of the store reached a view in another order than the one in which they were written.
 
 describe("the order in which facts of the store reach a view", () => {
@@ -28,4 +35,44 @@
         sendSummary(reader, started, 1_410);
         expect(started.ids).to.deep.equal(["a"]);
     });
+
+    it("does not use a removed server again because of a read that took longer than a peer's", () => {
+        const view = listTwo("slow");
+        const peer = listTwo("peer");
+        peer.read(450, 42, [removed(41, "b")]);
+        sendSummary(peer, view, 460);
+        expect(view.ids).to.deep.equal(["a"]);
+        view.apply({
+            type: "registrations-read",
+            atMs: 470,
+            startedAtMs: 400,
+            era: 1,
+            from: { era: 1, offset: 40 },
+            changes: [registered(40, "b", { slots: 3 })],
+            nextOffset: 41,
+            endOffset: 41,
+        });
+        expect(view.ids).to.deep.equal(["a"]);
+    });
+
+    it("announces all changes after a list that took longer than a peer's read", () => {
+        const view = listTwo("slow");
+        const peer = listTwo("peer");
+        const member = listTwo("member");
+        peer.read(450, 41, [registered(40, "b", { isDraining: true })]);
+        sendSummary(peer, view, 460);
+        view.list(470, 40, [registered(38, "a"), registered(39, "b")]);
+        sendSummary(view, member, 480);
+        expect(member.find("b")?.isDraining).to.equal(true);
+        expect(view.find("b")?.isDraining).to.equal(true);
+    });
+
+    it("does not use a removed server again because of a list that took longer than a peer's read", () => {
+        const view = listTwo("slow");
+        const peer = listTwo("peer");
+        peer.read(450, 41, [removed(40, "b")]);
+        sendSummary(peer, view, 460);
+        view.list(470, 40, [registered(38, "a"), registered(39, "b")]);
+        expect(view.ids).to.deep.equal(["a"]);
+    });
 });
