fix(view): withhold a withheld registration over a second restore

What callers see: after two restores within seconds, a VM that had started before the second one uses a server that has left, until the store removes its registration.

Cause: a VM that learns from a peer that a registration is withheld does not record that the server had left. The list of the next era replaced the withheld registration by one in use.

Change: a withheld registration counts as a sign of the removal.

Figures: the new test "withholds a server over a second restore on a view that learned of its removal from a peer only" failed before and passes now.

--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -59,7 +59,8 @@
             return false;
         }
         const known = this.servers.get(instanceId);
-        const later = known?.server ?? this.departed.get(instanceId)?.server;
+        // A view that has started since may know of the removal only because a peer withholds the registration.
+        const later = known?.server ?? this.departed.get(instanceId)?.server ?? this.withheld.get(instanceId)?.server;
         const order = later === undefined ? undefined : compareStarts(server, later);
         const isOutdated = order !== undefined && (known === undefined ? order <= 0 : order < 0);
         if (!isOutdated) {
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -1,4 +1,4 @@
-import { selectViewSummary } from "@marigoldstall/fleet.view";
+import { selectViewSnapshot, selectViewSummary } from "@marigoldstall/fleet.view";
 import { expect } from "chai";
 import { ViewHarness } from "./view-harness.js";
 
@@ -11,6 +11,13 @@
     receiver.apply({ type: "view-summary-received", atMs, peerAddress: PEER_ADDRESS, summary });
 };
 
+const sendSnapshot = (sender: ViewHarness, receiver: ViewHarness, atMs: number): void => {
+    const snapshot = selectViewSnapshot(sender.state, atMs);
+    if (snapshot !== undefined) {
+        receiver.apply({ type: "view-snapshot-received", atMs, snapshot });
+    }
+};
+
 const listTwo = (readerId: string): ViewHarness => {
     const view = new ViewHarness(readerId);
     view.era = 1;
@@ -75,4 +82,16 @@
         view.list(470, 40, [registered(38, "a"), registered(39, "b")]);
         expect(view.ids).to.deep.equal(["a"]);
     });
+
+    it("withholds a server over a second restore on a view that learned of its removal from a peer only", () => {
+        const reader = listTwo("reader");
+        reader.read(450, 41, [removed(40, "b")]);
+        reader.era = 2;
+        reader.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        const started = new ViewHarness("started");
+        sendSnapshot(reader, started, 1_000);
+        started.era = 3;
+        started.list(2_000, 10, [registered(3, "a"), registered(4, "b")]);
+        expect(started.ids).to.deep.equal(["a"]);
+    });
 });
