fix(view): tell a VM that starts which servers have left

What callers see: a VM that started within the age of the copy before a restore uses servers that had left before it started, until the store removes their registrations. One that drained and left is used as well.

Cause: the list of the first era is compared with the servers that the view has seen leave. A VM that starts has seen none, and the view of its seed did not contain them.

Ruled out: asking the seed again after a restore. The VM may be the first to read the restored store, and uses the servers in between.

A server that a peer has seen leave is removed without retention. Of a server that left only its start and whether it drained are kept.

--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -26,13 +26,19 @@
     }),
 };
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
-    // VMs of earlier releases send neither the era nor withheld registrations.
+    // VMs of earlier releases send neither the era nor withheld registrations, nor servers that have left.
     era: Schema.optional(Schema.Int),
     nextOffset: Schema.Int,
     ageMs: Schema.Finite,
     confirmation: Schema.optional(ConfirmationSchema),
     registrations: Schema.Array(Schema.Struct(registrationFields)),
     withheld: Schema.optional(Schema.Array(Schema.Struct({ ...registrationFields, remainingMs: Schema.Finite }))),
+    departed: Schema.optional(Schema.Array(Schema.Struct({
+        instanceId: Schema.String,
+        startedAtUnixMs: Schema.Finite,
+        isDraining: Schema.Boolean,
+        ageMs: Schema.Finite,
+    }))),
 }));
 const decodeVms = Schema.decodeUnknownOption(Schema.Array(VmSchema));
 const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
@@ -112,6 +118,7 @@
                 ...decoded,
                 era: decoded.era ?? 0,
                 withheld: decoded.withheld ?? [],
+                departed: decoded.departed ?? [],
                 confirmation: decoded.confirmation,
             };
         if (snapshot !== undefined) {
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -11,6 +11,8 @@
     readonly registrations: readonly RegistrationChange[];
     /** Registrations that the peer that sent the list withholds. */
     readonly withheld?: ViewSnapshot["withheld"];
+    /** Servers that the peer has seen leave. */
+    readonly departed?: ViewSnapshot["departed"];
     readonly nextOffset: number;
 }
 
@@ -23,7 +25,7 @@
     readonly current: readonly RegistrationChange[];
     readonly removed: readonly RegistrationChange[];
 } => {
-    const { atMs, era, withheld = [] } = opts;
+    const { atMs, era, withheld = [], departed = [] } = opts;
     const isFirstOfEra = state.listedEra !== undefined && state.listedEra !== era;
     const outageEndedAtMs = isFirstOfEra ? atMs : state.outageEndedAtMs;
     const draft = new ServersDraft(state, {
@@ -35,11 +37,15 @@
     const current = isFirstOfEra
         ? opts.registrations.filter(registration => !draft.withhold(registration, untilMs))
         : opts.registrations;
-    const removed = withheld
-        .filter(({ remainingMs, ...registration }) =>
+    const removedIds = [
+        ...withheld.filter(({ remainingMs, ...registration }) =>
             draft.adoptWithheld(registration, atMs + remainingMs) === "changed"
-        )
-        .map(({ offset, instanceId }) => ({ offset, instanceId, server: undefined }));
+        ),
+        ...departed.filter(({ instanceId, ageMs, ...process }) =>
+            draft.adoptDeparted(instanceId, { ...process, removedAtMs: atMs - ageMs }) === "changed"
+        ),
+    ].map(({ instanceId }) => instanceId);
+    const removed = removedIds.map(instanceId => ({ offset: opts.nextOffset - 1, instanceId, server: undefined }));
     return { state: { ...state, ...draft.finish(), outageEndedAtMs, listedEra: era }, current, removed };
 };
 
--- a/fleet/view/src/compare-starts.ts
+++ b/fleet/view/src/compare-starts.ts
@@ -1,5 +1,7 @@
 import type { BackendServer } from "@marigoldstall/core.types";
 
-/** Orders two registrations of an instance id by the start of the process. Undefined if a start time is unknown. */
-export const compareStarts = (a: BackendServer, b: BackendServer): number | undefined =>
+type ProcessStart = Pick<BackendServer, "startedAtUnixMs">;
+
+/** Orders two processes of an instance id by their start. Undefined if a start time is unknown. */
+export const compareStarts = (a: ProcessStart, b: ProcessStart): number | undefined =>
     a.startedAtUnixMs === 0 || b.startedAtUnixMs === 0 ? undefined : a.startedAtUnixMs - b.startedAtUnixMs;
--- a/fleet/view/src/end-retention.ts
+++ b/fleet/view/src/end-retention.ts
@@ -1,5 +1,6 @@
 import type { Transition } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "./registration-change.js";
+import { toDepartedServer } from "./to-departed-server.js";
 import type { ViewEffect } from "./view-effect.js";
 import { VIEW_LIMITS } from "./view-limits.js";
 import type { ViewState } from "./view-state.js";
@@ -16,7 +17,7 @@
     const changes: RegistrationChange[] = [];
     for (const { server, position } of expired) {
         servers.delete(server.instanceId);
-        departed.set(server.instanceId, { server, removedAtMs: atMs });
+        departed.set(server.instanceId, toDepartedServer(server, atMs));
         changes.push({ offset: position.offset, instanceId: server.instanceId, server: undefined });
     }
     effects.push({ type: "servers-changed", changes, source: "expired" });
@@ -30,14 +31,16 @@
     }
     const servers = new Map(state.servers);
     const withheld = new Map(state.withheld);
+    const departed = new Map(state.departed);
     const changes: RegistrationChange[] = [];
     for (const { server, position } of due) {
         withheld.delete(server.instanceId);
+        departed.delete(server.instanceId);
         servers.set(server.instanceId, { server, position, retainedUntilMs: undefined });
         changes.push({ offset: position.offset, instanceId: server.instanceId, server });
     }
     effects.push({ type: "servers-changed", changes, source: "restored" });
-    return { ...state, servers, withheld };
+    return { ...state, servers, withheld, departed };
 };
 
 const forgetDeparted = (state: ViewState, atMs: number): ViewState => {
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -19,6 +19,12 @@
             server,
             remainingMs: untilMs - atMs,
         })),
+        departed: [...state.departed].map(([instanceId, { startedAtUnixMs, isDraining, removedAtMs }]) => ({
+            instanceId,
+            startedAtUnixMs,
+            isDraining,
+            ageMs: atMs - removedAtMs,
+        })),
         ageMs: atMs - confirmedAtMs,
         confirmation,
     };
--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -6,6 +6,7 @@
 import type { KnownServer } from "./known-server.js";
 import type { RegistrationChange } from "./registration-change.js";
 import type { StorePosition } from "./store-position.js";
+import { toDepartedServer } from "./to-departed-server.js";
 import type { ViewState } from "./view-state.js";
 import type { WithheldServer } from "./withheld-server.js";
 
@@ -60,7 +61,7 @@
         }
         const known = this.servers.get(instanceId);
         // A view that has started since may know of the removal only because a peer withholds the registration.
-        const later = known?.server ?? this.departed.get(instanceId)?.server ?? this.withheld.get(instanceId)?.server;
+        const later = known?.server ?? this.departed.get(instanceId) ?? this.withheld.get(instanceId)?.server;
         const order = later === undefined ? undefined : compareStarts(server, later);
         const isOutdated = order !== undefined && (known === undefined ? order <= 0 : order < 0);
         if (!isOutdated) {
@@ -89,6 +90,23 @@
         return this.servers.delete(instanceId) ? "changed" : "none";
     }
 
+    /** Records that a peer has seen a server leave. Removes the server if this view has missed that. */
+    adoptDeparted(instanceId: string, departed: DepartedServer): ChangeResult {
+        const known = this.servers.get(instanceId)?.server;
+        if (known === undefined) {
+            if (!this.departed.has(instanceId)) {
+                this.departed.set(instanceId, departed);
+            }
+            return "none";
+        }
+        if (compareStarts(known, departed) !== 0) {
+            return "none";
+        }
+        this.servers.delete(instanceId);
+        this.departed.set(instanceId, { ...departed, isDraining: departed.isDraining || known.isDraining });
+        return "changed";
+    }
+
     finish(): Pick<ViewState, "servers" | "departed" | "withheld"> {
         return { servers: this.servers, departed: this.departed, withheld: this.withheld };
     }
@@ -106,7 +124,7 @@
             return "propagated";
         }
         this.servers.delete(server.instanceId);
-        this.departed.set(server.instanceId, { server, removedAtMs: atMs });
+        this.departed.set(server.instanceId, toDepartedServer(server, atMs));
         return "changed";
     }
 
@@ -123,7 +141,7 @@
     }
 
     private hasDrained(server: BackendServer): boolean {
-        const departed = this.departed.get(server.instanceId)?.server;
+        const departed = this.departed.get(server.instanceId);
         return departed !== undefined && departed.isDraining && compareStarts(server, departed) === 0;
     }
 }
--- a/fleet/view/src/view-snapshot.ts
+++ b/fleet/view/src/view-snapshot.ts
@@ -1,4 +1,5 @@
 import type { Confirmation } from "./confirmation.js";
+import type { DepartedServer } from "./departed-server.js";
 import type { RegistrationChange } from "./registration-change.js";
 
 /** A registration that the sender withholds after a restore of the store. */
@@ -6,12 +7,19 @@
     readonly remainingMs: number;
 }
 
+interface DepartedRegistration extends Pick<DepartedServer, "startedAtUnixMs" | "isDraining"> {
+    readonly instanceId: string;
+    readonly ageMs: number;
+}
+
 /** The complete list of registrations as of an offset of the topic. */
 export interface ViewSnapshot {
     readonly era: number;
     readonly nextOffset: number;
     readonly registrations: readonly RegistrationChange[];
     readonly withheld: readonly WithheldRegistration[];
+    /** Servers that have left lately, which a copy may contain from which the store is restored later. */
+    readonly departed: readonly DepartedRegistration[];
     /** Time since the last read that showed that the store had nothing newer. */
     readonly ageMs: number;
     readonly confirmation: Confirmation | undefined;
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -94,4 +94,14 @@
         started.list(2_000, 10, [registered(3, "a"), registered(4, "b")]);
         expect(started.ids).to.deep.equal(["a"]);
     });
+
+    it("withholds a server that had left before this view's first list, as a peer knows", () => {
+        const reader = listTwo("reader");
+        reader.read(450, 41, [removed(40, "b")]);
+        const started = new ViewHarness("started");
+        sendSnapshot(reader, started, 500);
+        started.era = 2;
+        started.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        expect(started.ids).to.deep.equal(["a"]);
+    });
 });
