fix(view): withhold a registration until a read shows that it stays

What callers see: when the store is away again within 6 s after a restore, all VMs use servers that have left before the restore.

Cause: the withholding ended by the clock alone. The store removes a registration three heartbeats after the server fell silent, but not while it is away, so the registration was still there only because nothing could remove it.

Change: the withholding ends with a read that started after its time, and an outage of the store starts that time anew.

Two tests of restored-store.test.ts let time pass without any read and expected the end of the withholding all the same. They read at the usual interval now, and one of them also checks that time alone does not end it.

Figures: the new test "does not end the withholding while the store is away, as registrations do not expire then" failed before and passes now.

--- a/fleet/view/src/end-retention.ts
+++ b/fleet/view/src/end-retention.ts
@@ -24,8 +24,14 @@
     return { ...state, servers, departed };
 };
 
+// The store expires no registration while it is away, so one counts as renewed only if a read shows it after the time,
+// and an outage starts the time anew.
 const useWithheld = (state: ViewState, atMs: number, effects: ViewEffect[]): ViewState => {
-    const due = [...state.withheld.values()].filter(({ untilMs }) => untilMs <= atMs);
+    const { outageEndedAtMs, heartbeatMs, registrationReading } = state;
+    const expiryMs = heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
+    const due = [...state.withheld.values()].filter(({ untilMs }) =>
+        registrationReading.confirmedAtMs >= Math.max(untilMs, outageEndedAtMs + expiryMs)
+    );
     if (due.length === 0) {
         return state;
     }
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -1,10 +1,11 @@
-import { selectViewSnapshot, selectViewSummary } from "@marigoldstall/fleet.view";
+import { selectViewSnapshot, selectViewSummary, VIEW_LIMITS } from "@marigoldstall/fleet.view";
 import { expect } from "chai";
 import { ViewHarness } from "./view-harness.js";
 
 const { registered, removed } = ViewHarness;
 
 const PEER_ADDRESS = "127.0.0.2:8003";
+const HEARTBEAT_MS = 1_500;
 
 const sendSummary = (sender: ViewHarness, receiver: ViewHarness, atMs: number): void => {
     const summary = selectViewSummary(sender.state, { atMs, since: undefined });
@@ -104,4 +105,22 @@
         started.list(900, 12, [registered(3, "a"), registered(4, "b")]);
         expect(started.ids).to.deep.equal(["a"]);
     });
+
+    it("does not end the withholding while the store is away, as registrations do not expire then", () => {
+        const view = listTwo("reader");
+        view.read(450, 41, [removed(40, "b")]);
+        view.era = 2;
+        view.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        for (let atMs = 1_000; atMs <= 12_000; atMs += 500) {
+            view.fail(atMs);
+            view.tick(atMs + 10);
+        }
+        expect(view.ids).to.deep.equal(["a"]);
+        view.read(12_600, 12, []);
+        view.tick(12_610);
+        expect(view.ids).to.deep.equal(["a"]);
+        view.read(13_500, 13, [removed(12, "b")]);
+        view.tick(12_600 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats + 10);
+        expect(view.ids).to.deep.equal(["a"]);
+    });
 });
--- a/fleet/view/test/restored-store.test.ts
+++ b/fleet/view/test/restored-store.test.ts
@@ -186,6 +186,14 @@
             return view;
         };
 
+        // Reads until a read has started at a time or later, without finding any change.
+        const readUntil = (view: ViewHarness, atMs: number): void => {
+            for (let readAtMs = 1_400; readAtMs < atMs + 10; readAtMs += VIEW_LIMITS.registrationIntervalMs) {
+                view.read(Math.min(readAtMs, atMs), 12, []);
+            }
+            view.read(atMs + 10, 12, []);
+        };
+
         it("are not used because of the copy", () => {
             const view = leave({});
             expect(view.ids).to.deep.equal(["a"]);
@@ -199,7 +207,10 @@
             const untilMs = 900 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats;
             view.tick(untilMs - 10);
             expect(view.ids).to.deep.equal(["a"]);
-            const effects = view.tick(untilMs);
+            view.tick(untilMs);
+            expect(view.ids).to.deep.equal(["a"]);
+            readUntil(view, untilMs);
+            const effects = view.tick(untilMs + 10);
             expect(effects).to.deep.include({
                 type: "servers-changed",
                 changes: [registered(4, "b")],
@@ -235,7 +246,9 @@
             const started = new ViewHarness("started");
             sendSnapshot(view, started, 1_000);
             expect(started.ids).to.deep.equal(["a"]);
-            started.tick(900 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats);
+            started.era = 2;
+            readUntil(started, 900 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats);
+            started.tick(910 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats);
             expect(started.ids).to.deep.equal(["a", "b"]);
         });
     });
