fix(view): take the era from failed responses of the store too

What callers see: when the list that follows a 410 fails, the VM that reads the store first returns to the former era and asks for the same deleted records again, so changes arrive at least 1.5 s later.

Cause: 410 is the first response of the restored store that a reader gets when the copy is shorter than its offset. Its era was not read. The view forgot its position, so it took the next summary of a member in the former era for a newer view, fetched it and read on from the old offset. It had no view to give to others in the meantime either.

Change: failures carry the era of the response. The view keeps its position, ignores the former era from then on and lists. Without an earlier era the first response of a failing proxy, which has none, reports no restore.

Figures: the new test "does not take the view of a peer in a former era after the store has deleted the next record" failed before and passes now. How often a list fails right after a 410 was not measured.

--- a/daemon/entry/src/store-reader.ts
+++ b/daemon/entry/src/store-reader.ts
@@ -102,8 +102,8 @@
     }
 
     private handleReadFailure(topic: "registrations" | "configuration", failure: StoreFailure): void {
-        const { error, kind } = failure;
+        const { error, kind, era } = failure;
         this.opts.log.write("store-read-failed", { topic, outcome: kind, problem: error.message, peer: error.peer });
-        this.opts.dispatch({ type: "store-read-failed", topic, isExpired: kind === "expired" });
+        this.opts.dispatch({ type: "store-read-failed", topic, isExpired: kind === "expired", era });
     }
 }
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -139,6 +139,16 @@
         };
     }
 
+    /** The servers that are registered in the store. */
+    storedServers(): readonly BackendServer[] {
+        return selectNewest(this.records).flatMap(({ server }) => server ?? []);
+    }
+
+    /** The version of the configuration in the store. */
+    storedVersion(): number {
+        return this.configurations.at(-1)?.configuration.version ?? 0;
+    }
+
     publishConfiguration(version: number): void {
         this.configurations.push({
             text: String(version),
@@ -314,12 +324,16 @@
             this.schedule(STORE_TIMEOUT_MS, vmId, () => ({ type: "store-read-failed", topic, isExpired: false }));
             return;
         }
+        const { era } = this;
         const nextOffset = topic === "configuration" ? this.configurations.length : this.records.length;
         if (from !== undefined && from.offset > nextOffset) {
-            this.schedule(this.storeLatencyMs, vmId, () => ({ type: "store-read-failed", topic, isExpired: true }));
+            this.schedule(
+                this.storeLatencyMs,
+                vmId,
+                () => ({ type: "store-read-failed", topic, isExpired: true, era }),
+            );
             return;
         }
-        const { era } = this;
         if (topic === "configuration") {
             const configuration = nextOffset > (from?.offset ?? 0) ? this.configurations.at(-1) : undefined;
             this.schedule(
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -149,22 +149,29 @@
 };
 
 const onStoreReadFailed = (
-    state: ViewState,
+    before: ViewState,
     event: Extract<ViewEvent, { readonly type: "store-read-failed"; }>,
 ): Transition<ViewState, ViewEffect> => {
     const field = event.topic === "registrations" ? "registrationReading" : "configurationReading";
+    const { atMs, era } = event;
+    // A proxy that rejects a call sends no era, which counts as 0 and is no sign of a restore.
+    const { state, effects: restored } = era === undefined || before.storeEra === undefined
+        ? { state: before, effects: [] }
+        : observeEra(before, era);
     const reading = state[field];
-    const { atMs } = event;
     if (event.isExpired) {
-        const next = { ...reading, next: undefined, isReading: false, startedAtMs: -Infinity };
-        return { state: { ...state, [field]: next }, effects: [] };
+        // After a restore, the view remains the best one for peers until the list has arrived.
+        const isOfEarlierEra = reading.next !== undefined && isOutdatedEra(state, reading.next.era);
+        const next = isOfEarlierEra ? reading.next : undefined;
+        const expired = { ...reading, next, isReading: false, startedAtMs: -Infinity };
+        return { state: { ...state, [field]: expired }, effects: restored };
     }
     const isFirst = reading.failedAtMs === -Infinity;
     return {
         state: { ...state, [field]: { ...reading, isReading: false, failedAtMs: atMs } },
         effects: isFirst
-            ? [{ type: "store-lost", topic: event.topic, ageMs: atMs - reading.confirmedAtMs }]
-            : [],
+            ? [...restored, { type: "store-lost", topic: event.topic, ageMs: atMs - reading.confirmedAtMs }]
+            : restored,
     };
 };
 
--- a/fleet/view/src/view-event.ts
+++ b/fleet/view/src/view-event.ts
@@ -53,6 +53,8 @@
         readonly topic: "registrations" | "configuration";
         /** Whether the requested records were deleted, so that the topic must be listed again. */
         readonly isExpired: boolean;
+        /** Era of the response, if there was one. */
+        readonly era?: number | undefined;
     }
     | {
         readonly type: "view-summary-received";
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -123,4 +123,15 @@
         view.tick(12_600 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats + 10);
         expect(view.ids).to.deep.equal(["a"]);
     });
+
+    it("does not take the view of a peer in a former era after the store has deleted the next record", () => {
+        const view = listTwo("reader");
+        const peer = listTwo("peer");
+        view.apply({ type: "store-read-failed", atMs: 450, topic: "registrations", isExpired: true, era: 2 });
+        expect(selectViewSnapshot(view.state, 455)?.nextOffset).to.equal(40);
+        sendSnapshot(peer, view, 460);
+        const effects = view.tick(470);
+        expect(effects).to.deep.include({ type: "read-store", topic: "registrations", from: undefined });
+        expect(view.state.storeEra).to.equal(2);
+    });
 });
