fix(view): withhold a registration as long as the peer with the latest copy

What callers see: after two restores within 6 s, servers that have left are used again before the store removes their registrations, on all VMs that take the view of the last copy from a peer.

Cause: a view that already withheld a registration ignored that a peer withholds it, and kept the position and the time of the former era. The time that a view told to others left out an outage of the store that it waits for itself.

--- a/fleet/view/src/end-retention.ts
+++ b/fleet/view/src/end-retention.ts
@@ -1,5 +1,6 @@
 import type { Transition } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectWithheldUntilMs } from "./select-withheld-until-ms.js";
 import { toDepartedServer } from "./to-departed-server.js";
 import type { ViewEffect } from "./view-effect.js";
 import { VIEW_LIMITS } from "./view-limits.js";
@@ -24,13 +25,11 @@
     return { ...state, servers, departed };
 };
 
-// The store expires no registration while it is away, so one counts as renewed only if a read shows it after the time,
-// and an outage starts the time anew.
+// A registration counts as renewed only if a read that started after its time still shows it.
 const useWithheld = (state: ViewState, atMs: number, effects: ViewEffect[]): ViewState => {
-    const { outageEndedAtMs, heartbeatMs, registrationReading } = state;
-    const expiryMs = heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
-    const due = [...state.withheld.values()].filter(({ untilMs }) =>
-        registrationReading.confirmedAtMs >= Math.max(untilMs, outageEndedAtMs + expiryMs)
+    const { confirmedAtMs } = state.registrationReading;
+    const due = [...state.withheld.values()].filter(withheld =>
+        confirmedAtMs >= selectWithheldUntilMs(state, withheld)
     );
     if (due.length === 0) {
         return state;
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -1,3 +1,4 @@
+import { selectWithheldUntilMs } from "./select-withheld-until-ms.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewState } from "./view-state.js";
 
@@ -13,11 +14,11 @@
         registrations: [...state.servers.values()]
             .filter(known => known.retainedUntilMs === undefined)
             .map(({ position, server }) => ({ offset: position.offset, instanceId: server.instanceId, server })),
-        withheld: [...state.withheld.values()].map(({ position, server, untilMs }) => ({
-            offset: position.offset,
-            instanceId: server.instanceId,
-            server,
-            remainingMs: untilMs - atMs,
+        withheld: [...state.withheld.values()].map(withheld => ({
+            offset: withheld.position.offset,
+            instanceId: withheld.server.instanceId,
+            server: withheld.server,
+            remainingMs: selectWithheldUntilMs(state, withheld) - atMs,
         })),
         departed: [...state.departed].map(([instanceId, { startedAtUnixMs, isDraining, removedAtMs }]) => ({
             instanceId,
--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -5,6 +5,7 @@
 import { isSameServer } from "./is-same-server.js";
 import type { KnownServer } from "./known-server.js";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectLaterPosition } from "./select-later-position.js";
 import type { StorePosition } from "./store-position.js";
 import { toDepartedServer } from "./to-departed-server.js";
 import type { ViewState } from "./view-state.js";
@@ -82,11 +83,17 @@
         const position = this.positionOf(registration);
         const known = this.servers.get(instanceId);
         const isLater = known !== undefined && comparePositions(known.position, position) > 0;
-        if (server === undefined || isLater || this.withheld.has(instanceId)) {
+        if (server === undefined || isLater) {
             return "none";
         }
-        // A VM that starts may have read the registration without knowing that the server had left.
-        this.withheld.set(instanceId, { server, position, untilMs });
+        // The peer may have listed a later copy, in which the registration expires later. A VM that starts may have read
+        // the registration without knowing that the server had left.
+        const withheld = this.withheld.get(instanceId);
+        this.withheld.set(instanceId, {
+            server,
+            position: selectLaterPosition(position, withheld?.position),
+            untilMs: Math.max(untilMs, withheld?.untilMs ?? -Infinity),
+        });
         return this.servers.delete(instanceId) ? "changed" : "none";
     }
 
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -134,4 +134,39 @@
         expect(effects).to.deep.include({ type: "read-store", topic: "registrations", from: undefined });
         expect(view.state.storeEra).to.equal(2);
     });
+
+    it("withholds a server for the time that a peer does that has read a later copy", () => {
+        const reader = listTwo("reader");
+        const follower = listTwo("follower");
+        for (const view of [reader, follower]) {
+            view.read(450, 41, [removed(40, "b")]);
+            view.era = 2;
+            view.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        }
+        reader.era = 3;
+        reader.list(5_000, 12, [registered(3, "a"), registered(4, "b")]);
+        sendSnapshot(reader, follower, 5_010);
+        follower.era = 3;
+        const untilMs = 5_000 + HEARTBEAT_MS * VIEW_LIMITS.withheldHeartbeats;
+        for (let atMs = 5_400; atMs < untilMs; atMs += VIEW_LIMITS.registrationIntervalMs) {
+            follower.read(atMs, 12, []);
+            follower.tick(atMs + 10);
+            expect(follower.state.withheld.get("b")?.position).to.deep.equal({ era: 3, offset: 4 });
+            expect(follower.ids).to.deep.equal(["a"]);
+        }
+    });
+
+    it("tells a VM that starts how long a registration is withheld after an outage of the store", () => {
+        const reader = listTwo("reader");
+        reader.read(450, 41, [removed(40, "b")]);
+        reader.era = 2;
+        reader.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        reader.read(5_900, 12, []);
+        const started = new ViewHarness("started");
+        started.era = 2;
+        sendSnapshot(reader, started, 6_000);
+        started.read(7_500, 12, []);
+        started.tick(7_510);
+        expect(started.ids).to.deep.equal(["a"]);
+    });
 });
