fix(view): retain after a restore only what the first list lacks

What callers see: a server that is removed within 2.3 s after a restore stays in use for more than 2 s on the members of a zone.

Cause: the restore counted as the end of an outage, so all removals of the next 2.3 s were taken for registrations that expired meanwhile. The restored store gives every registration three heartbeats anew, so a removal in that time is one of a server that has left.

Ruled out: a shorter time for all; servers that the copy lacks need it.

Change: only servers that the first list of an era lacks are retained. An outage that is seen by its gap in the reads retains all, as before.

The new test "uses no removed server longer because the store was restored shortly before" failed before and passes now.

--- a/fleet/view/src/apply-registration-changes.ts
+++ b/fleet/view/src/apply-registration-changes.ts
@@ -11,6 +11,8 @@
     readonly era: number;
     readonly changes: readonly RegistrationChange[];
     readonly nextOffset: number;
+    /** Until when a server stays in use after its registration expired. Depends on the last outage if not given. */
+    readonly retainRemovedUntilMs?: number;
 }
 
 interface AppliedChanges {
@@ -31,7 +33,7 @@
         return { state: advance(state, opts), applied: [] };
     }
     const { atMs, era } = opts;
-    const retainRemovedUntilMs = state.outageEndedAtMs + VIEW_LIMITS.expiredRetentionMs;
+    const { retainRemovedUntilMs = state.outageEndedAtMs + VIEW_LIMITS.expiredRetentionMs } = opts;
     const draft = new ServersDraft(state, { atMs, era, retainRemovedUntilMs });
     const applied: RegistrationChange[] = [];
     const propagated: RegistrationChange[] = [];
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -24,15 +24,14 @@
     readonly state: ViewState;
     readonly current: readonly RegistrationChange[];
     readonly removed: readonly RegistrationChange[];
+    readonly retainRemovedUntilMs: number;
 } => {
     const { atMs, era, withheld = [], departed = [] } = opts;
     const isFirstOfEra = state.listedEra !== undefined && state.listedEra !== era;
-    const outageEndedAtMs = isFirstOfEra ? atMs : state.outageEndedAtMs;
-    const draft = new ServersDraft(state, {
-        atMs,
-        era,
-        retainRemovedUntilMs: outageEndedAtMs + VIEW_LIMITS.expiredRetentionMs,
-    });
+    // Servers that this list lacks register again. One that is removed later has left: the restored store removes no
+    // registration for three heartbeats.
+    const retainRemovedUntilMs = (isFirstOfEra ? atMs : state.outageEndedAtMs) + VIEW_LIMITS.expiredRetentionMs;
+    const draft = new ServersDraft(state, { atMs, era, retainRemovedUntilMs });
     const untilMs = atMs + state.heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
     const current = isFirstOfEra
         ? opts.registrations.filter(registration => !draft.withhold(registration, untilMs))
@@ -46,7 +45,7 @@
         ),
     ].map(({ instanceId }) => instanceId);
     const removed = removedIds.map(instanceId => ({ offset: opts.nextOffset - 1, instanceId, server: undefined }));
-    return { state: { ...state, ...draft.finish(), outageEndedAtMs, listedEra: era }, current, removed };
+    return { state: { ...state, ...draft.finish(), listedEra: era }, current, removed, retainRemovedUntilMs };
 };
 
 const createRemovals = (state: ViewState, opts: ApplyRegistrationListOptions): readonly RegistrationChange[] => {
@@ -66,9 +65,9 @@
     opts: ApplyRegistrationListOptions,
 ): ReturnType<typeof applyRegistrationChanges> => {
     const { atMs, era, nextOffset } = opts;
-    const { state, current, removed } = withholdOutdated(before, opts);
+    const { state, current, removed, retainRemovedUntilMs } = withholdOutdated(before, opts);
     const changes = [...current, ...createRemovals(state, opts)];
-    const result = applyRegistrationChanges(state, { atMs, era, changes, nextOffset });
+    const result = applyRegistrationChanges(state, { atMs, era, changes, nextOffset, retainRemovedUntilMs });
     // The individual changes that led to this list are unknown, so peers with an older view need the complete list too.
     return {
         applied: [...removed, ...result.applied],
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -169,4 +169,12 @@
         started.tick(7_510);
         expect(started.ids).to.deep.equal(["a"]);
     });
+
+    it("uses no removed server longer because the store was restored shortly before", () => {
+        const view = listTwo("reader");
+        view.era = 2;
+        view.list(500, 12, [registered(3, "a"), registered(4, "b")]);
+        view.read(900, 13, [removed(12, "b")]);
+        expect(view.ids).to.deep.equal(["a"]);
+    });
 });
