fix(view): report the removal of a server that a copy replaces

What callers see: nothing at once. The routing keeps a draining server for good that the view has dropped, with its connections and its load.

Cause: when the restored copy lists an earlier process of a draining server, the view removes the server while it withholds the registration, and reported no change for that.

Change: the removal is part of the reported changes.

The new test "reports the removal of a draining server of which the copy lists an earlier process" failed before and passes now.

--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -33,10 +33,12 @@
     const retainRemovedUntilMs = (isFirstOfEra ? atMs : state.outageEndedAtMs) + VIEW_LIMITS.expiredRetentionMs;
     const draft = new ServersDraft(state, { atMs, era, retainRemovedUntilMs });
     const untilMs = atMs + state.heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
-    const current = isFirstOfEra
-        ? opts.registrations.filter(registration => !draft.withhold(registration, untilMs))
-        : opts.registrations;
+    const results = opts.registrations.map(registration =>
+        isFirstOfEra ? draft.withhold(registration, untilMs) : undefined
+    );
+    const current = opts.registrations.filter((_, index) => results[index] === undefined);
     const removedIds = [
+        ...opts.registrations.filter((_, index) => results[index] === "changed"),
         ...withheld.filter(({ remainingMs, ...registration }) =>
             draft.adoptWithheld(registration, atMs + remainingMs) === "changed"
         ),
--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -53,12 +53,12 @@
 
     /**
      * Withholds a registration of a restored copy if it is older than what is known: the server was removed, or its
-     * process was replaced. Returns whether it was withheld.
+     * process was replaced. Returns undefined if it is not older, and otherwise how that changes the servers in use.
      */
-    withhold(registration: RegistrationChange, untilMs: number): boolean {
+    withhold(registration: RegistrationChange, untilMs: number): ChangeResult | undefined {
         const { instanceId, server } = registration;
         if (server === undefined) {
-            return false;
+            return undefined;
         }
         const known = this.servers.get(instanceId);
         // A view that has started since may know of the removal only because a peer withholds the registration.
@@ -66,15 +66,13 @@
         const order = later === undefined ? undefined : compareStarts(server, later);
         const isOutdated = order !== undefined && (known === undefined ? order <= 0 : order < 0);
         if (!isOutdated) {
-            return false;
-        }
-        if (known !== undefined) {
-            this.remove(known, this.positionOf(registration));
+            return undefined;
         }
+        const result = known === undefined ? "none" : this.remove(known, this.positionOf(registration));
         if (!this.hasDrained(server)) {
             this.withheld.set(instanceId, { server, position: this.positionOf(registration), untilMs });
         }
-        return true;
+        return result;
     }
 
     /** Withholds a registration that a peer withholds, unless this view has a later one. */
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -177,4 +177,20 @@
         view.read(900, 13, [removed(12, "b")]);
         expect(view.ids).to.deep.equal(["a"]);
     });
+
+    it("reports the removal of a draining server of which the copy lists an earlier process", () => {
+        const view = new ViewHarness("reader");
+        view.era = 1;
+        view.list(0, 40, [
+            registered(38, "a"),
+            registered(39, "b", { startedAtUnixMs: 5, isDraining: true }),
+        ]);
+        view.era = 2;
+        expect(view.list(500, 12, [registered(3, "a"), registered(4, "b")])).to.deep.include({
+            type: "servers-changed",
+            changes: [removed(11, "b")],
+            source: "store",
+        });
+        expect(view.ids).to.deep.equal(["a"]);
+    });
 });
