fix(view): ask a peer which servers of a restored copy have left

What callers see: a VM that was frozen while a server left and the store was restored reads the copy itself when it resumes, and uses the server until the store removes its registration, while all others withhold it. A VM that starts without reaching a seed does the same.

Cause: a VM at the offset of its peers has no reason to fetch a view, and summaries do not say what is withheld.

Ruled out: waiting for a peer before the list. The first reader of the new era has none to wait for.

Change: a VM that has listed an era itself fetches the view of the first peer that has reached its position, once per era.

The new test "asks a peer once for the servers that have left, after it has listed a restored copy itself" failed before and passes now.

--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -5,6 +5,7 @@
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
 import { selectNewChanges } from "./select-new-changes.js";
+import type { StorePosition } from "./store-position.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
 import { VIEW_LIMITS } from "./view-limits.js";
@@ -12,25 +13,31 @@
 
 type SummaryReceived = Extract<ViewEvent, { readonly type: "view-summary-received"; }>;
 
-const applyPeerRegistrations = (state: ViewState, event: SummaryReceived, effects: ViewEffect[]): ViewState => {
-    const { summary, atMs } = event;
-    const { next: peerNext } = summary;
+// A view that lacks changes before the summary's needs the complete list of the peer. One that has listed a restored copy
+// itself needs it once, to learn which servers of the copy others have seen leave.
+const selectFetchReason = (
+    state: ViewState,
+    opts: { readonly peerNext: StorePosition; readonly base: StorePosition; },
+): "behind" | "unchecked" | undefined => {
     const ownNext = state.registrationReading.next;
-    if (peerNext === undefined || isOutdatedEra(state, peerNext.era)) {
-        return state;
-    }
-    const confirmedAtMs = atMs - summary.ageMs;
-    if (ownNext === undefined || ownNext.era < peerNext.era || comparePositions(ownNext, summary.base) < 0) {
-        if (atMs - state.snapshotRequestedAtMs < VIEW_LIMITS.fetchRetryIntervalMs) {
-            return state;
-        }
-        effects.push({ type: "fetch-view-snapshot", peerAddress: event.peerAddress });
-        return { ...state, snapshotRequestedAtMs: atMs };
+    const { peerNext, base } = opts;
+    if (ownNext === undefined || ownNext.era < peerNext.era || comparePositions(ownNext, base) < 0) {
+        return "behind";
     }
-    if (comparePositions(ownNext, peerNext) > 0) {
-        return state;
-    }
-    const confirmed = confirmRegistrations(state, { atMs, confirmedAtMs, confirmation: summary.confirmation });
+    return state.isListUnchecked && comparePositions(peerNext, ownNext) >= 0 ? "unchecked" : undefined;
+};
+
+const applyPeerChanges = (
+    state: ViewState,
+    event: SummaryReceived & { readonly peerNext: StorePosition; },
+    effects: ViewEffect[],
+): ViewState => {
+    const { summary, atMs, peerNext } = event;
+    const confirmed = confirmRegistrations(state, {
+        atMs,
+        confirmedAtMs: atMs - summary.ageMs,
+        confirmation: summary.confirmation,
+    });
     const { state: next, applied } = applyRegistrationChanges(confirmed, {
         atMs,
         era: peerNext.era,
@@ -43,6 +50,25 @@
     return next;
 };
 
+const applyPeerRegistrations = (before: ViewState, event: SummaryReceived, effects: ViewEffect[]): ViewState => {
+    const { summary, atMs, peerAddress } = event;
+    const { next: peerNext, base } = summary;
+    if (peerNext === undefined || isOutdatedEra(before, peerNext.era)) {
+        return before;
+    }
+    let state = before;
+    const fetchReason = selectFetchReason(state, { peerNext, base });
+    if (fetchReason !== undefined && atMs - state.snapshotRequestedAtMs >= VIEW_LIMITS.fetchRetryIntervalMs) {
+        effects.push({ type: "fetch-view-snapshot", peerAddress });
+        state = { ...state, snapshotRequestedAtMs: atMs };
+    }
+    const ownNext = state.registrationReading.next;
+    if (fetchReason === "behind" || ownNext === undefined || comparePositions(ownNext, peerNext) > 0) {
+        return state;
+    }
+    return applyPeerChanges(state, { ...event, peerNext }, effects);
+};
+
 const applyPeerConfiguration = (state: ViewState, event: SummaryReceived, effects: ViewEffect[]): ViewState => {
     const { summary, atMs } = event;
     const ownVersion = state.configuration?.configuration.version ?? 0;
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -24,6 +24,7 @@
         firstReadAtMs: opts.firstReadAtMs ?? -Infinity,
         storeEra: undefined,
         listedEra: undefined,
+        isListUnchecked: false,
         servers: new Map(),
         withheld: new Map(),
         departed: new Map(),
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -96,8 +96,9 @@
         confirmation: nextConfirmation(state, state.registrationReading),
     });
     const { state: next, applied } = applyRegistrationList(confirmed, event);
+    const isListUnchecked = state.isListUnchecked || state.listedEra !== era;
     return {
-        state: finishRegistrationRead(next),
+        state: { ...finishRegistrationRead(next), isListUnchecked },
         effects: [...restored, ...regained, ...serversChangedEffects(applied, "store")],
     };
 };
@@ -145,7 +146,10 @@
         confirmation: snapshot.confirmation,
     });
     const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
-    return { state: next, effects: [...restored, ...serversChangedEffects(applied, "peer")] };
+    return {
+        state: { ...next, isListUnchecked: false },
+        effects: [...restored, ...serversChangedEffects(applied, "peer")],
+    };
 };
 
 const onStoreReadFailed = (
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -33,6 +33,8 @@
     readonly storeEra: number | undefined;
     /** Era of the latest complete list of registrations. */
     readonly listedEra: number | undefined;
+    /** Whether the first list of the era came from the store, and no peer has told yet which of its servers have left. */
+    readonly isListUnchecked: boolean;
     readonly servers: ReadonlyMap<string, KnownServer>;
     readonly withheld: ReadonlyMap<string, WithheldServer>;
     readonly departed: ReadonlyMap<string, DepartedServer>;
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -1,4 +1,4 @@
-import { selectViewSnapshot, selectViewSummary, VIEW_LIMITS } from "@marigoldstall/fleet.view";
+import { selectViewSnapshot, selectViewSummary, VIEW_LIMITS, type ViewEffect } from "@marigoldstall/fleet.view";
 import { expect } from "chai";
 import { ViewHarness } from "./view-harness.js";
 
@@ -7,9 +7,9 @@
 const PEER_ADDRESS = "127.0.0.2:8003";
 const HEARTBEAT_MS = 1_500;
 
-const sendSummary = (sender: ViewHarness, receiver: ViewHarness, atMs: number): void => {
+const sendSummary = (sender: ViewHarness, receiver: ViewHarness, atMs: number): readonly ViewEffect[] => {
     const summary = selectViewSummary(sender.state, { atMs, since: undefined });
-    receiver.apply({ type: "view-summary-received", atMs, peerAddress: PEER_ADDRESS, summary });
+    return receiver.apply({ type: "view-summary-received", atMs, peerAddress: PEER_ADDRESS, summary });
 };
 
 const sendSnapshot = (sender: ViewHarness, receiver: ViewHarness, atMs: number): void => {
@@ -193,4 +193,20 @@
         });
         expect(view.ids).to.deep.equal(["a"]);
     });
+
+    it("asks a peer once for the servers that have left, after it has listed a restored copy itself", () => {
+        const view = listTwo("resumed");
+        const peer = listTwo("peer");
+        peer.read(450, 41, [removed(40, "b")]);
+        for (const one of [view, peer]) {
+            one.era = 2;
+            one.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        }
+        expect(view.ids).to.deep.equal(["a", "b"]);
+        const fetch = { type: "fetch-view-snapshot", peerAddress: PEER_ADDRESS };
+        expect(sendSummary(peer, view, 1_000)).to.deep.include(fetch);
+        sendSnapshot(peer, view, 1_010);
+        expect(view.ids).to.deep.equal(["a"]);
+        expect(sendSummary(peer, view, 1_500)).to.not.deep.include(fetch);
+    });
 });
