--- /dev/null
+++ b/daemon/entry/test/create-model-settings.ts
@@ -0,0 +1,24 @@
+import type { EntrySettings } from "@marigoldstall/core.types";
+
+const PROBES_PER_SECOND = 60;
+
+/** Creates the settings of a VM of the fleet model, in which the host of a VM is its id. */
+export const createModelSettings = (index: number, zone: number): EntrySettings => {
+    const vmId = `vm-${String(index).padStart(3, "0")}`;
+    return {
+        vmId,
+        availabilityZone: `zone-${zone}`,
+        host: vmId,
+        listen: { caller: vmId, ready: vmId, control: vmId },
+        fleetPort: 7_000,
+        seedAddresses: [],
+        isFirstStart: true,
+        cores: 0.5,
+        linkMbps: 10,
+        storeAddress: "store",
+        heartbeatMs: 1_500,
+        retryBudget: { ratio: 0.2, windowMs: 10_000, extra: 58 },
+        stopGraceMs: 6_000,
+        maxProbesPerSecond: PROBES_PER_SECOND,
+    };
+};
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -9,13 +9,14 @@
 } from "@marigoldstall/daemon.entry";
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
 import { type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
+import { createModelServer } from "./create-model-server.js";
+import { createModelSettings } from "./create-model-settings.js";
 
 const TICK_MS = 10;
 const STORE_LATENCY_MS = 5;
 const STORE_TIMEOUT_MS = 900;
 const PROBE_LATENCY_MS = 2;
 const RPC_LATENCY_MS = 4;
-const DEFAULT_PROBES_PER_SECOND = 60;
 
 interface ModelOptions {
     readonly vmCount: number;
@@ -81,14 +82,14 @@
         const zones = opts.zones ?? 3;
         this.delayMs = opts.delayMs ?? 2;
         this.settings = [...Array(opts.vmCount).keys()].map(index => ({
-            ...createSettings(index, index % zones),
-            maxProbesPerSecond: opts.maxProbesPerSecond ?? DEFAULT_PROBES_PER_SECOND,
+            ...createModelSettings(index, index % zones),
+            ...opts.maxProbesPerSecond === undefined ? {} : { maxProbesPerSecond: opts.maxProbesPerSecond },
         }));
         for (const one of this.settings) {
             this.states.set(one.vmId, createEntryState(one, { atMs: this.atMs, incarnation: "1" }));
         }
         for (let index = 0; index < (opts.serverCount ?? 6); index += 1) {
-            this.register(createServer(`i-${index}`, index % zones));
+            this.register(createModelServer(`i-${index}`, index % zones));
         }
         this.publishConfiguration(1);
         const vms = this.settings.map(one => this.state(one.vmId).hub.self);
@@ -126,7 +127,7 @@
 
     /** Registers a new server in the first zone. */
     registerServer(instanceId: string): void {
-        this.register(createServer(instanceId, 0));
+        this.register(createModelServer(instanceId, 0));
     }
 
     remove(instanceId: string): void {
@@ -165,6 +166,16 @@
         this.storeEra += 1;
     }
 
+    /** The servers that are registered in the store. */
+    storedServers(): readonly BackendServer[] {
+        return selectNewest(this.records).flatMap(({ server }) => server ?? []);
+    }
+
+    /** The version of the configuration in the store. */
+    storedVersion(): number {
+        return this.configurations.at(-1)?.configuration.version ?? 0;
+    }
+
     publishConfiguration(version: number): void {
         this.configurations.push({
             text: String(version),
@@ -341,12 +352,12 @@
             return;
         }
         const latencyMs = STORE_LATENCY_MS + (this.extraAnswerDelayMs.get(vmId) ?? 0);
+        const era = this.storeEra;
         const nextOffset = topic === "configuration" ? this.configurations.length : this.records.length;
         if (from !== undefined && from.offset > nextOffset) {
-            this.schedule(latencyMs, vmId, () => ({ type: "store-read-failed", topic, isExpired: true }));
+            this.schedule(latencyMs, vmId, () => ({ type: "store-read-failed", topic, isExpired: true, era }));
             return;
         }
-        const era = this.storeEra;
         if (topic === "configuration") {
             const configuration = nextOffset > (from?.offset ?? 0) ? this.configurations.at(-1) : undefined;
             this.schedule(
@@ -367,34 +378,3 @@
 const selectNewest = (changes: readonly RegistrationChange[]): readonly RegistrationChange[] =>
     [...new Map(changes.map(change => [change.instanceId, change])).values()]
         .filter(change => change.server !== undefined);
-
-const createServer = (instanceId: string, zone: number): BackendServer => ({
-    instanceId,
-    startedAtUnixMs: 1,
-    service: "one",
-    address: `${instanceId}:80`,
-    availabilityZone: `zone-${zone}`,
-    slots: 2,
-    isDraining: false,
-    warmUpMs: 0,
-});
-
-const createSettings = (index: number, zone: number): EntrySettings => {
-    const vmId = `vm-${String(index).padStart(3, "0")}`;
-    return {
-        vmId,
-        availabilityZone: `zone-${zone}`,
-        host: vmId,
-        listen: { caller: vmId, ready: vmId, control: vmId },
-        fleetPort: 7_000,
-        seedAddresses: [],
-        isFirstStart: true,
-        cores: 0.5,
-        linkMbps: 10,
-        storeAddress: "store",
-        heartbeatMs: 1_500,
-        retryBudget: { ratio: 0.2, windowMs: 10_000, extra: 58 },
-        stopGraceMs: 6_000,
-        maxProbesPerSecond: DEFAULT_PROBES_PER_SECOND,
-    };
-};
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -24,7 +24,7 @@
         firstReadAtMs: opts.firstReadAtMs ?? -Infinity,
         storeEra: undefined,
         listedEra: undefined,
-        hasPeerView: false,
+        isListUnchecked: false,
         servers: new Map(),
         withheld: new Map(),
         departed: new Map(),
--- a/fleet/view/src/end-retention.ts
+++ b/fleet/view/src/end-retention.ts
@@ -1,5 +1,7 @@
 import type { Transition } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectWithheldUntilMs } from "./select-withheld-until-ms.js";
+import { toDepartedServer } from "./to-departed-server.js";
 import type { ViewEffect } from "./view-effect.js";
 import { VIEW_LIMITS } from "./view-limits.js";
 import type { ViewState } from "./view-state.js";
@@ -16,15 +18,20 @@
     const changes: RegistrationChange[] = [];
     for (const { server, position } of expired) {
         servers.delete(server.instanceId);
-        departed.set(server.instanceId, { server, removedAtMs: atMs });
+        departed.set(server.instanceId, toDepartedServer(server, atMs));
         changes.push({ offset: position.offset, instanceId: server.instanceId, server: undefined });
     }
     effects.push({ type: "servers-changed", changes, source: "expired" });
     return { ...state, servers, departed };
 };
 
+// The registration of a server that had left counts as renewed only if a read that started after its time still shows
+// it.
 const useWithheld = (state: ViewState, atMs: number, effects: ViewEffect[]): ViewState => {
-    const due = [...state.withheld.values()].filter(({ untilMs }) => untilMs <= atMs);
+    const { confirmedAtMs } = state.registrationReading;
+    const due = [...state.withheld.values()].filter(withheld =>
+        (withheld.isInUse ? atMs : confirmedAtMs) >= selectWithheldUntilMs(state, withheld)
+    );
     if (due.length === 0) {
         return state;
     }
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -12,6 +12,8 @@
 import { onResumed } from "./on-resumed.js";
 import type { RegistrationChange } from "./registration-change.js";
 import { selectLaterPosition } from "./select-later-position.js";
+import { selectNewChanges } from "./select-new-changes.js";
+import type { StorePosition } from "./store-position.js";
 import { tickView } from "./tick-view.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
@@ -25,6 +27,11 @@
     registrationReading: { ...state.registrationReading, isReading: false, failedAtMs: -Infinity },
 });
 
+const isBeforeOwnPosition = (state: ViewState, position: StorePosition): boolean => {
+    const { next } = state.registrationReading;
+    return next !== undefined && comparePositions(position, next) < 0;
+};
+
 const ignoreOutdatedRead = (
     state: ViewState,
     event: { readonly topic: "registrations" | "configuration"; readonly era: number; },
@@ -61,7 +68,8 @@
             confirmation: nextConfirmation(state, state.registrationReading),
         })
         : state;
-    const { state: next, applied } = applyRegistrationChanges(confirmed, event);
+    const changes = selectNewChanges(state, event);
+    const { state: next, applied } = applyRegistrationChanges(confirmed, { ...event, changes });
     return {
         state: finishRegistrationRead(next),
         effects: [...restored, ...regained, ...serversChangedEffects(applied, "store")],
@@ -78,14 +86,19 @@
     }
     const { state, effects: restored } = observeEra(before, era);
     const regained = storeRegainedEffects(state.registrationReading, "registrations", atMs);
+    if (isBeforeOwnPosition(state, { era, offset: event.nextOffset })) {
+        // A peer has told of later changes since, which the list does not contain.
+        return { state: finishRegistrationRead(state), effects: regained };
+    }
     const confirmed = confirmRegistrations(state, {
         atMs,
         confirmedAtMs: event.startedAtMs,
         confirmation: nextConfirmation(state, state.registrationReading),
     });
     const { state: next, applied } = applyRegistrationList(confirmed, event);
+    const isListUnchecked = state.isListUnchecked || state.listedEra !== era;
     return {
-        state: finishRegistrationRead(next),
+        state: { ...finishRegistrationRead(next), isListUnchecked },
         effects: [...restored, ...regained, ...serversChangedEffects(applied, "store")],
     };
 };
@@ -123,9 +136,7 @@
 ): Transition<ViewState, ViewEffect> => {
     const { snapshot, atMs } = event;
     const { era, nextOffset } = snapshot;
-    const ownNext = before.registrationReading.next;
-    const isOlder = ownNext !== undefined && comparePositions({ era, offset: nextOffset }, ownNext) < 0;
-    if (isOlder || isOutdatedEra(before, era)) {
+    if (isBeforeOwnPosition(before, { era, offset: nextOffset }) || isOutdatedEra(before, era)) {
         return { state: before, effects: [] };
     }
     const { state, effects: restored } = observeEra(before, era);
@@ -135,27 +146,36 @@
         confirmation: snapshot.confirmation,
     });
     const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
-    const effects = [...restored, ...serversChangedEffects(applied, "peer")];
-    return { state: { ...next, hasPeerView: true }, effects };
+    return {
+        state: { ...next, isListUnchecked: false },
+        effects: [...restored, ...serversChangedEffects(applied, "peer")],
+    };
 };
 
 const onStoreReadFailed = (
-    state: ViewState,
+    before: ViewState,
     event: Extract<ViewEvent, { readonly type: "store-read-failed"; }>,
 ): Transition<ViewState, ViewEffect> => {
     const field = event.topic === "registrations" ? "registrationReading" : "configurationReading";
+    const { atMs, era } = event;
+    // A proxy that rejects a call sends no era, which counts as 0 and is no sign of a restore.
+    const { state, effects: restored } = era === undefined || before.storeEra === undefined
+        ? { state: before, effects: [] }
+        : observeEra(before, era);
     const reading = state[field];
-    const { atMs } = event;
     if (event.isExpired) {
-        const next = { ...reading, next: undefined, isReading: false, startedAtMs: -Infinity };
-        return { state: { ...state, [field]: next }, effects: [] };
+        // After a restore, the view remains the best one for peers until the list has arrived.
+        const isOfEarlierEra = reading.next !== undefined && isOutdatedEra(state, reading.next.era);
+        const next = isOfEarlierEra ? reading.next : undefined;
+        const expired = { ...reading, next, isReading: false, startedAtMs: -Infinity };
+        return { state: { ...state, [field]: expired }, effects: restored };
     }
     const isFirst = reading.failedAtMs === -Infinity;
     return {
         state: { ...state, [field]: { ...reading, isReading: false, failedAtMs: atMs } },
         effects: isFirst
-            ? [{ type: "store-lost", topic: event.topic, ageMs: atMs - reading.confirmedAtMs }]
-            : [],
+            ? [...restored, { type: "store-lost", topic: event.topic, ageMs: atMs - reading.confirmedAtMs }]
+            : restored,
     };
 };
 
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -1,3 +1,4 @@
+import { selectWithheldUntilMs } from "./select-withheld-until-ms.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewState } from "./view-state.js";
 
@@ -7,17 +8,26 @@
     if (next === undefined) {
         return undefined;
     }
+    const withheld = [...state.withheld.values()];
     return {
         era: next.era,
         nextOffset: next.offset,
-        registrations: [...state.servers.values()]
-            .filter(known => known.retainedUntilMs === undefined)
+        registrations: [
+            ...[...state.servers.values()].filter(known => known.retainedUntilMs === undefined),
+            ...withheld.filter(({ isInUse }) => isInUse),
+        ]
             .map(({ position, server }) => ({ offset: position.offset, instanceId: server.instanceId, server })),
-        withheld: [...state.withheld.values()].map(({ position, server, untilMs }) => ({
-            offset: position.offset,
-            instanceId: server.instanceId,
-            server,
-            remainingMs: untilMs - atMs,
+        withheld: withheld.filter(({ isInUse }) => !isInUse).map(one => ({
+            offset: one.position.offset,
+            instanceId: one.server.instanceId,
+            server: one.server,
+            remainingMs: selectWithheldUntilMs(state, one) - atMs,
+        })),
+        departed: [...state.departed].map(([instanceId, { startedAtUnixMs, isDraining, removedAtMs }]) => ({
+            instanceId,
+            startedAtUnixMs,
+            isDraining,
+            ageMs: atMs - removedAtMs,
         })),
         ageMs: atMs - confirmedAtMs,
         confirmation,
--- a/fleet/view/src/servers-draft.ts
+++ b/fleet/view/src/servers-draft.ts
@@ -5,7 +5,9 @@
 import { isSameServer } from "./is-same-server.js";
 import type { KnownServer } from "./known-server.js";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectLaterPosition } from "./select-later-position.js";
 import type { StorePosition } from "./store-position.js";
+import { toDepartedServer } from "./to-departed-server.js";
 import type { ViewState } from "./view-state.js";
 import type { WithheldServer } from "./withheld-server.js";
 
@@ -41,33 +43,34 @@
         if (latest !== undefined && !isNews(latest, { server, position })) {
             return "none";
         }
-        const wasWithheld = this.withheld.delete(instanceId);
+        this.withheld.delete(instanceId);
         if (server === undefined) {
-            return known !== undefined ? this.remove(known, position) : wasWithheld ? "propagated" : "none";
+            // A peer that read a restored copy may use a server that this view withholds or does not know.
+            return known === undefined ? "propagated" : this.remove(known, position);
         }
         return this.hasDrained(server) ? "none" : this.register(server, position);
     }
 
     /**
-     * Withholds a registration of a restored copy if it may be older than what is known. A server that is known stays in
-     * use for the time in which it registers again. Returns whether the registration was withheld.
+     * Withholds a registration of a restored copy if it may be older than what is known: the server was removed, its
+     * process was replaced, or it has changed. Returns undefined if it is not older, and otherwise how that changes the
+     * servers in use.
      */
-    withhold(registration: RegistrationChange, expiredAtMs: number): boolean {
+    withhold(registration: RegistrationChange, expiredAtMs: number): ChangeResult | undefined {
         const { instanceId, server } = registration;
         const known = this.servers.get(instanceId);
         if (server === undefined || !this.isOutdated(registration, server)) {
-            return false;
+            return undefined;
         }
         const position = this.positionOf(registration);
-        const isSameProcess = known !== undefined && (compareStarts(server, known.server) ?? 0) === 0;
-        const untilMs = isSameProcess ? this.opts.retainRemovedUntilMs : expiredAtMs;
-        if (known !== undefined) {
-            this.remove(known, position);
-        }
+        // The process that is known registers again in this time, or the registration is the latest one after all.
+        const isInUse = known !== undefined && (compareStarts(server, known.server) ?? 0) === 0;
+        const untilMs = isInUse ? this.opts.retainRemovedUntilMs : expiredAtMs;
+        const result = known === undefined ? "none" : this.remove(known, position);
         if (!this.hasDrained(server)) {
-            this.withheld.set(instanceId, { server, position, untilMs });
+            this.withheld.set(instanceId, { server, position, untilMs, isInUse });
         }
-        return true;
+        return result;
     }
 
     /** Withholds a registration that a peer withholds, unless this view has a later one. */
@@ -76,10 +79,17 @@
         const position = this.positionOf(registration);
         const known = this.servers.get(instanceId);
         const order = known === undefined ? -1 : comparePositions(known.position, position);
-        if (server === undefined || order > 0 || this.withheld.has(instanceId)) {
+        if (server === undefined || order > 0) {
             return "none";
         }
-        this.withheld.set(instanceId, { server, position, untilMs });
+        // The peer may have listed a later copy, in which the registration expires later.
+        const withheld = this.withheld.get(instanceId);
+        this.withheld.set(instanceId, {
+            server,
+            position: selectLaterPosition(position, withheld?.position),
+            untilMs: Math.max(untilMs, withheld?.untilMs ?? -Infinity),
+            isInUse: false,
+        });
         if (order < 0) {
             return known === undefined ? "none" : this.remove(known, position);
         }
@@ -88,6 +98,23 @@
         return "changed";
     }
 
+    /** Records that a peer has seen a server leave. Removes the server if this view has missed that. */
+    adoptDeparted(instanceId: string, departed: DepartedServer): ChangeResult {
+        const known = this.servers.get(instanceId)?.server;
+        if (known === undefined) {
+            if (!this.departed.has(instanceId)) {
+                this.departed.set(instanceId, departed);
+            }
+            return "none";
+        }
+        if (compareStarts(known, departed) !== 0) {
+            return "none";
+        }
+        this.servers.delete(instanceId);
+        this.departed.set(instanceId, { ...departed, isDraining: departed.isDraining || known.isDraining });
+        return "changed";
+    }
+
     finish(): Pick<ViewState, "servers" | "departed" | "withheld"> {
         return { servers: this.servers, departed: this.departed, withheld: this.withheld };
     }
@@ -105,7 +132,7 @@
             return "propagated";
         }
         this.servers.delete(server.instanceId);
-        this.departed.set(server.instanceId, { server, removedAtMs: atMs });
+        this.departed.set(server.instanceId, toDepartedServer(server, atMs));
         return "changed";
     }
 
@@ -124,7 +151,9 @@
     private isOutdated(registration: RegistrationChange, server: BackendServer): boolean {
         const known = this.servers.get(registration.instanceId);
         if (known === undefined) {
-            const departed = this.departed.get(registration.instanceId)?.server;
+            const { instanceId } = registration;
+            // A view that has started since may know of the removal only because a peer withholds the registration.
+            const departed = this.departed.get(instanceId) ?? this.withheld.get(instanceId)?.server;
             return departed !== undefined && (compareStarts(server, departed) ?? 0) <= 0;
         }
         const order = compareStarts(server, known.server) ?? 0;
@@ -138,7 +167,7 @@
     }
 
     private hasDrained(server: BackendServer): boolean {
-        const departed = this.departed.get(server.instanceId)?.server;
+        const departed = this.departed.get(server.instanceId);
         return departed !== undefined && departed.isDraining && compareStarts(server, departed) === 0;
     }
 }
