fix(entry): know every request in progress on a caller's connection

Callers saw: after a stop had begun, requests that arrived in one piece behind another one were still forwarded, and their answers depended on the connection staying open. A caller that left with pipelined requests left all but the first of them running, and they counted as unfinished for ever, so that a later stop of the VM lasted until the end of the grace period.

Cause: Node.js emits the close of a connection only for the response that is being written, not for those queued behind it, and a request counted as pending on its connection only once its body had been read. Seen on real sockets by two tests that fail on and on, whose listener is the same.

Change: a CallerConnection holds the requests of one connection from their headers on. The end of the connection ends all of them.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { BufferedResponse } from "./buffered-response.js";
+import { CallerConnection } from "./caller-connection.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import type { OpenRequest } from "./open-request.js";
 
@@ -30,10 +31,7 @@
     private readonly opts: CallerListenerOptions;
     private readonly server: Server;
     private readonly openRequests = new Map<string, OpenRequest>();
-    /** Key of the most recent request of each connection. */
-    private readonly newestKeyBySocket = new WeakMap<Socket, string>();
-    /** Connections that close after a response that has already been written. */
-    private readonly closingSockets = new WeakSet<Socket>();
+    private readonly connections = new Map<Socket, CallerConnection>();
     private maxHeaderBytes = MAX_HEADER_BYTES;
     private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
     private unfinishedRequests = 0;
@@ -50,6 +48,9 @@
         }, (message, response) => {
             this.handleRequest(message, response);
         });
+        this.server.on("connection", socket => {
+            this.connection(socket);
+        });
     }
 
     /** Number of requests whose headers have been read and whose response has not been sent completely. */
@@ -108,7 +109,7 @@
             // truncated response look complete, so the end of the connection delimits the body here as well.
             request.response.useChunkedEncodingByDefault = false;
             request.response.shouldKeepAlive = false;
-            this.closingSockets.add(request.message.socket);
+            this.connection(request.message.socket).closeAfterResponse();
         }
         this.sendResponse(request, { statusCode: backendResponse.statusCode, headers, body: backendResponse.body });
     }
@@ -130,32 +131,30 @@
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
         const receivedAtMs = this.opts.nowMs();
         const { socket } = message;
-        const hasPendingRequest = this.openRequests.has(this.newestKeyBySocket.get(socket) ?? "");
-        if (this.closingSockets.has(socket) || (this.opts.isStopping() && hasPendingRequest)) {
+        const connection = this.connection(socket);
+        const hasUnfinishedRequest = connection.unfinishedRequestKeys.size > 0;
+        if (connection.isClosing || (this.opts.isStopping() && hasUnfinishedRequest)) {
             // The connection closes after the response to an earlier request, and the caller resends this one.
             message.resume();
             return;
         }
         const requestKey = String(this.nextRequestKey);
         this.nextRequestKey += 1;
-        this.newestKeyBySocket.set(socket, requestKey);
+        connection.addRequest(requestKey);
         const chunks: Buffer[] = [];
         let bodyBytes = 0;
         this.unfinishedRequests += 1;
         response.sendDate = false;
         response.on("error", () => undefined);
         response.on("close", () => {
-            this.unfinishedRequests -= 1;
-            if (this.removeOpenRequest(requestKey) !== undefined) {
-                this.opts.onCallerLeft(requestKey);
-            }
+            this.finishRequest(connection, requestKey);
         });
         message.on("error", () => undefined);
         const rejectWithStatus = (statusCode: number): void => {
             message.removeAllListeners("data");
             message.resume();
             response.shouldKeepAlive = false;
-            this.closingSockets.add(socket);
+            connection.closeAfterResponse();
             response.writeHead(statusCode, { "Content-Length": 0 });
             response.end();
         };
@@ -183,6 +182,33 @@
         });
     }
 
+    private connection(socket: Socket): CallerConnection {
+        let connection = this.connections.get(socket);
+        if (connection === undefined) {
+            const opened = new CallerConnection();
+            this.connections.set(socket, opened);
+            // Node.js emits no close event for responses that are queued behind another one.
+            socket.once("close", () => {
+                this.connections.delete(socket);
+                for (const requestKey of [...opened.unfinishedRequestKeys]) {
+                    this.finishRequest(opened, requestKey);
+                }
+            });
+            connection = opened;
+        }
+        return connection;
+    }
+
+    private finishRequest(connection: CallerConnection, requestKey: string): void {
+        if (!connection.finishRequest(requestKey)) {
+            return;
+        }
+        this.unfinishedRequests -= 1;
+        if (this.removeOpenRequest(requestKey) !== undefined) {
+            this.opts.onCallerLeft(requestKey);
+        }
+    }
+
     private removeOpenRequest(requestKey: string): OpenRequest | undefined {
         const request = this.openRequests.get(requestKey);
         this.openRequests.delete(requestKey);
@@ -195,13 +221,14 @@
         readonly body: Buffer | undefined;
     }): void {
         const { response, message } = request;
-        if (response.destroyed) {
+        if (response.destroyed || message.socket.destroyed) {
             return;
         }
+        const connection = this.connection(message.socket);
         // A connection with pipelined requests stays open until all of them have been answered.
-        if (this.opts.isStopping() && this.newestKeyBySocket.get(message.socket) === request.requestKey) {
+        if (this.opts.isStopping() && connection.isNewest(request.requestKey)) {
             response.shouldKeepAlive = false;
-            this.closingSockets.add(message.socket);
+            connection.closeAfterResponse();
         }
         response.writeHead(reply.statusCode, reply.headers);
         response.end(reply.body);
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -47,6 +47,8 @@
         socket.on("data", chunk => {
             received += chunk.toString();
         });
+        // A failed write is seen in what was received.
+        socket.on("error", () => undefined);
         socket.on("close", () => {
             isClosed = true;
         });
@@ -59,12 +61,12 @@
         listener.closeIfIdle();
     });
 
-    const relay = (requestKey: string, text: string, isFramed = true): void => {
+    const relay = (requestKey: string, body: string | Buffer, isFramed = true): void => {
         listener.relay(requestKey, {
             statusCode: 200,
             rawHeaders: ["X-Server-Stamp", "s", "Connection", "close", "X-Backend-Load", "1,0,2"],
             connectionHeader: "close",
-            body: Buffer.from(text),
+            body: Buffer.from(body),
             isFramed,
         });
     };
@@ -126,7 +128,30 @@
         expect(listener.unfinishedCount).to.equal(0);
     });
 
+    // Regression: Node.js reports the end of a connection only for the response that is being written. The requests behind
+    // it kept running, and the daemon counted them as unfinished until it was killed.
+    it("reports all pipelined requests of a caller that disconnected", async () => {
+        socket.write(requestText("first") + requestText("second") + requestText("third"));
+        await waitUntil(() => requests.length === 3);
+        socket.destroy();
+        await waitUntil(() => abandoned.length === 3);
+        expect([...abandoned].sort()).to.deep.equal(requests);
+        expect(listener.unfinishedCount).to.equal(0);
+    });
+
     describe("during shutdown", () => {
+        // Regression: a request was only counted as unfinished once its body had been read, so those that arrived in one
+        // piece behind it were forwarded.
+        it("forwards only the first of several requests that arrive at once", async () => {
+            isStopping = true;
+            socket.write(requestText("first") + requestText("second") + requestText("third"));
+            await waitUntil(() => requests.length > 0);
+            relay(requests[0] ?? "", "one");
+            await waitUntil(() => isClosed);
+            expect(requests.length).to.equal(1);
+            expect(received).to.include("one");
+        });
+
         it("closes a connection after the response to its last request", async () => {
             socket.write(requestText("first"));
             await waitUntil(() => requests.length === 1);
