fix(entry): close callers' connections without cutting their last response

Callers saw: a response that ended in the middle, about 3 s after SIGTERM and later, when they read it more slowly than the VM wrote it; or no response when they had sent a further request on the same connection.

Causes, of one class: the daemon closed a connection while bytes were still due in one of its directions. - Server.closeIdleConnections takes a connection as idle once end() was called on its response, also while the rest of it waits in the process. A caller that paused received 3,919,872 of 24,000,000 bytes. - After the last response Node.js closes both directions at once. Requests that arrive then, or wait unread because reading pauses behind a large response, reset the connection, and the kernel discards what the caller has not received.

Ruled out: kill before the end of the grace period (the processes logged "stopped" themselves), the backend servers (answer lines with status 200 before the cut), a second SIGTERM and SIGHUP.

Change: CallerConnection decides by its own requests and the bytes read whether it is idle. It closes by ending its side, and reads and ignores what still arrives until the caller closes too, at most for a second. The process exits once all connections are closed.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -53,6 +53,11 @@
         });
     }
 
+    /** Number of open connections, including those that only wait for the caller to close its side. */
+    get connectionCount(): number {
+        return this.connections.size;
+    }
+
     /** Number of requests whose headers have been read and whose response has not been sent completely. */
     get unfinishedCount(): number {
         return this.unfinishedRequests;
@@ -80,16 +85,16 @@
 
     /**
      * Closes idle connections, or all connections if no request is unfinished. Returns true in the latter case: no
-     * further request can be read, so the process can exit without cutting one off.
+     * further request is forwarded, so the process can exit without cutting one off.
      */
     closeIfIdle(): boolean {
-        if (this.unfinishedRequests > 0) {
-            this.server.closeIdleConnections();
-            return false;
+        const isIdle = this.unfinishedRequests === 0;
+        for (const connection of this.connections.values()) {
+            if (isIdle || connection.isIdle) {
+                connection.close();
+            }
         }
-        // `closeIdleConnections` skips connections that have not carried a request yet.
-        this.server.closeAllConnections();
-        return true;
+        return isIdle;
     }
 
     relay(requestKey: string, backendResponse: BufferedResponse): void {
@@ -170,6 +175,7 @@
             }
         });
         message.on("end", () => {
+            connection.onRequestRead();
             if (response.headersSent || response.destroyed) {
                 return;
             }
@@ -185,7 +191,7 @@
     private connection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (connection === undefined) {
-            const opened = new CallerConnection();
+            const opened = new CallerConnection({ socket, nowMs: this.opts.nowMs });
             this.connections.set(socket, opened);
             // Node.js emits no close event for responses that are queued behind another one.
             socket.once("close", () => {
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -203,7 +203,7 @@
                 isAccepting = false;
                 this.callerListener.stopListening();
             }
-            if (!isAccepting && this.callerListener.closeIfIdle()) {
+            if (!isAccepting && this.callerListener.closeIfIdle() && this.callerListener.connectionCount === 0) {
                 break;
             }
             await new Promise(resolve => {
--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -22,6 +22,12 @@
     // The platform's balancer checks readiness once a second and takes a VM out of rotation after two responses other
     // than 200, so the daemon accepts connections for this long after SIGTERM.
     acceptAfterStopMs: 3_000,
+    // A caller sends its first request as soon as the connection is open. Once the process stops, connections without a
+    // request are closed after this time.
+    firstRequestTimeoutMs: 1_000,
+    // A closed connection is still read until the caller closes its side, at most for this long. Callers do that at the
+    // end of the last response, which may take a slow one some time.
+    lingerTimeoutMs: 1_000,
     // The process exits this long before the platform kills it.
     stopMarginMs: 200,
     stopPollIntervalMs: 25,
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -139,6 +139,62 @@
         expect(listener.unfinishedCount).to.equal(0);
     });
 
+    describe("with a caller that reads slowly", () => {
+        // More than the kernel's buffers take, so that most of the response waits in the process.
+        const LARGE_BODY = Buffer.alloc(24_000_000, "a");
+
+        const countBytesOf = async (act: () => void): Promise<number> => {
+            let receivedBytes = 0;
+            socket.removeAllListeners("data");
+            socket.on("data", chunk => {
+                receivedBytes += chunk.length;
+            });
+            socket.write(requestText("first"));
+            await waitUntil(() => requests.length === 1);
+            socket.pause();
+            isStopping = true;
+            listener.stopListening();
+            relay(requests[0] ?? "", LARGE_BODY);
+            await new Promise(resolve => {
+                setTimeout(resolve, 100);
+            });
+            act();
+            await new Promise(resolve => {
+                setTimeout(resolve, 100);
+            });
+            socket.resume();
+            await waitUntil(() => isClosed);
+            return receivedBytes;
+        };
+
+        // Regression: Node.js took the connection as idle once its response was passed to it, and the rest of the response
+        // was discarded (LOST on luznik-osr, stop seeds 1 to 12).
+        it("sends a response completely when idle connections are closed", async () => {
+            const receivedBytes = await countBytesOf(() => {
+                listener.closeIfIdle();
+            });
+            expect(receivedBytes).to.be.greaterThan(LARGE_BODY.length);
+        });
+
+        // Regression: the connection was closed with unread requests on it. That resets a connection, and the caller lost
+        // the part of the response that it had not received.
+        it("sends the last response completely when further requests follow", async () => {
+            const receivedBytes = await countBytesOf(() => {
+                const sent = setInterval(() => {
+                    socket.write(requestText("next"));
+                }, 1);
+                socket.once("end", () => {
+                    clearInterval(sent);
+                });
+                socket.once("close", () => {
+                    clearInterval(sent);
+                });
+            });
+            expect(receivedBytes).to.be.greaterThan(LARGE_BODY.length);
+            expect(requests.length).to.equal(1);
+        });
+    });
+
     describe("during shutdown", () => {
         // Regression: a request was only counted as unfinished once its body had been read, so those that arrived in one
         // piece behind it were forwarded.
--- /dev/null
+++ b/daemon/entry/test/support/run-stop.ts
@@ -0,0 +1,164 @@
+import {
+    buildVmSettings,
+    PlatformServer,
+    READY_PATH,
+    SETTINGS_VARIABLE,
+    StoreStandIn,
+} from "@marigoldstall-private/platform";
+import { RandomSource } from "@marigoldstall-private/random";
+import { ManagedProcess } from "@marigoldstall-private/sites";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { type AddressInfo, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { findLostRequests } from "./find-lost-requests.js";
+import { RawCaller } from "./raw-caller.js";
+import type { SentRequest } from "./sent-request.js";
+
+interface RunStopOptions {
+    readonly seed: number;
+    /** Share of responses without a length. */
+    readonly unframedShare?: number;
+}
+
+interface RunStopResult {
+    readonly outcomes: readonly SentRequest[];
+    readonly lost: readonly SentRequest[];
+    readonly runs: ReadonlyMap<string, number>;
+}
+
+const PROGRAM = resolve("target/marigoldstall-entry.cjs");
+const HOST = "127.0.0.1";
+const PUBLIC_HOST = "stop.example";
+const SERVICE = "stop";
+const SERVER_COUNT = 12;
+const HABITS = ["serial", "pipelined", "chunked", "late", "slow-reader"] as const;
+const CALLERS_PER_HABIT = { "serial": 4, "pipelined": 4, "chunked": 3, "late": 6, "slow-reader": 1 } as const;
+const MAX_STOP_DELAY_MS = 1_500;
+const DISTURBANCES_PER_RUN = 6;
+const GRACE_MS = 6_000;
+
+const sleep = (durationMs: number): Promise<void> =>
+    new Promise(done => {
+        setTimeout(done, durationMs);
+    });
+
+const findFreePorts = async (count: number): Promise<readonly number[]> => {
+    const servers = Array.from({ length: count }, () => createServer());
+    await Promise.all(servers.map(server => new Promise<void>(done => server.listen(0, HOST, done))));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(done => server.close(done))));
+    return ports;
+};
+
+/**
+ * Stops an entry daemon, a process of its own, while callers use it in several ways. Reloads, further SIGTERMs and new
+ * configurations come at any time.
+ */
+export const runStop = async (opts: RunStopOptions): Promise<RunStopResult> => {
+    const random = new RandomSource({ seed: opts.seed });
+    const frameRandom = new RandomSource({ seed: opts.seed + 1 });
+    const runs = new Map<string, number>();
+    const directory = mkdtempSync(join(tmpdir(), "marigoldstall-stop-"));
+    const store = new StoreStandIn();
+    const storeAddress = await store.listen(HOST);
+    const [caller = 0, ready = 0, control = 0, fleet = 0] = await findFreePorts(4);
+    let version = 1;
+    const publish = (): void => {
+        version += 1;
+        store.publish({ version, host: PUBLIC_HOST, service: SERVICE });
+    };
+    publish();
+    const servers = Array.from({ length: SERVER_COUNT }, (_, index) =>
+        new PlatformServer({
+            instanceId: `i-${index}`,
+            workMs: () => 0,
+            onRun: requestId => {
+                runs.set(requestId, performance.now());
+            },
+            isFramed: () => frameRandom.uniform() >= (opts.unframedShare ?? 0),
+        }));
+    const register = (): void => {
+        for (const { instanceId, port, slots } of servers) {
+            store.register({
+                instanceId,
+                service: SERVICE,
+                address: `${HOST}:${port}`,
+                availabilityZone: "zone-0",
+                slots,
+                isDraining: false,
+            });
+        }
+    };
+    await Promise.all(servers.map(server => server.listen(HOST)));
+    register();
+    const file = join(directory, "settings.json");
+    const ports = { caller, ready, control, fleet };
+    const settings = buildVmSettings({
+        vmId: "vm-0",
+        availabilityZone: "zone-0",
+        host: HOST,
+        ports,
+        heartbeatMs: 1_500,
+        storeAddress,
+    });
+    writeFileSync(file, JSON.stringify(settings));
+    const daemon = new ManagedProcess({
+        name: "vm-0",
+        command: [process.execPath, "--max-old-space-size=160", PROGRAM],
+        logFile: join(directory, "vm-0.log"),
+        environment: { [SETTINGS_VARIABLE]: file },
+    });
+    const heartbeat = setInterval(register, 1_000);
+    const callers = HABITS.flatMap(habit =>
+        Array.from({ length: CALLERS_PER_HABIT[habit] }, (_, index) =>
+            new RawCaller({
+                host: HOST,
+                port: caller,
+                publicHost: PUBLIC_HOST,
+                name: `${habit}-${index}`,
+                habit,
+                random: new RandomSource({ seed: opts.seed * 100 + index * HABITS.length + HABITS.indexOf(habit) }),
+            }))
+    );
+    try {
+        while ((await fetch(`http://${HOST}:${ready}${READY_PATH}`).catch(() => undefined))?.status !== 200) {
+            await sleep(20);
+        }
+        const ended = callers.map(each => each.run());
+        const disturb = async (): Promise<void> => {
+            await sleep(random.uniform() * (MAX_STOP_DELAY_MS + GRACE_MS / 2));
+            const kind = random.uniform();
+            if (kind < 0.5) {
+                publish();
+            }
+            else {
+                daemon.kill("SIGHUP");
+            }
+        };
+        const disturbances = Array.from({ length: DISTURBANCES_PER_RUN }, disturb);
+        await sleep(random.uniform() * MAX_STOP_DELAY_MS);
+        daemon.kill("SIGTERM");
+        await sleep(random.uniform() * MAX_STOP_DELAY_MS);
+        daemon.kill("SIGTERM");
+        await daemon.exited;
+        for (const each of callers) {
+            each.stop();
+        }
+        await Promise.all([...ended, ...disturbances]);
+    }
+    finally {
+        clearInterval(heartbeat);
+        daemon.kill("SIGKILL");
+        for (const server of servers) {
+            server.close();
+        }
+        store.close();
+    }
+    const outcomes = callers.flatMap(each => each.outcomes);
+    const lost = findLostRequests({ outcomes, runs });
+    if (lost.length === 0) {
+        rmSync(directory, { recursive: true });
+    }
+    return { outcomes, lost, runs };
+};
