fix(dispatch): send a request again whose response would cut later ones

Callers saw: on a connection with pipelined requests, no answer to the later ones after a response without Content-Length or chunked encoding. This needs no stop or other disturbance of the VM.

The later requests had been sent to servers already, and their responses had no connection any more.

Ruled out: relaying it with a length or chunked.

Change: a complete response without a length that has later requests of its connection in progress behind it is not relayed if the request is idempotent. The request is sent again within its attempts and retry budget, and is answered with 502 otherwise: one request instead of all later ones. It does not count as a failure of the server. A non-idempotent request keeps its response.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -182,7 +182,8 @@
             const { requestId, deadlineMs } = decodeCallerRequestHead(message.headers);
             const hasBody = bodyBytes > 0 || message.headers["content-length"] !== undefined;
             const body = hasBody ? Buffer.concat(chunks) : undefined;
-            const request = { requestKey, requestId, message, response, body };
+            const hasFollowers = (): boolean => !connection.isNewest(requestKey);
+            const request = { requestKey, requestId, message, response, body, hasFollowers };
             this.openRequests.set(requestKey, request);
             this.opts.onRequest(request, receivedAtMs, deadlineMs);
         });
--- a/daemon/entry/src/open-request.ts
+++ b/daemon/entry/src/open-request.ts
@@ -8,4 +8,6 @@
     readonly response: ServerResponse;
     /** Complete body, or undefined if the request has none. */
     readonly body: Buffer | undefined;
+    /** Whether later requests of the same connection are in progress. */
+    readonly hasFollowers: () => boolean;
 }
--- a/daemon/entry/src/server-attempts.ts
+++ b/daemon/entry/src/server-attempts.ts
@@ -48,6 +48,8 @@
                     statusCode: bufferedResponse.statusCode,
                     notRun,
                     bodyBytes: bufferedResponse.body.length,
+                    // Without a length, only the end of the connection tells the caller that the response is over.
+                    cutsOtherRequests: !bufferedResponse.isFramed && request.hasFollowers(),
                     load,
                 });
             },
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { CallerListener } from "../src/caller-listener.js";
+import type { OpenRequest } from "../src/open-request.js";
 
 const ADDRESS = "127.0.0.1:18741";
 
@@ -23,6 +24,7 @@
     let isClosed: boolean;
     let isStopping: boolean;
     let requests: string[];
+    let openRequests: OpenRequest[];
     let abandoned: string[];
 
     beforeEach(async () => {
@@ -30,12 +32,14 @@
         isClosed = false;
         isStopping = false;
         requests = [];
+        openRequests = [];
         abandoned = [];
         listener = new CallerListener({
             nowMs: () => performance.now(),
             isStopping: () => isStopping,
             onRequest: request => {
                 requests.push(request.requestKey);
+                openRequests.push(request);
             },
             onCallerLeft: requestKey => {
                 abandoned.push(requestKey);
@@ -94,6 +98,15 @@
         expect(received.toLowerCase()).not.to.include("chunked");
     });
 
+    // The daemon relays no response that closes the connection before the responses to later requests.
+    it("knows whether later requests of the connection are in progress", async () => {
+        socket.write(requestText("first") + requestText("second"));
+        await waitUntil(() => requests.length === 2);
+        expect(openRequests.map(request => request.hasFollowers())).to.deep.equal([true, false]);
+        relay(requests[1] ?? "", "two");
+        expect(openRequests[0]?.hasFollowers()).to.equal(true);
+    });
+
     describe("configured limits", () => {
         beforeEach(() => {
             listener.applyLimits({ headerBytes: 200, bodyBytes: 10, headerTimeoutMs: 5_000, idleTimeoutMs: 15_000 });
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -66,6 +66,7 @@
                     message,
                     response: {} as ServerResponse,
                     body: undefined,
+                    hasFollowers: () => false,
                 },
                 pool,
                 clock,
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -38,6 +38,11 @@
             readonly statusCode: number;
             readonly notRun: boolean;
             readonly bodyBytes: number;
+            /**
+             * Whether the response cannot be relayed without closing the caller's connection, on which later requests are
+             * in progress.
+             */
+            readonly cutsOtherRequests: boolean;
             readonly load: LoadReport | undefined;
         }
         | {
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -75,6 +75,15 @@
     }
 };
 
+// One request that is sent again, or fails, costs less than the loss of all later ones of its connection.
+const resendOrReject = (draft: DispatchDraft, request: RequestState, event: AttemptAnswered): void => {
+    draft.setRequest(request);
+    draft.emit({ type: "discard-response", attemptId: event.attemptId });
+    if (request.attempts.length === 0 && !tryRetry(draft, request)) {
+        rejectRequest(draft, request, { reason: REJECT_REASONS.cutsOthers });
+    }
+};
+
 /** Handles a complete response: relays it, or retries the request on another server where that is allowed. */
 export const onAttemptAnswered = (draft: DispatchDraft, event: AttemptAnswered): void => {
     const found = selectAttempt(draft.state, event.attemptId);
@@ -86,7 +95,11 @@
     recordResponse(draft, found.request, { attempt, event });
     const request = endAttempt(draft, draft.request(found.request.requestKey) ?? found.request, attempt);
     const isServerError = event.statusCode >= MIN_SERVER_ERROR_STATUS;
-    if (!event.notRun && !isServerError) {
+    const cutsOtherRequests = event.cutsOtherRequests && request.route.isIdempotent;
+    if (cutsOtherRequests && !event.notRun) {
+        resendOrReject(draft, { ...request, mayHaveRun: true }, event);
+    }
+    else if (!event.notRun && !isServerError) {
         relayResponse(draft, request, { attempt, event });
     }
     else {
--- a/routing/dispatch/src/reject-reasons.ts
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -6,6 +6,7 @@
     shed: "shed-by-servers",
     lost: "response-lost",
     unreachable: "servers-unreachable",
+    cutsOthers: "response-would-cut-later-requests",
     deadline: "deadline-passed",
     suspended: "vm-suspended",
 } as const;
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -133,6 +133,7 @@
             statusCode: 200,
             notRun: false,
             bodyBytes: 400,
+            cutsOtherRequests: false,
             load: undefined,
             ...fields,
         });
--- a/routing/dispatch/test/request-endings.test.ts
+++ b/routing/dispatch/test/request-endings.test.ts
@@ -46,6 +46,37 @@
         });
     });
 
+    // Only the end of the connection delimits a response without a length. Relayed, it took the answers of all later
+    // requests of its connection with it, which had been sent to servers already.
+    describe("a response that cuts later requests of its connection", () => {
+        it("is replaced by another attempt", () => {
+            const harness = new DispatchHarness();
+            const requestKey = harness.arrive();
+            const first = harness.lastAttempt(requestKey);
+            harness.answer(first.attemptId, { cutsOtherRequests: true });
+            expect(harness.effectsOf("relay-response")).to.deep.equal([]);
+            harness.answer(harness.lastAttempt(requestKey).attemptId);
+            expect(harness.effectsOf("relay-response").length).to.equal(1);
+            expect(harness.effectsOf("discard-response").map(effect => effect.attemptId)).to.deep.equal([
+                first.attemptId,
+            ]);
+        });
+
+        it("becomes a 502 after the last attempt", () => {
+            const harness = new DispatchHarness({ route: { maxAttempts: 1 } });
+            const requestKey = harness.arrive();
+            harness.answer(harness.lastAttempt(requestKey).attemptId, { cutsOtherRequests: true });
+            expect(harness.rejectionOf(requestKey)?.statusCode).to.equal(502);
+            expect(harness.state.requests.size).to.equal(0);
+        });
+
+        it("is relayed if the request must not run again", () => {
+            const harness = new DispatchHarness({ route: { isIdempotent: false } });
+            harness.answer(harness.lastAttempt(harness.arrive()).attemptId, { cutsOtherRequests: true });
+            expect(harness.effectsOf("relay-response").length).to.equal(1);
+        });
+    });
+
     describe("registrations", () => {
         it("treats a new process under a known id as a new server", () => {
             const harness = new DispatchHarness({ servers: 1 });
