fix(entry): accept the waiting connections before the listener closes

Callers saw: a connection reset 3 s after SIGTERM of a VM, with a request on it that the VM had not read.

Cause: closing the listener resets the connections that the kernel has accepted and the process has not. The stop is due in a timer, and after a busy spell timers run before the waiting connections are accepted.

Change: the listener closes one round of the event loop later, after the waiting connections were accepted. What arrives in the microseconds between is still reset; such a request was not read, and callers may send it again.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -78,8 +78,12 @@
         return this.openRequests.get(requestKey);
     }
 
-    /** Stops accepting new connections. */
-    stopListening(): void {
+    /** Stops accepting new connections. Connections that wait to be accepted are accepted first: closing resets them. */
+    async stopListening(): Promise<void> {
+        // Timers run before pending connections are accepted, immediates after that.
+        await new Promise(resolve => {
+            setImmediate(resolve);
+        });
         NetServer.prototype.close.call(this.server);
     }
 
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -201,7 +201,7 @@
             }
             if (isAccepting && nowMs - stopRequestedAtMs >= ENTRY_TIMINGS.acceptAfterStopMs) {
                 isAccepting = false;
-                this.callerListener.stopListening();
+                await this.callerListener.stopListening();
             }
             if (!isAccepting && this.callerListener.closeIfIdle() && this.callerListener.connectionCount === 0) {
                 break;
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -59,9 +59,9 @@
         await connected;
     });
 
-    afterEach(() => {
+    afterEach(async () => {
         socket.destroy();
-        listener.stopListening();
+        await listener.stopListening();
         listener.closeIfIdle();
     });
 
@@ -166,7 +166,7 @@
             await waitUntil(() => requests.length === 1);
             socket.pause();
             isStopping = true;
-            listener.stopListening();
+            await listener.stopListening();
             relay(requests[0] ?? "", LARGE_BODY);
             await new Promise(resolve => {
                 setTimeout(resolve, 100);
@@ -247,11 +247,28 @@
             expect(requests.length).to.equal(1);
         });
 
+        // Regression: connections that the kernel had accepted, but the busy process had not, were reset when it stopped
+        // listening (stop seeds 104 and 114).
+        it("serves the connections that wait to be accepted when it stops listening", async () => {
+            const waiting = connect({ host: "127.0.0.1", port: 18741 });
+            waiting.on("error", () => undefined);
+            waiting.write(requestText("first"));
+            // The connection is opened in this tick, but only the next round of the event loop accepts it.
+            await new Promise(resolve => {
+                process.nextTick(resolve);
+            });
+            isStopping = true;
+            await listener.stopListening();
+            await waitUntil(() => requests.length === 1 || waiting.destroyed);
+            expect(requests.length).to.equal(1);
+            waiting.destroy();
+        });
+
         // Regression: a request on a connection that had not been used yet was read and forwarded while the process was
         // exiting, and got no response (soak seed 459880052).
         it("reads no further request once no request is unfinished", async () => {
             isStopping = true;
-            listener.stopListening();
+            await listener.stopListening();
             expect(listener.closeIfIdle()).to.equal(true);
             socket.write(requestText("first"));
             await waitUntil(() => isClosed);
@@ -262,7 +279,7 @@
             socket.write(requestText("first"));
             await waitUntil(() => requests.length === 1);
             isStopping = true;
-            listener.stopListening();
+            await listener.stopListening();
             expect(listener.closeIfIdle()).to.equal(false);
             relay(requests[0] ?? "", "one");
             await waitUntil(() => isClosed);
