fix(entry): answer the waiting requests before the process ends

Cause: the end of the grace period ended the process whatever its requests were doing. Requests that a server works on can't be helped; one that no server runs needs no more than a 503.

Change: an event of the reducer rejects the requests without a sent attempt. Tests: request-endings (which requests) and entry-daemon (the answer arrives before stop() resolves). The second waits without end on the code before.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -2,6 +2,7 @@
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
 import { selectLiveHub } from "@marigoldstall/fleet.hubs";
 import { StoreClient } from "@marigoldstall/platform.adapter";
+import { setTimeout as sleep } from "node:timers/promises";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
 import { CallerListener } from "./caller-listener.js";
@@ -197,6 +198,9 @@
         for (;;) {
             const nowMs = this.clock.atMs();
             if (nowMs >= endAtMs) {
+                this.dispatch({ type: "process-ending" });
+                // The responses leave the process meanwhile.
+                await sleep(ENTRY_TIMINGS.stopPollIntervalMs);
                 break;
             }
             if (isAccepting && nowMs - stopRequestedAtMs >= ENTRY_TIMINGS.acceptAfterStopMs) {
@@ -206,9 +210,7 @@
             if (!isAccepting && this.callerListener.closeIfIdle() && this.callerListener.connectionCount === 0) {
                 break;
             }
-            await new Promise(resolve => {
-                setTimeout(resolve, ENTRY_TIMINGS.stopPollIntervalMs);
-            });
+            await sleep(ENTRY_TIMINGS.stopPollIntervalMs);
         }
         this.joiner.stop();
         clearTimeout(this.timer);
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -38,4 +38,5 @@
         | "probe-answered"
         | "probe-failed"
         | "idle-connections-changed"
+        | "process-ending"
     >;
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -214,6 +214,7 @@
         case "attempt-failed":
         case "probe-failed":
         case "idle-connections-changed":
+        case "process-ending":
             draft.applyDispatchEvent({ ...event, ...draft.eventContext });
             return;
     }
--- a/daemon/entry/test/entry-daemon.test.ts
+++ b/daemon/entry/test/entry-daemon.test.ts
@@ -47,6 +47,36 @@
         await Promise.all([first, second]);
     });
 
+    // Requests that waited for a server at the end of the grace period got no answer.
+    it("rejects waiting requests before the process ends", async () => {
+        const port = await findFreePort();
+        const settings = { ...SETTINGS, listen: { ...SETTINGS.listen, caller: `127.0.0.1:${port}` } };
+        let requestKey = "";
+        const reduce: typeof reduceEntry = (state, event, opts) => {
+            if (event.type === "request-arrived") {
+                ({ requestKey } = event);
+                return { state, effects: [] };
+            }
+            const transition = reduceEntry(state, event, opts);
+            return event.type === "process-ending"
+                ? {
+                    ...transition,
+                    effects: [{ type: "reject-request", requestKey, statusCode: 503, reason: "", retryAfterMs: 0 }],
+                }
+                : transition;
+        };
+        const daemon = new EntryDaemon({ settings, reduce });
+        await daemon.start();
+        const response = fetch(`http://127.0.0.1:${port}/a/`);
+        while (requestKey === "") {
+            await new Promise(resolve => {
+                setTimeout(resolve, 5);
+            });
+        }
+        await daemon.stop();
+        expect((await response).status).to.equal(503);
+    });
+
     // An exception in the handling of one event used to end the process, and with it all requests in flight.
     describe("when an event cannot be handled", () => {
         const failOn = (type: EntryEvent["type"]): typeof reduceEntry => (state, event, opts) => {
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -72,6 +72,8 @@
         }
         | ({ readonly type: "loads-answered"; } & LoadSelection)
         | { readonly type: "resumed"; readonly uncountedMs: number; }
+        /** The process ends. It sends no further request. */
+        | { readonly type: "process-ending"; }
         | { readonly type: "load-source-changed"; readonly loadQueryIntervalMs: number | undefined; }
         | {
             readonly type: "probe-answered";
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -9,6 +9,7 @@
 import { onCallerLeft } from "./on-caller-left.js";
 import { onLoadsAnswered } from "./on-loads-answered.js";
 import { onLoadsReceived } from "./on-loads-received.js";
+import { onProcessEnding } from "./on-process-ending.js";
 import { onRequestArrived } from "./on-request-arrived.js";
 import { onResumed } from "./on-resumed.js";
 import { onServerChecked } from "./on-server-checked.js";
@@ -58,6 +59,9 @@
         case "resumed":
             onResumed(draft, event.uncountedMs);
             return;
+        case "process-ending":
+            onProcessEnding(draft);
+            return;
         case "load-source-changed":
             draft.update({ loadQueryIntervalMs: event.loadQueryIntervalMs });
             return;
--- a/routing/dispatch/src/reject-reasons.ts
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -9,4 +9,5 @@
     cutsOthers: "response-would-cut-later-requests",
     deadline: "deadline-passed",
     suspended: "vm-suspended",
+    processEnding: "process-ending",
 } as const;
--- a/routing/dispatch/test/request-endings.test.ts
+++ b/routing/dispatch/test/request-endings.test.ts
@@ -86,6 +86,20 @@
         });
     });
 
+    // Requests that waited for a server when the grace period ended had their connection closed without an answer.
+    describe("at the end of the process", () => {
+        it("rejects the requests that wait, as not run, and leaves those alone that a server is running", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const keys = [harness.arrive(), harness.arrive(), harness.arrive()];
+            const waiting = keys.filter(requestKey => harness.attemptsOf(requestKey).length === 0);
+            expect(waiting.length).to.equal(1);
+            harness.send({ type: "process-ending" });
+            expect(keys.map(requestKey => harness.rejectionOf(requestKey)?.statusCode)).to.deep.equal(
+                keys.map(requestKey => waiting.includes(requestKey) ? 503 : undefined),
+            );
+        });
+    });
+
     // A suspended VM's clock stands still. Without this, it would send a request after its caller's deadline, and by
     // load reports from before.
     describe("after the VM was suspended", () => {
