fix(entry): accept all waiting connections before the listener closes

Cause: Node.js accepts one connection in each round of its event loop, and the listener closed after one round.

Change: the listener closes after two rounds without a new connection. The test has eight waiting connections now; the code before served one of them.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -13,6 +13,9 @@
 // so MAX_HEADER_BYTES also caps the configured header limit.
 const MAX_HEADER_BYTES = 65_536;
 const INITIAL_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+// The first round may have passed the sockets already. The kernel keeps 511 waiting connections.
+const QUIET_ACCEPT_ROUNDS = 2;
+const MAX_ACCEPT_ROUNDS = 600;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -36,6 +39,7 @@
     private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
     private unfinishedRequests = 0;
     private nextRequestKey = 1;
+    private acceptedConnections = 0;
 
     constructor(opts: CallerListenerOptions) {
         this.opts = opts;
@@ -49,6 +53,7 @@
             this.handleRequest(message, response);
         });
         this.server.on("connection", socket => {
+            this.acceptedConnections += 1;
             this.connection(socket);
         });
     }
@@ -78,12 +83,17 @@
         return this.openRequests.get(requestKey);
     }
 
-    /** Stops accepting new connections. Connections that wait to be accepted are accepted first: closing resets them. */
+    /** Stops accepting new connections. Those that wait to be accepted are accepted first, as closing resets them. */
     async stopListening(): Promise<void> {
-        // Timers run before pending connections are accepted, immediates after that.
-        await new Promise(resolve => {
-            setImmediate(resolve);
-        });
+        // Node.js accepts one connection in each round of its event loop, and runs due timers before.
+        let quietRounds = 0;
+        for (let round = 0; round < MAX_ACCEPT_ROUNDS && quietRounds < QUIET_ACCEPT_ROUNDS; round += 1) {
+            const acceptedBefore = this.acceptedConnections;
+            await new Promise(resolve => {
+                setImmediate(resolve);
+            });
+            quietRounds = this.acceptedConnections === acceptedBefore ? quietRounds + 1 : 0;
+        }
         NetServer.prototype.close.call(this.server);
     }
 
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -250,18 +250,23 @@
         // Regression: connections that the kernel had accepted, but the busy process had not, were reset when it stopped
         // listening (stop seeds 104 and 114).
         it("serves the connections that wait to be accepted when it stops listening", async () => {
-            const waiting = connect({ host: "127.0.0.1", port: 18741 });
-            waiting.on("error", () => undefined);
-            waiting.write(requestText("first"));
-            // The connection is opened in this tick, but only the next round of the event loop accepts it.
+            const waiting = [...Array(8).keys()].map(index => {
+                const caller = connect({ host: "127.0.0.1", port: 18741 });
+                caller.on("error", () => undefined);
+                caller.write(requestText(`waiting-${index}`));
+                return caller;
+            });
+            // The connections are opened in this tick, but only the next rounds of the event loop accept them.
             await new Promise(resolve => {
                 process.nextTick(resolve);
             });
             isStopping = true;
             await listener.stopListening();
-            await waitUntil(() => requests.length === 1 || waiting.destroyed);
-            expect(requests.length).to.equal(1);
-            waiting.destroy();
+            await waitUntil(() => requests.length === waiting.length || waiting.some(caller => caller.destroyed));
+            expect(requests.length).to.equal(waiting.length);
+            for (const caller of waiting) {
+                caller.destroy();
+            }
         });
 
         // Regression: a request on a connection that had not been used yet was read and forwarded while the process was
