--- a/stand-ins/platform/src/platform-server.ts
+++ b/stand-ins/platform/src/platform-server.ts
@@ -6,12 +6,17 @@
     readonly workMs: () => number;
     /** Called when the server starts to process a request. */
     readonly onRun: (requestId: string) => void;
+    /** Whether the next response has a length. Otherwise the end of the connection delimits it. Default: always. */
+    readonly isFramed?: () => boolean;
 }
 
 const SLOTS = 2;
 const MAX_QUEUED = 4;
 
-/** Backend server with two slots and a bounded queue. */
+/**
+ * Backend server with two slots and a bounded queue. The query parameters `workMs` and `bodyBytes` of a request set how
+ * long it runs and how long its response is.
+ */
 export class PlatformServer {
     readonly instanceId: string;
     /** Maximum number of requests processed concurrently. */
@@ -67,6 +72,11 @@
             reject(503);
             return;
         }
+        const query = new URL(request.url ?? "/", "http://server").searchParams;
+        const workMs = Number(query.get("workMs") ?? this.opts.workMs());
+        const text = `answer to ${requestId}`;
+        const body = Buffer.alloc(Math.max(text.length, Number(query.get("bodyBytes") ?? 0)), ".");
+        body.write(text);
         const run = (): void => {
             if (response.destroyed) {
                 this.startNext();
@@ -76,10 +86,14 @@
             this.opts.onRun(requestId);
             setTimeout(() => {
                 this.inFlight -= 1;
+                if (this.opts.isFramed?.() === false) {
+                    response.useChunkedEncodingByDefault = false;
+                    response.shouldKeepAlive = false;
+                }
                 response.writeHead(200, { "X-Request-Id": requestId, "X-Server-Stamp": "s" });
-                response.end(`answer to ${requestId}`);
+                response.end(body);
                 this.startNext();
-            }, this.opts.workMs());
+            }, workMs);
         };
         if (this.inFlight < SLOTS) {
             run();
