--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -76,9 +76,21 @@
 };
 
 // One request that is sent again, or fails, costs less than the loss of all later ones of its connection.
-const resendOrReject = (draft: DispatchDraft, request: RequestState, event: AttemptAnswered): void => {
+const resendOrReject = (draft: DispatchDraft, request: RequestState, attempt: AttemptState): void => {
     draft.setRequest(request);
-    draft.emit({ type: "discard-response", attemptId: event.attemptId });
+    draft.emit({ type: "discard-response", attemptId: attempt.attemptId });
+    draft.log({
+        kind: "attempt-failed",
+        requestId: request.requestId,
+        service: request.service,
+        instanceId: attempt.instanceId,
+        reason: REJECT_REASONS.cutsOthers,
+        inputs: {
+            attempt: attempt.attemptId,
+            wasSent: true,
+            attemptMs: Math.round(draft.atMs - attempt.startedAtMs),
+        },
+    });
     if (request.attempts.length === 0 && !tryRetry(draft, request)) {
         rejectRequest(draft, request, { reason: REJECT_REASONS.cutsOthers });
     }
@@ -97,7 +109,7 @@
     const isServerError = event.statusCode >= MIN_SERVER_ERROR_STATUS;
     const cutsOtherRequests = event.cutsOtherRequests && request.route.isIdempotent;
     if (cutsOtherRequests && !event.notRun) {
-        resendOrReject(draft, { ...request, mayHaveRun: true }, event);
+        resendOrReject(draft, { ...request, mayHaveRun: true }, attempt);
     }
     else if (!event.notRun && !isServerError) {
         relayResponse(draft, request, { attempt, event });
