--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { BufferedResponse } from "./buffered-response.js";
+import { CallerConnection } from "./caller-connection.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import type { OpenRequest } from "./open-request.js";
 
@@ -12,6 +13,9 @@
 // so MAX_HEADER_BYTES also caps the configured header limit.
 const MAX_HEADER_BYTES = 65_536;
 const INITIAL_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+// The first round may have passed the sockets already. The kernel keeps 511 waiting connections.
+const QUIET_ACCEPT_ROUNDS = 2;
+const MAX_ACCEPT_ROUNDS = 600;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -30,14 +34,12 @@
     private readonly opts: CallerListenerOptions;
     private readonly server: Server;
     private readonly openRequests = new Map<string, OpenRequest>();
-    /** Key of the most recent request of each connection. */
-    private readonly newestKeyBySocket = new WeakMap<Socket, string>();
-    /** Connections that close after a response that has already been written. */
-    private readonly closingSockets = new WeakSet<Socket>();
+    private readonly connections = new Map<Socket, CallerConnection>();
     private maxHeaderBytes = MAX_HEADER_BYTES;
     private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
     private unfinishedRequests = 0;
     private nextRequestKey = 1;
+    private acceptedConnections = 0;
 
     constructor(opts: CallerListenerOptions) {
         this.opts = opts;
@@ -50,6 +52,15 @@
         }, (message, response) => {
             this.handleRequest(message, response);
         });
+        this.server.on("connection", socket => {
+            this.acceptedConnections += 1;
+            this.connection(socket);
+        });
+    }
+
+    /** Number of open connections, including those that only wait for the caller to close its side. */
+    get connectionCount(): number {
+        return this.connections.size;
     }
 
     /** Number of requests whose headers have been read and whose response has not been sent completely. */
@@ -72,23 +83,32 @@
         return this.openRequests.get(requestKey);
     }
 
-    /** Stops accepting new connections. */
-    stopListening(): void {
+    /** Stops accepting new connections. Those that wait to be accepted are accepted first, as closing resets them. */
+    async stopListening(): Promise<void> {
+        // Node.js accepts one connection in each round of its event loop, and runs due timers before.
+        let quietRounds = 0;
+        for (let round = 0; round < MAX_ACCEPT_ROUNDS && quietRounds < QUIET_ACCEPT_ROUNDS; round += 1) {
+            const acceptedBefore = this.acceptedConnections;
+            await new Promise(resolve => {
+                setImmediate(resolve);
+            });
+            quietRounds = this.acceptedConnections === acceptedBefore ? quietRounds + 1 : 0;
+        }
         NetServer.prototype.close.call(this.server);
     }
 
     /**
      * Closes idle connections, or all connections if no request is unfinished. Returns true in the latter case: no
-     * further request can be read, so the process can exit without cutting one off.
+     * further request is forwarded, so the process can exit without cutting one off.
      */
     closeIfIdle(): boolean {
-        if (this.unfinishedRequests > 0) {
-            this.server.closeIdleConnections();
-            return false;
+        const isIdle = this.unfinishedRequests === 0;
+        for (const connection of this.connections.values()) {
+            if (isIdle || connection.isIdle) {
+                connection.close();
+            }
         }
-        // `closeIdleConnections` skips connections that have not carried a request yet.
-        this.server.closeAllConnections();
-        return true;
+        return isIdle;
     }
 
     relay(requestKey: string, backendResponse: BufferedResponse): void {
@@ -108,7 +128,7 @@
             // truncated response look complete, so the end of the connection delimits the body here as well.
             request.response.useChunkedEncodingByDefault = false;
             request.response.shouldKeepAlive = false;
-            this.closingSockets.add(request.message.socket);
+            this.connection(request.message.socket).closeAfterResponse();
         }
         this.sendResponse(request, { statusCode: backendResponse.statusCode, headers, body: backendResponse.body });
     }
@@ -130,32 +150,30 @@
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
         const receivedAtMs = this.opts.nowMs();
         const { socket } = message;
-        const hasPendingRequest = this.openRequests.has(this.newestKeyBySocket.get(socket) ?? "");
-        if (this.closingSockets.has(socket) || (this.opts.isStopping() && hasPendingRequest)) {
+        const connection = this.connection(socket);
+        const hasUnfinishedRequest = connection.unfinishedRequestKeys.size > 0;
+        if (connection.isClosing || (this.opts.isStopping() && hasUnfinishedRequest)) {
             // The connection closes after the response to an earlier request, and the caller resends this one.
             message.resume();
             return;
         }
         const requestKey = String(this.nextRequestKey);
         this.nextRequestKey += 1;
-        this.newestKeyBySocket.set(socket, requestKey);
+        connection.addRequest(requestKey);
         const chunks: Buffer[] = [];
         let bodyBytes = 0;
         this.unfinishedRequests += 1;
         response.sendDate = false;
         response.on("error", () => undefined);
         response.on("close", () => {
-            this.unfinishedRequests -= 1;
-            if (this.removeOpenRequest(requestKey) !== undefined) {
-                this.opts.onCallerLeft(requestKey);
-            }
+            this.finishRequest(connection, requestKey);
         });
         message.on("error", () => undefined);
         const rejectWithStatus = (statusCode: number): void => {
             message.removeAllListeners("data");
             message.resume();
             response.shouldKeepAlive = false;
-            this.closingSockets.add(socket);
+            connection.closeAfterResponse();
             response.writeHead(statusCode, { "Content-Length": 0 });
             response.end();
         };
@@ -171,18 +189,47 @@
             }
         });
         message.on("end", () => {
+            connection.onRequestRead();
             if (response.headersSent || response.destroyed) {
                 return;
             }
             const { requestId, deadlineMs } = decodeCallerRequestHead(message.headers);
             const hasBody = bodyBytes > 0 || message.headers["content-length"] !== undefined;
             const body = hasBody ? Buffer.concat(chunks) : undefined;
-            const request = { requestKey, requestId, message, response, body };
+            const hasFollowers = (): boolean => !connection.isNewest(requestKey);
+            const request = { requestKey, requestId, message, response, body, hasFollowers };
             this.openRequests.set(requestKey, request);
             this.opts.onRequest(request, receivedAtMs, deadlineMs);
         });
     }
 
+    private connection(socket: Socket): CallerConnection {
+        let connection = this.connections.get(socket);
+        if (connection === undefined) {
+            const opened = new CallerConnection({ socket, nowMs: this.opts.nowMs });
+            this.connections.set(socket, opened);
+            // Node.js emits no close event for responses that are queued behind another one.
+            socket.once("close", () => {
+                this.connections.delete(socket);
+                for (const requestKey of [...opened.unfinishedRequestKeys]) {
+                    this.finishRequest(opened, requestKey);
+                }
+            });
+            connection = opened;
+        }
+        return connection;
+    }
+
+    private finishRequest(connection: CallerConnection, requestKey: string): void {
+        if (!connection.finishRequest(requestKey)) {
+            return;
+        }
+        this.unfinishedRequests -= 1;
+        if (this.removeOpenRequest(requestKey) !== undefined) {
+            this.opts.onCallerLeft(requestKey);
+        }
+    }
+
     private removeOpenRequest(requestKey: string): OpenRequest | undefined {
         const request = this.openRequests.get(requestKey);
         this.openRequests.delete(requestKey);
@@ -195,13 +242,14 @@
         readonly body: Buffer | undefined;
     }): void {
         const { response, message } = request;
-        if (response.destroyed) {
+        if (response.destroyed || message.socket.destroyed) {
             return;
         }
+        const connection = this.connection(message.socket);
         // A connection with pipelined requests stays open until all of them have been answered.
-        if (this.opts.isStopping() && this.newestKeyBySocket.get(message.socket) === request.requestKey) {
+        if (this.opts.isStopping() && connection.isNewest(request.requestKey)) {
             response.shouldKeepAlive = false;
-            this.closingSockets.add(message.socket);
+            connection.closeAfterResponse();
         }
         response.writeHead(reply.statusCode, reply.headers);
         response.end(reply.body);
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { CallerListener } from "../src/caller-listener.js";
+import type { OpenRequest } from "../src/open-request.js";
 
 const ADDRESS = "127.0.0.1:18741";
 
@@ -23,6 +24,7 @@
     let isClosed: boolean;
     let isStopping: boolean;
     let requests: string[];
+    let openRequests: OpenRequest[];
     let abandoned: string[];
 
     beforeEach(async () => {
@@ -30,12 +32,14 @@
         isClosed = false;
         isStopping = false;
         requests = [];
+        openRequests = [];
         abandoned = [];
         listener = new CallerListener({
             nowMs: () => performance.now(),
             isStopping: () => isStopping,
             onRequest: request => {
                 requests.push(request.requestKey);
+                openRequests.push(request);
             },
             onCallerLeft: requestKey => {
                 abandoned.push(requestKey);
@@ -47,24 +51,26 @@
         socket.on("data", chunk => {
             received += chunk.toString();
         });
+        // A failed write is seen in what was received.
+        socket.on("error", () => undefined);
         socket.on("close", () => {
             isClosed = true;
         });
         await connected;
     });
 
-    afterEach(() => {
+    afterEach(async () => {
         socket.destroy();
-        listener.stopListening();
+        await listener.stopListening();
         listener.closeIfIdle();
     });
 
-    const relay = (requestKey: string, text: string, isFramed = true): void => {
+    const relay = (requestKey: string, body: string | Buffer, isFramed = true): void => {
         listener.relay(requestKey, {
             statusCode: 200,
             rawHeaders: ["X-Server-Stamp", "s", "Connection", "close", "X-Backend-Load", "1,0,2"],
             connectionHeader: "close",
-            body: Buffer.from(text),
+            body: Buffer.from(body),
             isFramed,
         });
     };
@@ -92,6 +98,15 @@
         expect(received.toLowerCase()).not.to.include("chunked");
     });
 
+    // The daemon relays no response that closes the connection before the responses to later requests.
+    it("knows whether later requests of the connection are in progress", async () => {
+        socket.write(requestText("first") + requestText("second"));
+        await waitUntil(() => requests.length === 2);
+        expect(openRequests.map(request => request.hasFollowers())).to.deep.equal([true, false]);
+        relay(requests[1] ?? "", "two");
+        expect(openRequests[0]?.hasFollowers()).to.equal(true);
+    });
+
     describe("configured limits", () => {
         beforeEach(() => {
             listener.applyLimits({ headerBytes: 200, bodyBytes: 10, headerTimeoutMs: 5_000, idleTimeoutMs: 15_000 });
@@ -126,7 +141,86 @@
         expect(listener.unfinishedCount).to.equal(0);
     });
 
+    // Regression: Node.js reports the end of a connection only for the response that is being written. The requests behind
+    // it kept running, and the daemon counted them as unfinished until it was killed.
+    it("reports all pipelined requests of a caller that disconnected", async () => {
+        socket.write(requestText("first") + requestText("second") + requestText("third"));
+        await waitUntil(() => requests.length === 3);
+        socket.destroy();
+        await waitUntil(() => abandoned.length === 3);
+        expect([...abandoned].sort()).to.deep.equal(requests);
+        expect(listener.unfinishedCount).to.equal(0);
+    });
+
+    describe("with a caller that reads slowly", () => {
+        // More than the kernel's buffers take, so that most of the response waits in the process.
+        const LARGE_BODY = Buffer.alloc(24_000_000, "a");
+
+        const countBytesOf = async (act: () => void): Promise<number> => {
+            let receivedBytes = 0;
+            socket.removeAllListeners("data");
+            socket.on("data", chunk => {
+                receivedBytes += chunk.length;
+            });
+            socket.write(requestText("first"));
+            await waitUntil(() => requests.length === 1);
+            socket.pause();
+            isStopping = true;
+            await listener.stopListening();
+            relay(requests[0] ?? "", LARGE_BODY);
+            await new Promise(resolve => {
+                setTimeout(resolve, 100);
+            });
+            act();
+            await new Promise(resolve => {
+                setTimeout(resolve, 100);
+            });
+            socket.resume();
+            await waitUntil(() => isClosed);
+            return receivedBytes;
+        };
+
+        // Regression: Node.js took the connection as idle once its response was passed to it, and the rest of the response
+        // was discarded (LOST on luznik-osr, stop seeds 1 to 12).
+        it("sends a response completely when idle connections are closed", async () => {
+            const receivedBytes = await countBytesOf(() => {
+                listener.closeIfIdle();
+            });
+            expect(receivedBytes).to.be.greaterThan(LARGE_BODY.length);
+        });
+
+        // Regression: the connection was closed with unread requests on it. That resets a connection, and the caller lost
+        // the part of the response that it had not received.
+        it("sends the last response completely when further requests follow", async () => {
+            const receivedBytes = await countBytesOf(() => {
+                const sent = setInterval(() => {
+                    socket.write(requestText("next"));
+                }, 1);
+                socket.once("end", () => {
+                    clearInterval(sent);
+                });
+                socket.once("close", () => {
+                    clearInterval(sent);
+                });
+            });
+            expect(receivedBytes).to.be.greaterThan(LARGE_BODY.length);
+            expect(requests.length).to.equal(1);
+        });
+    });
+
     describe("during shutdown", () => {
+        // Regression: a request was only counted as unfinished once its body had been read, so those that arrived in one
+        // piece behind it were forwarded.
+        it("forwards only the first of several requests that arrive at once", async () => {
+            isStopping = true;
+            socket.write(requestText("first") + requestText("second") + requestText("third"));
+            await waitUntil(() => requests.length > 0);
+            relay(requests[0] ?? "", "one");
+            await waitUntil(() => isClosed);
+            expect(requests.length).to.equal(1);
+            expect(received).to.include("one");
+        });
+
         it("closes a connection after the response to its last request", async () => {
             socket.write(requestText("first"));
             await waitUntil(() => requests.length === 1);
@@ -153,11 +247,33 @@
             expect(requests.length).to.equal(1);
         });
 
+        // Regression: connections that the kernel had accepted, but the busy process had not, were reset when it stopped
+        // listening (stop seeds 104 and 114).
+        it("serves the connections that wait to be accepted when it stops listening", async () => {
+            const waiting = [...Array(8).keys()].map(index => {
+                const caller = connect({ host: "127.0.0.1", port: 18741 });
+                caller.on("error", () => undefined);
+                caller.write(requestText(`waiting-${index}`));
+                return caller;
+            });
+            // The connections are opened in this tick, but only the next rounds of the event loop accept them.
+            await new Promise(resolve => {
+                process.nextTick(resolve);
+            });
+            isStopping = true;
+            await listener.stopListening();
+            await waitUntil(() => requests.length === waiting.length || waiting.some(caller => caller.destroyed));
+            expect(requests.length).to.equal(waiting.length);
+            for (const caller of waiting) {
+                caller.destroy();
+            }
+        });
+
         // Regression: a request on a connection that had not been used yet was read and forwarded while the process was
         // exiting, and got no response (soak seed 459880052).
         it("reads no further request once no request is unfinished", async () => {
             isStopping = true;
-            listener.stopListening();
+            await listener.stopListening();
             expect(listener.closeIfIdle()).to.equal(true);
             socket.write(requestText("first"));
             await waitUntil(() => isClosed);
@@ -168,7 +284,7 @@
             socket.write(requestText("first"));
             await waitUntil(() => requests.length === 1);
             isStopping = true;
-            listener.stopListening();
+            await listener.stopListening();
             expect(listener.closeIfIdle()).to.equal(false);
             relay(requests[0] ?? "", "one");
             await waitUntil(() => isClosed);
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -38,6 +38,11 @@
             readonly statusCode: number;
             readonly notRun: boolean;
             readonly bodyBytes: number;
+            /**
+             * Whether the response cannot be relayed without closing the caller's connection, on which later requests are
+             * in progress.
+             */
+            readonly cutsOtherRequests: boolean;
             readonly load: LoadReport | undefined;
         }
         | {
@@ -67,6 +72,8 @@
         }
         | ({ readonly type: "loads-answered"; } & LoadSelection)
         | { readonly type: "resumed"; readonly uncountedMs: number; }
+        /** The process ends. It sends no further request. */
+        | { readonly type: "process-ending"; }
         | { readonly type: "load-source-changed"; readonly loadQueryIntervalMs: number | undefined; }
         | {
             readonly type: "probe-answered";
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -75,6 +75,27 @@
     }
 };
 
+// One request that is sent again, or fails, costs less than the loss of all later ones of its connection.
+const resendOrReject = (draft: DispatchDraft, request: RequestState, attempt: AttemptState): void => {
+    draft.setRequest(request);
+    draft.emit({ type: "discard-response", attemptId: attempt.attemptId });
+    draft.log({
+        kind: "attempt-failed",
+        requestId: request.requestId,
+        service: request.service,
+        instanceId: attempt.instanceId,
+        reason: REJECT_REASONS.cutsOthers,
+        inputs: {
+            attempt: attempt.attemptId,
+            wasSent: true,
+            attemptMs: Math.round(draft.atMs - attempt.startedAtMs),
+        },
+    });
+    if (request.attempts.length === 0 && !tryRetry(draft, request)) {
+        rejectRequest(draft, request, { reason: REJECT_REASONS.cutsOthers });
+    }
+};
+
 /** Handles a complete response: relays it, or retries the request on another server where that is allowed. */
 export const onAttemptAnswered = (draft: DispatchDraft, event: AttemptAnswered): void => {
     const found = selectAttempt(draft.state, event.attemptId);
@@ -86,7 +107,11 @@
     recordResponse(draft, found.request, { attempt, event });
     const request = endAttempt(draft, draft.request(found.request.requestKey) ?? found.request, attempt);
     const isServerError = event.statusCode >= MIN_SERVER_ERROR_STATUS;
-    if (!event.notRun && !isServerError) {
+    const cutsOtherRequests = event.cutsOtherRequests && request.route.isIdempotent;
+    if (cutsOtherRequests && !event.notRun) {
+        resendOrReject(draft, { ...request, mayHaveRun: true }, attempt);
+    }
+    else if (!event.notRun && !isServerError) {
         relayResponse(draft, request, { attempt, event });
     }
     else {
--- a/routing/dispatch/test/request-endings.test.ts
+++ b/routing/dispatch/test/request-endings.test.ts
@@ -46,6 +46,37 @@
         });
     });
 
+    // Only the end of the connection delimits a response without a length. Relayed, it took the answers of all later
+    // requests of its connection with it, which had been sent to servers already.
+    describe("a response that cuts later requests of its connection", () => {
+        it("is replaced by another attempt", () => {
+            const harness = new DispatchHarness();
+            const requestKey = harness.arrive();
+            const first = harness.lastAttempt(requestKey);
+            harness.answer(first.attemptId, { cutsOtherRequests: true });
+            expect(harness.effectsOf("relay-response")).to.deep.equal([]);
+            harness.answer(harness.lastAttempt(requestKey).attemptId);
+            expect(harness.effectsOf("relay-response").length).to.equal(1);
+            expect(harness.effectsOf("discard-response").map(effect => effect.attemptId)).to.deep.equal([
+                first.attemptId,
+            ]);
+        });
+
+        it("becomes a 502 after the last attempt", () => {
+            const harness = new DispatchHarness({ route: { maxAttempts: 1 } });
+            const requestKey = harness.arrive();
+            harness.answer(harness.lastAttempt(requestKey).attemptId, { cutsOtherRequests: true });
+            expect(harness.rejectionOf(requestKey)?.statusCode).to.equal(502);
+            expect(harness.state.requests.size).to.equal(0);
+        });
+
+        it("is relayed if the request must not run again", () => {
+            const harness = new DispatchHarness({ route: { isIdempotent: false } });
+            harness.answer(harness.lastAttempt(harness.arrive()).attemptId, { cutsOtherRequests: true });
+            expect(harness.effectsOf("relay-response").length).to.equal(1);
+        });
+    });
+
     describe("registrations", () => {
         it("treats a new process under a known id as a new server", () => {
             const harness = new DispatchHarness({ servers: 1 });
@@ -55,6 +86,20 @@
         });
     });
 
+    // Requests that waited for a server when the grace period ended had their connection closed without an answer.
+    describe("at the end of the process", () => {
+        it("rejects the requests that wait, as not run, and leaves those alone that a server is running", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const keys = [harness.arrive(), harness.arrive(), harness.arrive()];
+            const waiting = keys.filter(requestKey => harness.attemptsOf(requestKey).length === 0);
+            expect(waiting.length).to.equal(1);
+            harness.send({ type: "process-ending" });
+            expect(keys.map(requestKey => harness.rejectionOf(requestKey)?.statusCode)).to.deep.equal(
+                keys.map(requestKey => waiting.includes(requestKey) ? 503 : undefined),
+            );
+        });
+    });
+
     // A suspended VM's clock stands still. Without this, it would send a request after its caller's deadline, and by
     // load reports from before.
     describe("after the VM was suspended", () => {
