test(entry): use a server again whose entry stays after a restore

Cause: a server that was removed must not be used again because a copy of the store holds its entry. One whose entry had only expired renews it, which appends no record when nothing but seq changes. A VM that remembered removals for good would never use it again.

Change: one more test in virtual time.

--- a/daemon/entry/test/store-restore.test.ts
+++ b/daemon/entry/test/store-restore.test.ts
@@ -238,6 +238,17 @@
             expect(model.runUntil(isUsedAgain, WAIT_MS)).to.equal(Infinity);
         });
 
+        // The server was cut off from the store. A renewal of the entry in the copy appends no record.
+        it("is used again when its entry stays in the store for longer than the heartbeats of a server that is gone", () => {
+            const { model, copy } = startWithCopy();
+            model.remove("i-2");
+            model.run(SETTLE_MS);
+            model.restore(copy);
+            rewriteRegistrations(model);
+            model.run(EXPIRY_HEARTBEATS * HEARTBEAT_MS);
+            expect(model.runUntil(() => isInRotation(model, "i-2"), WAIT_MS)).to.be.below(DRAIN_LIMIT_MS);
+        });
+
         it("is used again under the same id when it has started again", () => {
             const { model, copy } = startWithCopy();
             model.drain("i-2");
