test(entry): give the stop test the settings that the stand-in needs now

The settings of a VM name its seeds since VMs restart in the soak. The stop test has one VM and no seeds. Type check of the tests passes again.

--- a/daemon/entry/test/support/run-stop.ts
+++ b/daemon/entry/test/support/run-stop.ts
@@ -104,6 +104,7 @@
         ports: PORTS,
         heartbeatMs: 1_500,
         storeAddress,
+        seedAddresses: [],
     });
     writeFileSync(file, JSON.stringify(settings));
     const daemon = new ManagedProcess({
