fix(view): follow VMs of an earlier release in any era

What callers see: during an upgrade, VMs of the new release ignore the registrations that a hub of the former one announces, if the store sends an era above 0 before it was ever restored. Each reads the store itself, later than a hub, and a drain reaches it late. A VM that takes its first view from such a seed reports a restore that did not happen.

Cause: a missing era counted as 0, which is before the era of the store.

Ruled out: era 0 as a wildcard; a store that begins with era 0 sends it itself.

Change: a missing era is unknown. It counts as the receiver's own until the receiver has seen a restore; after that, such a VM is ignored, as its offsets may belong to another history.

An upgrade was not played.

--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -1,7 +1,7 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { selectLiveVms, type VmInfo } from "@marigoldstall/fleet.hubs";
 import { RpcClient, RpcServer } from "@marigoldstall/fleet.rpc";
-import { selectViewSnapshot, type ViewSnapshot } from "@marigoldstall/fleet.view";
+import { selectViewSnapshot, UNKNOWN_ERA, type ViewSnapshot } from "@marigoldstall/fleet.view";
 import * as Option from "effect/Option";
 import * as Schema from "effect/Schema";
 import type { EntryEvent } from "./entry-event.js";
@@ -116,7 +116,7 @@
             ? undefined
             : {
                 ...decoded,
-                era: decoded.era ?? 0,
+                era: decoded.era ?? UNKNOWN_ERA,
                 withheld: decoded.withheld ?? [],
                 departed: decoded.departed ?? [],
                 confirmation: decoded.confirmation,
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -1,4 +1,4 @@
-import type { Confirmation, RegistrationChange, ViewSummary } from "@marigoldstall/fleet.view";
+import { type Confirmation, type RegistrationChange, UNKNOWN_ERA, type ViewSummary } from "@marigoldstall/fleet.view";
 import { decode } from "@msgpack/msgpack";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
 import type { FleetMessage } from "./fleet-message.js";
@@ -110,7 +110,7 @@
         configurationConfirmationRow,
         changes,
         // VMs of earlier releases send no era.
-        eraColumn = 0,
+        eraColumn = UNKNOWN_ERA,
     ] = asRow(value);
     const offset = asNumber(nextOffset);
     const era = asNumber(eraColumn);
--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -5,6 +5,7 @@
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
 import { selectNewChanges } from "./select-new-changes.js";
+import { selectPeerEra } from "./select-peer-era.js";
 import type { StorePosition } from "./store-position.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewEvent } from "./view-event.js";
@@ -52,8 +53,13 @@
 
 const applyPeerRegistrations = (before: ViewState, event: SummaryReceived, effects: ViewEffect[]): ViewState => {
     const { summary, atMs, peerAddress } = event;
-    const { next: peerNext, base } = summary;
-    if (peerNext === undefined || isOutdatedEra(before, peerNext.era)) {
+    if (summary.next === undefined) {
+        return before;
+    }
+    const era = selectPeerEra(before, summary.next.era);
+    const peerNext = { ...summary.next, era };
+    const base = { ...summary.base, era: selectPeerEra(before, summary.base.era) };
+    if (isOutdatedEra(before, era)) {
         return before;
     }
     let state = before;
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -1,6 +1,7 @@
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
 import type { RegistrationChange } from "./registration-change.js";
 import { ServersDraft } from "./servers-draft.js";
+import { UNKNOWN_ERA } from "./unknown-era.js";
 import { VIEW_LIMITS } from "./view-limits.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewState } from "./view-state.js";
@@ -27,7 +28,8 @@
     readonly retainRemovedUntilMs: number;
 } => {
     const { atMs, era, withheld = [], departed = [] } = opts;
-    const isFirstOfEra = state.listedEra !== undefined && state.listedEra !== era;
+    const { listedEra = UNKNOWN_ERA } = state;
+    const isFirstOfEra = listedEra !== UNKNOWN_ERA && listedEra !== era;
     // Servers that this list lacks register again. One that is removed later has left: the restored store removes no
     // registration for three heartbeats.
     const retainRemovedUntilMs = (isFirstOfEra ? atMs : state.outageEndedAtMs) + VIEW_LIMITS.expiredRetentionMs;
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -23,6 +23,7 @@
         heartbeatMs: opts.heartbeatMs ?? VIEW_LIMITS.defaultHeartbeatMs,
         firstReadAtMs: opts.firstReadAtMs ?? -Infinity,
         storeEra: undefined,
+        isRestoreSeen: false,
         listedEra: undefined,
         isListUnchecked: false,
         servers: new Map(),
--- a/fleet/view/src/index.ts
+++ b/fleet/view/src/index.ts
@@ -7,6 +7,7 @@
 export { selectViewSnapshot } from "./select-view-snapshot.js";
 export { selectViewSummary } from "./select-view-summary.js";
 export type { StorePosition } from "./store-position.js";
+export { UNKNOWN_ERA } from "./unknown-era.js";
 export type { ViewEffect } from "./view-effect.js";
 export type { ViewEvent } from "./view-event.js";
 export { VIEW_LIMITS } from "./view-limits.js";
--- a/fleet/view/src/observe-era.ts
+++ b/fleet/view/src/observe-era.ts
@@ -1,4 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
+import { UNKNOWN_ERA } from "./unknown-era.js";
 import type { ViewEffect } from "./view-effect.js";
 import type { ViewState } from "./view-state.js";
 
@@ -8,8 +9,11 @@
     if (storeEra !== undefined && storeEra >= era) {
         return { state, effects: [] };
     }
-    const effects: readonly ViewEffect[] = storeEra === undefined
-        ? []
-        : [{ type: "store-restored", era, previousEra: storeEra }];
-    return { state: { ...state, storeEra: era }, effects };
+    if (storeEra === undefined || storeEra === UNKNOWN_ERA) {
+        return { state: { ...state, storeEra: era }, effects: [] };
+    }
+    return {
+        state: { ...state, storeEra: era, isRestoreSeen: true },
+        effects: [{ type: "store-restored", era, previousEra: storeEra }],
+    };
 };
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -13,6 +13,7 @@
 import type { RegistrationChange } from "./registration-change.js";
 import { selectLaterPosition } from "./select-later-position.js";
 import { selectNewChanges } from "./select-new-changes.js";
+import { selectPeerEra } from "./select-peer-era.js";
 import type { StorePosition } from "./store-position.js";
 import { tickView } from "./tick-view.js";
 import type { ViewEffect } from "./view-effect.js";
@@ -134,7 +135,8 @@
     before: ViewState,
     event: Extract<ViewEvent, { readonly type: "view-snapshot-received"; }>,
 ): Transition<ViewState, ViewEffect> => {
-    const { snapshot, atMs } = event;
+    const { atMs } = event;
+    const snapshot = { ...event.snapshot, era: selectPeerEra(before, event.snapshot.era) };
     const { era, nextOffset } = snapshot;
     if (isBeforeOwnPosition(before, { era, offset: nextOffset }) || isOutdatedEra(before, era)) {
         return { state: before, effects: [] };
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -31,6 +31,8 @@
     readonly firstReadAtMs: number;
     /** Latest era of the store in a response to this VM or to a peer. Undefined before the first response. */
     readonly storeEra: number | undefined;
+    /** Whether this VM has seen the store change from one era to another. */
+    readonly isRestoreSeen: boolean;
     /** Era of the latest complete list of registrations. */
     readonly listedEra: number | undefined;
     /** Whether the first list of the era came from the store, and no peer has told yet which of its servers have left. */
