fix(view): withhold no registration that was written after the restore

What callers see: a VM that takes the view of a peer some time after a restore withholds a live server for 6 s that all other VMs use, because the server had lapsed before the restore and registered again after it.

Registrations from there on are used.

--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -26,9 +26,10 @@
     }),
 };
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
-    // VMs of earlier releases send neither the era nor withheld registrations, nor servers that have left.
+    // VMs of earlier releases send neither the era and its start nor withheld registrations and servers that have left.
     era: Schema.optional(Schema.Int),
     nextOffset: Schema.Int,
+    eraStartOffset: Schema.optional(Schema.Int),
     ageMs: Schema.Finite,
     confirmation: Schema.optional(ConfirmationSchema),
     registrations: Schema.Array(Schema.Struct(registrationFields)),
@@ -117,6 +118,7 @@
             : {
                 ...decoded,
                 era: decoded.era ?? UNKNOWN_ERA,
+                eraStartOffset: decoded.eraStartOffset,
                 withheld: decoded.withheld ?? [],
                 departed: decoded.departed ?? [],
                 confirmation: decoded.confirmation,
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -15,6 +15,8 @@
     /** Servers that the peer has seen leave. */
     readonly departed?: ViewSnapshot["departed"];
     readonly nextOffset: number;
+    /** End of the first list of the era that the peer knows of. */
+    readonly eraStartOffset?: number | undefined;
 }
 
 // The list of a restored copy may contain servers that have left, and lacks servers that will register again.
@@ -27,7 +29,7 @@
     readonly removed: readonly RegistrationChange[];
     readonly retainRemovedUntilMs: number;
 } => {
-    const { atMs, era, withheld = [], departed = [] } = opts;
+    const { atMs, era, withheld = [], departed = [], eraStartOffset = opts.nextOffset } = opts;
     const { listedEra = UNKNOWN_ERA } = state;
     const isFirstOfEra = listedEra !== UNKNOWN_ERA && listedEra !== era;
     // Servers that this list lacks register again. One that is removed later has left: the restored store removes no
@@ -36,7 +38,7 @@
     const draft = new ServersDraft(state, { atMs, era, retainRemovedUntilMs });
     const untilMs = atMs + state.heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
     const results = opts.registrations.map(registration =>
-        isFirstOfEra ? draft.withhold(registration, untilMs) : undefined
+        isFirstOfEra && registration.offset < eraStartOffset ? draft.withhold(registration, untilMs) : undefined
     );
     const current = opts.registrations.filter((_, index) => results[index] === undefined);
     const removedIds = [
@@ -49,7 +51,8 @@
         ),
     ].map(({ instanceId }) => instanceId);
     const removed = removedIds.map(instanceId => ({ offset: opts.nextOffset - 1, instanceId, server: undefined }));
-    return { state: { ...state, ...draft.finish(), listedEra: era }, current, removed, retainRemovedUntilMs };
+    const listed = listedEra === era ? {} : { listedEra: era, eraStartOffset };
+    return { state: { ...state, ...draft.finish(), ...listed }, current, removed, retainRemovedUntilMs };
 };
 
 const createRemovals = (state: ViewState, opts: ApplyRegistrationListOptions): readonly RegistrationChange[] => {
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -25,6 +25,7 @@
         storeEra: undefined,
         isRestoreSeen: false,
         listedEra: undefined,
+        eraStartOffset: 0,
         isListUnchecked: false,
         servers: new Map(),
         withheld: new Map(),
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -11,6 +11,7 @@
     return {
         era: next.era,
         nextOffset: next.offset,
+        eraStartOffset: state.listedEra === next.era ? state.eraStartOffset : undefined,
         registrations: [...state.servers.values()]
             .filter(known => known.retainedUntilMs === undefined)
             .map(({ position, server }) => ({ offset: position.offset, instanceId: server.instanceId, server })),
--- a/fleet/view/src/view-snapshot.ts
+++ b/fleet/view/src/view-snapshot.ts
@@ -16,6 +16,8 @@
 export interface ViewSnapshot {
     readonly era: number;
     readonly nextOffset: number;
+    /** End of the first list of the era that the sender knows of. Undefined if the sender is of an earlier release. */
+    readonly eraStartOffset: number | undefined;
     readonly registrations: readonly RegistrationChange[];
     readonly withheld: readonly WithheldRegistration[];
     /** Servers that have left lately, which a copy may contain from which the store is restored later. */
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -35,6 +35,8 @@
     readonly isRestoreSeen: boolean;
     /** Era of the latest complete list of registrations. */
     readonly listedEra: number | undefined;
+    /** End of the first list of that era. Records from this offset on were written after the restore. */
+    readonly eraStartOffset: number;
     /** Whether the first list of the era came from the store, and no peer has told yet which of its servers have left. */
     readonly isListUnchecked: boolean;
     readonly servers: ReadonlyMap<string, KnownServer>;
--- a/fleet/view/test/restored-store-order.test.ts
+++ b/fleet/view/test/restored-store-order.test.ts
@@ -209,4 +209,18 @@
         expect(view.ids).to.deep.equal(["a"]);
         expect(sendSummary(peer, view, 1_500)).to.not.deep.include(fetch);
     });
+
+    it("uses a server at once that has registered after the restore, as the peer that sent the view does", () => {
+        const reader = listTwo("reader");
+        const follower = listTwo("follower");
+        for (const view of [reader, follower]) {
+            view.read(450, 41, [removed(40, "b")]);
+        }
+        reader.era = 2;
+        reader.list(900, 12, [registered(3, "a"), registered(4, "b")]);
+        reader.read(1_400, 13, [registered(12, "b")]);
+        expect(reader.ids).to.deep.equal(["a", "b"]);
+        sendSnapshot(reader, follower, 1_500);
+        expect(follower.ids).to.deep.equal(["a", "b"]);
+    });
 });
