fix(entry): ask the other seeds when the first has no view yet

What callers see: during a rolling restart a VM reads its first view from the store although a seed could have sent it. If the store holds a restored copy, an older configuration than the one in force is served until a hub tells better.

Cause: only the seed that responded first was asked for its view. One that has just started knows the VMs before it knows what is in the store.

Change: if the first seed has no configuration or no list of servers, the other seeds are asked as well, before the store is read.

Figures: the new test "asks the other seeds when the first one to respond has no view yet" failed before and passes now. The doubles of the other tests answer that the seed has a view.

--- a/daemon/entry/src/fleet-joiner.ts
+++ b/daemon/entry/src/fleet-joiner.ts
@@ -21,8 +21,8 @@
     readonly log: JsonLogger;
     /** Fetches the VMs that a peer knows. Empty if the peer does not respond. */
     readonly fetchPeerVms: (address: string) => Promise<readonly VmInfo[]>;
-    /** Fetches what a peer knows of the store. */
-    readonly fetchPeerView: (address: string) => Promise<void>;
+    /** Fetches what a peer knows of the store. Returns whether that is a complete view. */
+    readonly fetchPeerView: (address: string) => Promise<boolean>;
     /** Whether a hub has found this VM. */
     readonly hasHub: () => boolean;
     readonly isHub: () => boolean;
@@ -83,7 +83,10 @@
             }));
             log.write("joined-by-peer", { peer: address, vms: vms.length });
             onVmsFound(vms);
-            await fetchPeerView(address);
+            if (!await fetchPeerView(address)) {
+                // The seed has just started and waits for a view itself.
+                await Promise.all(addresses.filter(other => other !== address).map(fetchPeerView));
+            }
             return true;
         }
         catch (error) {
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -105,12 +105,13 @@
         return Option.getOrElse(decodeVms(await this.call(peerAddress, "fleet.vms")), () => []);
     }
 
-    /** Fetches all that a peer knows of the store. */
-    async fetchView(peerAddress: string): Promise<void> {
-        await Promise.all([this.fetchConfiguration(peerAddress), this.fetchSnapshot(peerAddress)]);
+    /** Fetches all that a peer knows of the store. Returns whether it knows both the configuration and the servers. */
+    async fetchView(peerAddress: string): Promise<boolean> {
+        const results = await Promise.all([this.fetchConfiguration(peerAddress), this.fetchSnapshot(peerAddress)]);
+        return !results.includes(false);
     }
 
-    async fetchSnapshot(peerAddress: string): Promise<void> {
+    async fetchSnapshot(peerAddress: string): Promise<boolean> {
         const result = await this.call(peerAddress, "view.snapshot");
         const decoded = Option.getOrUndefined(decodeSnapshot(result));
         const snapshot: ViewSnapshot | undefined = decoded === undefined
@@ -126,19 +127,22 @@
         if (snapshot !== undefined) {
             this.opts.dispatch({ type: "view-snapshot-received", snapshot });
         }
+        return snapshot !== undefined;
     }
 
-    async fetchConfiguration(peerAddress: string): Promise<void> {
+    async fetchConfiguration(peerAddress: string): Promise<boolean> {
         const rawResult = await this.call(peerAddress, "view.configuration");
         const result = Option.getOrUndefined(decodePeerConfiguration(rawResult));
-        if (result === undefined) {
-            return;
+        // A peer that knows no configuration sends an empty text.
+        if (result === undefined || result.text === "") {
+            return false;
         }
         const { text, ageMs, confirmation } = result;
         const configuration = this.opts.parseConfiguration(text);
         if (configuration !== undefined) {
             this.opts.dispatch({ type: "peer-configuration-received", configuration, ageMs, confirmation });
         }
+        return configuration !== undefined;
     }
 
     private async call(peerAddress: string, method: string): Promise<unknown> {
--- a/daemon/entry/test/fleet-joiner.test.ts
+++ b/daemon/entry/test/fleet-joiner.test.ts
@@ -12,6 +12,7 @@
     readonly isFirstStart: boolean;
     readonly rejectedWrites?: number;
     readonly seeds?: Readonly<Record<string, readonly string[]>>;
+    readonly seedsWithoutView?: readonly string[];
     readonly hasHub?: boolean;
     readonly isHub?: boolean;
 }
@@ -51,7 +52,7 @@
         },
         fetchPeerView: address => {
             calls.push(`view of ${address}`);
-            return Promise.resolve();
+            return Promise.resolve(fixture.seedsWithoutView?.includes(address) !== true);
         },
         hasHub: () => fixture.hasHub === true,
         isHub: () => fixture.isHub === true,
@@ -85,6 +86,15 @@
         expect(found).to.deep.equal([["b", "d"]]);
     });
 
+    // During a rolling restart a seed may know the VMs but not their view yet. A VM that read the store instead could get
+    // a restored copy that is older than what is in force.
+    it("asks the other seeds when the first one to respond has no view yet", async () => {
+        const seeds = { "b:1": ["b", "d"], "d:1": ["b", "d"] };
+        const { joiner, calls } = createJoiner({ isFirstStart: false, seeds, seedsWithoutView: ["b:1"] });
+        await joiner.join();
+        expect(calls).to.deep.equal(["b:1", "d:1", "view of b:1", "view of d:1", "seeds asked"]);
+    });
+
     // After a restart of all VMs, each seed knows only itself for a moment. VMs that trusted it would form islands.
     it("uses the store when the seeds are gone or have just started", async () => {
         const seeds = { "gone:1": [], "b:1": ["b"] };
