--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -37,12 +37,15 @@
     const retainRemovedUntilMs = (isFirstOfEra ? atMs : state.outageEndedAtMs) + VIEW_LIMITS.expiredRetentionMs;
     const draft = new ServersDraft(state, { atMs, era, retainRemovedUntilMs });
     const untilMs = atMs + state.heartbeatMs * VIEW_LIMITS.withheldHeartbeats;
-    const results = opts.registrations.map(registration =>
-        isFirstOfEra && registration.offset < eraStartOffset ? draft.withhold(registration, untilMs) : undefined
-    );
-    const current = opts.registrations.filter((_, index) => results[index] === undefined);
+    const results = opts.registrations.map(registration => ({
+        registration,
+        result: isFirstOfEra && registration.offset < eraStartOffset
+            ? draft.withhold(registration, untilMs)
+            : undefined,
+    }));
+    const current = results.filter(({ result }) => result === undefined).map(({ registration }) => registration);
     const removedIds = [
-        ...opts.registrations.filter((_, index) => results[index] === "changed"),
+        ...results.filter(({ result }) => result === "changed").map(({ registration }) => registration),
         ...withheld.filter(({ remainingMs, ...registration }) =>
             draft.adoptWithheld(registration, atMs + remainingMs) === "changed"
         ),
--- a/fleet/view/test/mixed-releases.test.ts
+++ b/fleet/view/test/mixed-releases.test.ts
@@ -23,8 +23,7 @@
 const sendSnapshot = (sender: ViewHarness, receiver: ViewHarness, atMs: number): void => {
     const snapshot = selectViewSnapshot(sender.state, atMs);
     if (snapshot !== undefined) {
-        const { era: _, ...rest } = snapshot;
-        receiver.apply({ type: "view-snapshot-received", atMs, snapshot: { ...rest, era: UNKNOWN_ERA } });
+        receiver.apply({ type: "view-snapshot-received", atMs, snapshot: { ...snapshot, era: UNKNOWN_ERA } });
     }
 };
 
