--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -1,7 +1,7 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { selectLiveVms, type VmInfo } from "@marigoldstall/fleet.hubs";
 import { RpcClient, RpcServer } from "@marigoldstall/fleet.rpc";
-import { selectViewSnapshot, type ViewSnapshot } from "@marigoldstall/fleet.view";
+import { selectViewSnapshot, UNKNOWN_ERA, type ViewSnapshot } from "@marigoldstall/fleet.view";
 import * as Option from "effect/Option";
 import * as Schema from "effect/Schema";
 import type { EntryEvent } from "./entry-event.js";
@@ -26,9 +26,10 @@
     }),
 };
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
-    // VMs of earlier releases send neither the era nor withheld registrations, nor servers that have left.
+    // VMs of earlier releases send neither the era and its start nor withheld registrations and servers that have left.
     era: Schema.optional(Schema.Int),
     nextOffset: Schema.Int,
+    eraStartOffset: Schema.optional(Schema.Int),
     ageMs: Schema.Finite,
     confirmation: Schema.optional(ConfirmationSchema),
     registrations: Schema.Array(Schema.Struct(registrationFields)),
@@ -104,19 +105,21 @@
         return Option.getOrElse(decodeVms(await this.call(peerAddress, "fleet.vms")), () => []);
     }
 
-    /** Fetches all that a peer knows of the store. */
-    async fetchView(peerAddress: string): Promise<void> {
-        await Promise.all([this.fetchConfiguration(peerAddress), this.fetchSnapshot(peerAddress)]);
+    /** Fetches all that a peer knows of the store. Returns whether it knows both the configuration and the servers. */
+    async fetchView(peerAddress: string): Promise<boolean> {
+        const results = await Promise.all([this.fetchConfiguration(peerAddress), this.fetchSnapshot(peerAddress)]);
+        return !results.includes(false);
     }
 
-    async fetchSnapshot(peerAddress: string): Promise<void> {
+    async fetchSnapshot(peerAddress: string): Promise<boolean> {
         const result = await this.call(peerAddress, "view.snapshot");
         const decoded = Option.getOrUndefined(decodeSnapshot(result));
         const snapshot: ViewSnapshot | undefined = decoded === undefined
             ? undefined
             : {
                 ...decoded,
-                era: decoded.era ?? 0,
+                era: decoded.era ?? UNKNOWN_ERA,
+                eraStartOffset: decoded.eraStartOffset,
                 withheld: decoded.withheld ?? [],
                 departed: decoded.departed ?? [],
                 confirmation: decoded.confirmation,
@@ -124,19 +127,22 @@
         if (snapshot !== undefined) {
             this.opts.dispatch({ type: "view-snapshot-received", snapshot });
         }
+        return snapshot !== undefined;
     }
 
-    async fetchConfiguration(peerAddress: string): Promise<void> {
+    async fetchConfiguration(peerAddress: string): Promise<boolean> {
         const rawResult = await this.call(peerAddress, "view.configuration");
         const result = Option.getOrUndefined(decodePeerConfiguration(rawResult));
-        if (result === undefined) {
-            return;
+        // A peer that knows no configuration sends an empty text.
+        if (result === undefined || result.text === "") {
+            return false;
         }
         const { text, ageMs, confirmation } = result;
         const configuration = this.opts.parseConfiguration(text);
         if (configuration !== undefined) {
             this.opts.dispatch({ type: "peer-configuration-received", configuration, ageMs, confirmation });
         }
+        return configuration !== undefined;
     }
 
     private async call(peerAddress: string, method: string): Promise<unknown> {
--- a/daemon/entry/test/fleet-joiner-restore.test.ts
+++ b/daemon/entry/test/fleet-joiner-restore.test.ts
@@ -93,7 +93,7 @@
         store: store as unknown as StoreClient,
         log: { write: (kind: string) => logged.push(kind) } as unknown as JsonLogger,
         fetchPeerVms: () => Promise.resolve(["a", "b"].map(vm)),
-        fetchPeerView: () => Promise.resolve(),
+        fetchPeerView: () => Promise.resolve(true),
         hasHub: () => role.hasHub,
         isHub: () => role.isHub,
         random: () => fixture.random ?? 0.5,
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -59,6 +59,7 @@
     readonly withoutStore = new Set<string>();
     /** How much longer than usual the answers to the reads of a VM take. The store processes the read at once. */
     readonly extraAnswerDelayMs = new Map<string, number>();
+    storeLatencyMs = STORE_LATENCY_MS;
     readonly storeReads: { readonly vmId: string; readonly atMs: number; }[] = [];
     readonly probes: { readonly vmId: string; readonly instanceId: string; readonly atMs: number; }[] = [];
     readonly decisions: { readonly vmId: string; readonly effect: EntryEffect; readonly atMs: number; }[] = [];
@@ -351,7 +352,7 @@
             this.schedule(STORE_TIMEOUT_MS, vmId, () => ({ type: "store-read-failed", topic, isExpired: false }));
             return;
         }
-        const latencyMs = STORE_LATENCY_MS + (this.extraAnswerDelayMs.get(vmId) ?? 0);
+        const latencyMs = this.storeLatencyMs + (this.extraAnswerDelayMs.get(vmId) ?? 0);
         const era = this.storeEra;
         const nextOffset = topic === "configuration" ? this.configurations.length : this.records.length;
         if (from !== undefined && from.offset > nextOffset) {
--- a/fleet/view/src/apply-registration-list.ts
+++ b/fleet/view/src/apply-registration-list.ts
@@ -1,6 +1,7 @@
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
 import type { RegistrationChange } from "./registration-change.js";
 import { ServersDraft } from "./servers-draft.js";
+import { UNKNOWN_ERA } from "./unknown-era.js";
 import { VIEW_LIMITS } from "./view-limits.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewState } from "./view-state.js";
@@ -14,6 +15,8 @@
     /** Servers that the peer has seen leave. */
     readonly departed?: ViewSnapshot["departed"];
     readonly nextOffset: number;
+    /** End of the first list of the era that the peer knows of. */
+    readonly eraStartOffset?: number | undefined;
 }
 
 // The list of a restored copy may contain servers that have left, and lacks servers that will register again.
@@ -26,8 +29,9 @@
     readonly removed: readonly RegistrationChange[];
     readonly retainRemovedUntilMs: number;
 } => {
-    const { atMs, era, withheld = [], departed = [] } = opts;
-    const isFirstOfEra = state.listedEra !== undefined && state.listedEra !== era;
+    const { atMs, era, withheld = [], departed = [], eraStartOffset = opts.nextOffset } = opts;
+    const { listedEra = UNKNOWN_ERA } = state;
+    const isFirstOfEra = listedEra !== UNKNOWN_ERA && listedEra !== era;
     // Servers that this list lacks register again. One that is removed later has left: the restored store removes no
     // registration for three heartbeats.
     const retainRemovedUntilMs = (isFirstOfEra ? atMs : state.outageEndedAtMs) + VIEW_LIMITS.expiredRetentionMs;
@@ -36,7 +40,8 @@
     const current: RegistrationChange[] = [];
     const replaced: RegistrationChange[] = [];
     for (const registration of opts.registrations) {
-        const result = isFirstOfEra ? draft.withhold(registration, untilMs) : undefined;
+        const isFromCopy = isFirstOfEra && registration.offset < eraStartOffset;
+        const result = isFromCopy ? draft.withhold(registration, untilMs) : undefined;
         if (result === undefined) {
             current.push(registration);
         }
@@ -54,7 +59,8 @@
         ),
     ].map(({ instanceId }) => instanceId);
     const removed = removedIds.map(instanceId => ({ offset: opts.nextOffset - 1, instanceId, server: undefined }));
-    return { state: { ...state, ...draft.finish(), listedEra: era }, current, removed, retainRemovedUntilMs };
+    const listed = listedEra === era ? {} : { listedEra: era, eraStartOffset };
+    return { state: { ...state, ...draft.finish(), ...listed }, current, removed, retainRemovedUntilMs };
 };
 
 const createRemovals = (state: ViewState, opts: ApplyRegistrationListOptions): readonly RegistrationChange[] => {
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -12,6 +12,7 @@
     return {
         era: next.era,
         nextOffset: next.offset,
+        eraStartOffset: state.listedEra === next.era ? state.eraStartOffset : undefined,
         registrations: [
             ...[...state.servers.values()].filter(known => known.retainedUntilMs === undefined),
             ...withheld.filter(({ isInUse }) => isInUse),
