--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -37,6 +37,13 @@
     // A hub lists the entries again, for VMs that take seconds to start.
     hubListIntervalMs: 1_800,
     hubListRounds: 2,
+    // After a restore of the store the hubs list the entries within this time, so that they do not all call a store that
+    // has just come back at the same moment.
+    rejoinDelaySpreadMs: 1_000,
+    // How often a hub retries after that, and for how many rounds the other VMs watch whether they become the hub. A VM
+    // that has just started acts as hub after 3 s.
+    rejoinRoundIntervalMs: 1_000,
+    rejoinWatchRounds: 6,
     // Idle timeout until a configuration is active. Callers reuse connections that have been idle for up to 12 s.
     initialIdleTimeoutMs: 15_000,
     rpcTimeoutMs: 600,
--- a/daemon/entry/src/to-vm-info.ts
+++ b/daemon/entry/src/to-vm-info.ts
@@ -1,11 +1,10 @@
-import type { EntrySettings } from "@marigoldstall/core.types";
 import type { VmInfo } from "@marigoldstall/fleet.hubs";
 
-/** Extracts the description of this VM that the other VMs receive. */
-export const toVmInfo = (settings: EntrySettings): VmInfo => ({
-    vmId: settings.vmId,
-    availabilityZone: settings.availabilityZone,
-    host: settings.host,
-    cores: settings.cores,
-    linkMbps: settings.linkMbps,
+/** Extracts the description of a VM that the other VMs receive, as from the settings of this VM. */
+export const toVmInfo = (vm: VmInfo): VmInfo => ({
+    vmId: vm.vmId,
+    availabilityZone: vm.availabilityZone,
+    host: vm.host,
+    cores: vm.cores,
+    linkMbps: vm.linkMbps,
 });
--- a/daemon/entry/test/fleet-joiner.test.ts
+++ b/daemon/entry/test/fleet-joiner.test.ts
@@ -30,8 +30,8 @@
         },
         listNewest: () => {
             calls.push("list");
-            const records = [{ offset: 0, key: "c", value: JSON.stringify(vm("c")) }];
-            return Promise.resolve(ok({ records, nextOffset: 1 }));
+            const records = ["c", "a"].map((vmId, offset) => ({ offset, key: vmId, value: JSON.stringify(vm(vmId)) }));
+            return Promise.resolve(ok({ records, nextOffset: records.length }));
         },
     };
     const joiner = new FleetJoiner({
@@ -67,7 +67,7 @@
         const { joiner, calls, found } = createJoiner({ isFirstStart: true, rejectedWrites: 1, seeds });
         await joiner.join();
         expect(calls).to.deep.equal(["write", "gone:1", "b:1", "write", "list"]);
-        expect(found).to.deep.equal([["b", "d"], ["c"]]);
+        expect(found).to.deep.equal([["b", "d"], ["c", "a"]]);
     });
 
     // Store calls are billed, and half of a fleet of hundreds of VMs may restart at once while the store is slow.
@@ -84,7 +84,7 @@
         const { joiner, calls, found } = createJoiner({ isFirstStart: false, seeds });
         await joiner.join();
         expect(calls).to.deep.equal(["gone:1", "b:1", "write", "list"]);
-        expect(found).to.deep.equal([["c"]]);
+        expect(found).to.deep.equal([["c", "a"]]);
     });
 
     // A small VM takes 2 s to start on luznik-osr-large. Hubs that listed once did not find it, and 200 of 312 VMs listed
