fix(ownership): keep one owner per key when the log is restored from an older copy

Callers would have seen a request that must not be repeated run twice.

Cause: a position in the stream was an offset alone. A daemon whose offset was above the end of the restored stream took each response for a stale one until the stream had grown past its offset, and then read on there. A daemon that read the copy had earlier terms. Both folded valid records, and each had its own owner for the same key times.

Change: a read carries the era of the log, 0 if the log states none. A response of a lower era is ignored. On a higher one the daemon reads from the start and treats the restore as an outage of the log: its rights hold as far as they did, it extends and starts nothing, until it reads a record that restarts all terms in this era. Such a record is written when the largest cap of the lost records has passed, that is min(1 h, retention) after the restore was noticed, with the margin of 60 s that restarts had before. Pending `assign` records are dropped, as they would have held up a shutdown until the restart; what they restrict is kept with the shares.

Ruled out: giving up all leases at once and starting new terms now. A daemon that does not know of the restore, with a guardian that does not either, may grant up to the cap that it has read, so a term that starts earlier is not safe, and one that starts later leaves all keys without an owner until then. Carrying over the terms that one daemon remembers: it may lack the last terms that others act on.

What it costs: a daemon that starts within the cap time after a restore knows no owners and refuses keys, and the shares of daemons that end meanwhile stay without an owner.

The daemon does not pass the era on yet.

--- a/fleet/ownership/src/apply-log-read.ts
+++ b/fleet/ownership/src/apply-log-read.ts
@@ -7,7 +7,9 @@
 import type { OwnershipEvent } from "./ownership-event.js";
 import type { OwnershipFold } from "./ownership-fold.js";
 import type { OwnershipState } from "./ownership-state.js";
+import { OWNERSHIP_TIMING } from "./ownership-timing.js";
 import { refreshShares } from "./refresh-shares.js";
+import { termNumbers } from "./term-numbers.js";
 
 type LogRead = Extract<OwnershipEvent, { type: "log-read"; }>;
 
@@ -27,20 +29,28 @@
     }
     if (record.type === "snapshot") {
         const logAfterSnapshot = { ...log, snapshotSeenAtMs: atMs };
-        const isUsable = record.throughOffset < offset && record.throughOffset + 1 >= log.firstOffset;
+        const isUsable = record.throughOffset < offset && record.throughOffset + 1 >= log.firstOffset
+            && record.terms.every(({ term }) => termNumbers.eraOf(term) === log.era);
         return log.mode === "following" || !isUsable ? { log: logAfterSnapshot, fold: progress.fold } : {
-            log: { ...logAfterSnapshot, mode: "following", nextOffset: record.throughOffset + 1 },
+            log: {
+                ...logAfterSnapshot,
+                mode: "following",
+                nextOffset: record.throughOffset + 1,
+                restartNotBeforeMs: undefined,
+            },
             fold: foldSnapshot(record.terms, progress.fold),
         };
     }
     if (log.mode === "following") {
         return { log, fold: applyOwnershipRecord(progress.fold, record, offset) };
     }
-    if (record.type === "assign" && record.restartAtOffset === offset) {
+    const isRestart = record.type === "assign" && record.restartAtOffset === offset
+        && termNumbers.eraOf(record.entries[0]?.term ?? 1) === log.era;
+    if (isRestart) {
         const emptyFold = { ...progress.fold, termsByShare: emptyOwnershipFold.termsByShare };
         const fold = applyOwnershipRecord(emptyFold, record, offset);
         return fold.termsByShare.some(terms => terms.length > 0)
-            ? { log: { ...log, mode: "following" }, fold }
+            ? { log: { ...log, mode: "following", restartNotBeforeMs: undefined }, fold }
             : { log, fold: progress.fold };
     }
     return { log, fold: progress.fold };
@@ -57,11 +67,38 @@
     return { ...state, guarded };
 };
 
+/**
+ * Starts to read the log again after it was restored from an older copy. The records that this daemon read since then
+ * are gone and their offsets are given out again. Rights from before hold until the caps of the lost records, so no
+ * term may start before these have passed; a cap is at most this far ahead of its writer's clock.
+ */
+const enterEra = (state: OwnershipState, event: LogRead, era: number): OwnershipState => ({
+    ...state,
+    // They can no longer become valid. What they restrict is kept with the owned and guarded shares.
+    pendingAssigns: [],
+    log: {
+        ...state.log,
+        era,
+        nextOffset: 0,
+        firstOffset: 0,
+        mode: "seeking",
+        available: true,
+        caughtUp: false,
+        caughtUpSinceMs: undefined,
+        lastReadAtMs: event.atMs,
+        restartableAtOffset: undefined,
+        restartNotBeforeMs: event.wallMs + Math.min(OWNERSHIP_TIMING.capAheadMs, state.logRetentionMs),
+    },
+});
+
 /** Folds the records of a log read in offset order, each exactly once and without gaps. */
 export const applyLogRead = (state: OwnershipState, event: LogRead): OwnershipState => {
-    const { atMs } = event;
+    const { atMs, era = 0 } = event;
+    if (era > state.log.era) {
+        return enterEra(state, event, era);
+    }
     // The end of the log never decreases, so an end below the position of this daemon means a stale response.
-    if (event.nextOffset < state.log.nextOffset) {
+    if (era < state.log.era || event.nextOffset < state.log.nextOffset) {
         return state;
     }
     const firstOffset = Math.max(event.firstOffset, state.log.firstOffset);
@@ -76,13 +113,16 @@
     }
     const caughtUp = progress.log.nextOffset === event.nextOffset && event.records.length < PAGE_SIZE;
     const isEmpty = caughtUp && firstOffset === event.nextOffset && event.records.length === 0;
+    const { mode, restartNotBeforeMs } = progress.log;
+    const isRestartable = mode === "seeking" && caughtUp
+        && (restartNotBeforeMs === undefined ? isEmpty && firstOffset > 0 : event.wallMs >= restartNotBeforeMs);
     const log: LogPosition = {
         ...progress.log,
         available: true,
         caughtUp,
         lastReadAtMs: atMs,
         caughtUpSinceMs: caughtUp ? progress.log.caughtUpSinceMs ?? atMs : undefined,
-        emptyAtOffset: isEmpty && progress.log.mode === "seeking" && firstOffset > 0 ? firstOffset : undefined,
+        restartableAtOffset: isRestartable ? event.nextOffset : undefined,
         snapshotSeenAtMs: state.log.lastReadAtMs === undefined ? atMs : progress.log.snapshotSeenAtMs,
     };
     return progress.fold === state.fold
--- a/fleet/ownership/src/apply-ownership-record.ts
+++ b/fleet/ownership/src/apply-ownership-record.ts
@@ -5,6 +5,7 @@
 import { OWNERSHIP_TIMING } from "./ownership-timing.js";
 import { SHARE_COUNT } from "./share-count.js";
 import type { ShareTerm } from "./share-term.js";
+import { termNumbers } from "./term-numbers.js";
 
 type AssignRecord = Extract<OwnershipRecord, { type: "assign"; }>;
 type AssignEntry = AssignRecord["entries"][number];
@@ -51,13 +52,17 @@
 
 const applyRestart = (fold: OwnershipFold, record: AssignRecord, offset: number): OwnershipFold => {
     const shares = new Set(record.entries.map(entry => entry.share));
+    const era = termNumbers.eraOf(record.entries[0]?.term ?? 1);
+    const currentEra = Math.max(0, ...fold.termsByShare.map(terms => termNumbers.eraOf(terms.at(-1)?.term ?? 1)));
+    const term = termNumbers.ofRestart({ era, offset });
     // Each term took one record, so a term number above the offset exceeds all term numbers in the lost records. A
     // delayed record from before the restart is therefore never valid after it.
-    const isValid = record.restartAtOffset === offset
+    const isValid = era >= currentEra
+        && record.restartAtOffset === offset
         && record.basis === "bootstrap"
         && shares.size === SHARE_COUNT
         && record.entries.length === SHARE_COUNT
-        && record.entries.every(entry => entry.term === offset + 1);
+        && record.entries.every(entry => entry.term === term);
     if (!isValid) {
         return { ...fold, invalidEntries: fold.invalidEntries + record.entries.length };
     }
--- a/fleet/ownership/src/extend-terms.ts
+++ b/fleet/ownership/src/extend-terms.ts
@@ -6,6 +6,7 @@
 import { OWNERSHIP_TIMING } from "./ownership-timing.js";
 import type { OwnershipTransition } from "./ownership-transition.js";
 import type { StepContext } from "./step-context.js";
+import { termNumbers } from "./term-numbers.js";
 
 /** Extends the bounds and caps of all own shares through the log. They take effect only when read back. */
 export const extendTerms = (state: OwnershipState, context: StepContext): OwnershipTransition => {
@@ -15,7 +16,8 @@
     const boundMs = Math.floor(context.wallMs + OWNERSHIP_TIMING.lookaheadMs);
     const entries = [...state.owned].flatMap(([share, { term }]) => {
         const current = currentTerm(state, share);
-        if (current === undefined || current.boundMs >= boundMs) {
+        const isOfFormerEra = termNumbers.eraOf(term) !== state.log.era;
+        if (current === undefined || current.boundMs >= boundMs || isOfFormerEra) {
             return [];
         }
         const hasGuardian = current.guardian !== undefined;
--- a/fleet/ownership/src/ownership-event.ts
+++ b/fleet/ownership/src/ownership-event.ts
@@ -9,6 +9,8 @@
         readonly type: "log-read";
         readonly atMs: number;
         readonly wallMs: number;
+        /** Era of the log at the time of the read, 0 if omitted. */
+        readonly era?: number;
         readonly firstOffset: number;
         readonly nextOffset: number;
         readonly records: readonly { readonly offset: number; readonly value: unknown; }[];
--- a/fleet/ownership/test/ownership-driver.ts
+++ b/fleet/ownership/test/ownership-driver.ts
@@ -18,6 +18,7 @@
     atMs = 0;
     readonly records: unknown[] = [];
     firstOffset = 0;
+    era = 0;
 
     constructor(self: OwnershipMember) {
         this.state = createOwnershipState({ self, logRetentionMs: 3_600_000 });
@@ -36,6 +37,7 @@
             type: "log-read",
             atMs: this.atMs,
             wallMs: START_MS + this.atMs,
+            era: this.era,
             firstOffset: this.firstOffset,
             nextOffset: this.records.length,
             records: this.records.slice(from).map((value, index) => ({ offset: from + index, value })),
@@ -47,6 +49,12 @@
         this.read();
     }
 
+    /** Restores the log from a copy that holds the first records only. */
+    restore(recordCount: number): void {
+        this.records.length = recordCount;
+        this.era += 1;
+    }
+
     tick(forMs: number): readonly OwnershipEffect[] {
         this.atMs += forMs;
         return this.send({ type: "tick", atMs: this.atMs, wallMs: START_MS + this.atMs, random: 0.5 });
--- a/requests/ledger/test/fleet-fault.ts
+++ b/requests/ledger/test/fleet-fault.ts
@@ -11,7 +11,9 @@
         | "network-lossy"
         | "clock-jump"
         | "fleet-down"
-        | "snapshots-lost";
+        | "snapshots-lost"
+        /** The log loses what was appended in the last `durationMs`. */
+        | "log-restored";
     readonly fromMs: number;
     readonly durationMs: number;
     readonly daemonIndex: number;
--- a/requests/ledger/test/fleet-model.ts
+++ b/requests/ledger/test/fleet-model.ts
@@ -118,6 +118,9 @@
             else if (kind === "fleet-down") {
                 this.daemons.forEach(({ index }) => this.kill(index, endMs));
             }
+            else if (kind === "log-restored") {
+                this.log.restore(this.nowMs - durationMs);
+            }
             else if (kind === "stop") {
                 this.runOnDaemon(daemon, this.nowMs, () => {
                     daemon.stoppedAtMs = this.nowMs;
@@ -230,12 +233,10 @@
         for (const appendAtMs of plan.appendTimesMs) {
             this.scheduler.at(appendAtMs, () => this.log.append(value, this.nowMs));
         }
-        this.runOnDaemon(
-            daemon,
-            plan.resultAtMs,
-            () =>
-                this.sendOwnership(daemon, { type: "append-settled", atMs: this.nowMs, recordId, result: plan.result }),
-        );
+        const { result, resultAtMs } = plan;
+        this.runOnDaemon(daemon, resultAtMs, () => {
+            this.sendOwnership(daemon, { type: "append-settled", atMs: this.nowMs, recordId, result });
+        });
     }
 
     private sendOwnership(daemon: ModelDaemon, event: OwnershipEvent): void {
@@ -261,16 +262,15 @@
                 this.append(daemon, effect.recordId, effect.value);
                 break;
             case "request-promise": {
+                const { guardian, request } = effect;
                 this.sequence += 1;
                 const rpcId = `rpc-${this.sequence}`;
                 this.promiseCallers.set(rpcId, daemon);
-                this.transmit(daemon, effect.guardian.daemon.vmId, to =>
-                    this.sendOwnership(to, {
-                        type: "promise-requested",
-                        atMs: this.nowMs,
-                        rpcId,
-                        request: effect.request,
-                    }));
+                this.transmit(
+                    daemon,
+                    guardian.daemon.vmId,
+                    to => this.sendOwnership(to, { type: "promise-requested", atMs: this.nowMs, rpcId, request }),
+                );
                 break;
             }
             case "answer-promise": {
