feat(log-client): report the era of the log

Change: an answer to a read may state `era`, 0 where missing, which rises by one with each restore; a read that waits is answered at once then. The stand-in plays the fault (`restoreAgeMs`); it states no era before the first restore, as a service of the contract so far.

Ruled out: an era in each record. Readers need it only once for each answer, and records that depend on the era state it themselves, in their term number.

No run with real processes yet.

--- a/daemon/state/src/log-read.ts
+++ b/daemon/state/src/log-read.ts
@@ -4,6 +4,8 @@
     readonly from: number;
     /** Monotonic time at which the read was sent. */
     readonly startedAtMs: number;
+    /** Era of the log, which rises when it is restored from an older copy. 0 if omitted. */
+    readonly era?: number;
     readonly firstOffset: number;
     readonly nextOffset: number;
     readonly records: readonly { readonly offset: number; readonly value: unknown; }[];
--- a/daemon/state/test/reduce-root.test.ts
+++ b/daemon/state/test/reduce-root.test.ts
@@ -8,6 +8,7 @@
     type RootEventBody,
     type RootState,
 } from "@marigoldstall/daemon.state";
+import { selectOwnershipHealth } from "@marigoldstall/fleet.ownership";
 import { expect } from "chai";
 import { isDeepStrictEqual } from "node:util";
 
@@ -150,6 +151,15 @@
         harness.startAlone();
     });
 
+    // Without the era, a daemon reads on at an offset that another record has taken.
+    it("passes a restore of the log on to the ownership of shares", () => {
+        const isSynchronized = () => selectOwnershipHealth(harness.state.ownership, 0).synchronized;
+        expect(isSynchronized()).to.equal(true);
+        const read = { era: 1, from: 1, startedAtMs: 0, firstOffset: 0, nextOffset: 0, records: [] };
+        harness.send({ type: "ownership-log-read", read });
+        expect(isSynchronized()).to.equal(false);
+    });
+
     it("applies a configuration in all slices that need it", () => {
         expect(harness.state.applied?.version).to.equal(1);
         expect(harness.state.applied?.digest).to.equal(digestTargets(TARGETS));
--- a/stand-ins/log/src/log-faults.ts
+++ b/stand-ins/log/src/log-faults.ts
@@ -16,6 +16,11 @@
     dropAppends: Schema.optionalKey(Count),
     /** Reads start this many records before the requested offset. */
     repeatRecords: Schema.optionalKey(Count),
+    /**
+     * Restores the stream or streams once, from a copy of this age: later records are removed, their offsets are
+     * given out again, and the era of all streams rises by one.
+     */
+    restoreAgeMs: Schema.optionalKey(Count),
     /** Removes all records below this offset once, when the faults are set. */
     cutBelowOffset: Schema.optionalKey(Count),
 });
--- a/stand-ins/log/src/log-stand-in.ts
+++ b/stand-ins/log/src/log-stand-in.ts
@@ -39,6 +39,7 @@
     private readonly faults = new FaultTable();
     private readonly appendLimiter: RateLimiter;
     private readonly retentionMs: number;
+    private era = 0;
 
     private constructor(server: Server, opts: LogOptions) {
         this.server = server;
@@ -67,12 +68,16 @@
 
     /** Replaces the faults of a stream, or those for all streams when `stream` is omitted. `{}` clears them. */
     setFaults(faults: LogFaultSettings, opts: { readonly stream?: string | undefined; } = {}): void {
-        const { cutBelowOffset, ...lastingFaults } = faults;
+        const { cutBelowOffset, restoreAgeMs, ...lastingFaults } = faults;
         this.faults.set(opts.stream, lastingFaults);
+        const affectedStreams = opts.stream === undefined ? [...this.streams.values()] : [this.getStream(opts.stream)];
+        if (restoreAgeMs !== undefined) {
+            this.era += 1;
+            for (const stream of affectedStreams) {
+                stream.restore(Date.now() - restoreAgeMs);
+            }
+        }
         if (cutBelowOffset !== undefined) {
-            const affectedStreams = opts.stream === undefined
-                ? [...this.streams.values()]
-                : [this.getStream(opts.stream)];
             for (const stream of affectedStreams) {
                 stream.removeBelow(cutBelowOffset);
             }
@@ -171,7 +176,8 @@
             return;
         }
         const { repeatRecords } = this.faults.get(name);
-        sendJson(response, { status: 200, body: this.getStream(name).readPage(from, { limit, repeatRecords }) });
+        const page = this.getStream(name).readPage(from, { limit, repeatRecords });
+        sendJson(response, { status: 200, body: this.era === 0 ? page : { era: this.era, ...page } });
     }
 
     private async delayResponse(name: string): Promise<void> {
--- a/stand-ins/log/src/log-stream.ts
+++ b/stand-ins/log/src/log-stream.ts
@@ -10,6 +10,7 @@
     private records: StoredRecord[] = [];
     private nextOffset = 0;
     private readonly listeners = new Set<() => void>();
+    private readonly waiting = new Set<() => void>();
 
     append(value: unknown, opts: { readonly atMs: number; }): number {
         const offset = this.nextOffset;
@@ -44,6 +45,7 @@
             const finish = () => {
                 clearTimeout(timer);
                 this.listeners.delete(onAppend);
+                this.waiting.delete(finish);
                 opts.signal.removeEventListener("abort", finish);
                 resolve();
             };
@@ -54,10 +56,23 @@
             };
             const timer = setTimeout(finish, opts.waitMs);
             this.listeners.add(onAppend);
+            this.waiting.add(finish);
             opts.signal.addEventListener("abort", finish);
         });
     }
 
+    /** Removes the records from a time on and completes all long polls. */
+    restore(copiedAtMs: number): void {
+        const firstLost = this.records.findIndex(record => record.appendedAtMs >= copiedAtMs);
+        if (firstLost !== -1) {
+            this.nextOffset = this.records[firstLost]?.offset ?? this.nextOffset;
+            this.records = this.records.slice(0, firstLost);
+        }
+        for (const finish of [...this.waiting]) {
+            finish();
+        }
+    }
+
     removeOlderThan(atMs: number): void {
         const firstKept = this.records.findIndex(record => record.appendedAtMs >= atMs);
         this.records = firstKept === -1 ? [] : this.records.slice(firstKept);
--- a/stand-ins/log/test/log-stand-in.test.ts
+++ b/stand-ins/log/test/log-stand-in.test.ts
@@ -42,6 +42,23 @@
             expect((await read("from=1&waitMs=20")).records).to.deep.equal([]);
         });
 
+        // Without an answer at once, a reader that waits above the end of the copy learns of the restore seconds later.
+        it("gives offsets out again after a restore, raises the era, and completes long polls", async () => {
+            await append("kept");
+            await new Promise(resolve => setTimeout(resolve, 400));
+            await append("lost");
+            await read("from=0", "b");
+            const waiting = read("from=2&waitMs=30000");
+            await new Promise(resolve => setTimeout(resolve, 50));
+            await postFaults({ stream: "a", restoreAgeMs: 250 });
+            expect(await waiting).to.deep.equal({ era: 1, firstOffset: 0, nextOffset: 1, records: [] });
+            expect(await (await append("new")).json()).to.deep.equal({ offset: 1 });
+            expect((await read("from=0")).records.map(({ value }) => value)).to.deep.equal(["kept", "new"]);
+            expect((await read("from=0", "b")).era).to.equal(1);
+            await postFaults({ restoreAgeMs: 60_000 });
+            expect(await read("from=0")).to.deep.equal({ era: 2, firstOffset: 0, nextOffset: 0, records: [] });
+        });
+
         it("starts at the oldest retained record when the requested offset has expired", async () => {
             await log.close();
             log = await LogStandIn.start({ retentionMs: 50 });
