fix(versions): put versions into force that are published after a restore of the log

Operators would have published a version, had it reported as accepted, and it would have come into force nowhere, or on some daemons only.

Cause: after a restore of the `configuration` stream from an older copy, daemons read on at their old offset and missed what was published below it, and the version numbers that the restore lost were given out again, so that a number had two configurations. A daemon that started later took the lost version of a peer, with its offset, and missed the same records.

Change: on a higher era of the log a daemon reads the stream from the start. The version in force is kept apart from the fold of the records and stays until the fold has a higher one. The first version that is published in an era carries the era in its number, in units of 1,000,000,000, so that versions are still ordered by number wherever they are kept, sent or compared, and no message changes. A version of a former era that a peer reports does not move the read offset. The tool reads again too, and does not append a record of a former era: the outcome is `unknown`.

Ruled out: going back to the version of the copy, as an accepted version would be undone until it is published again.

Not solved: a publish of a former era cannot be resumed by its id if it is the first of its era, it ends as `unknown`. A delayed append of a former era may be valid after the restore.

--- a/config/versions/src/configuration-event.ts
+++ b/config/versions/src/configuration-event.ts
@@ -10,6 +10,8 @@
         readonly startedAtMs: number;
         /** Requested offset. */
         readonly from: number;
+        /** Era of the log at the time of the read, 0 if omitted. */
+        readonly era?: number;
         readonly firstOffset: number;
         readonly nextOffset: number;
         readonly records: readonly { readonly offset: number; readonly value: unknown; }[];
--- a/config/versions/src/configuration-state.ts
+++ b/config/versions/src/configuration-state.ts
@@ -1,8 +1,16 @@
+import type { AcceptedConfiguration } from "@marigoldstall/core.types";
 import type { Fold } from "./fold.js";
 
 /** State of the configuration slice. */
 export interface ConfigurationState {
+    /** Highest era of the log that a read reported. It rises with each restore of the log from an older copy. */
+    readonly era: number;
     readonly fold: Fold;
+    /**
+     * Version from before the last restore of the log, which the fold may lack. It stays in force until the fold has a
+     * newer one.
+     */
+    readonly retained: AcceptedConfiguration | undefined;
     /** When the fold last reached the end of the stream. */
     readonly caughtUpAtMs: number | undefined;
     readonly firstCaughtUpAtMs: number | undefined;
--- a/config/versions/src/create-configuration-state.ts
+++ b/config/versions/src/create-configuration-state.ts
@@ -4,7 +4,9 @@
 
 /** Creates the state of a daemon before its first read. */
 export const createConfigurationState = (opts: CreateConfigurationStateOptions): ConfigurationState => ({
+    era: 0,
     fold: EMPTY_FOLD,
+    retained: undefined,
     caughtUpAtMs: undefined,
     firstCaughtUpAtMs: undefined,
     isCaughtUp: false,
--- a/config/versions/src/create-publish.ts
+++ b/config/versions/src/create-publish.ts
@@ -32,6 +32,7 @@
     return {
         state: {
             opts,
+            era: undefined,
             fold: EMPTY_FOLD,
             record,
             published: undefined,
--- a/config/versions/src/fold-record.ts
+++ b/config/versions/src/fold-record.ts
@@ -4,6 +4,7 @@
 import { parseConfigurationRecord } from "./parse-configuration-record.js";
 import type { PublishRecord } from "./publish-record.js";
 import type { Snapshot } from "./snapshot.js";
+import { versionNumbers } from "./version-numbers.js";
 
 interface FoldRecordOptions {
     readonly offset: number;
@@ -14,15 +15,17 @@
 
 const findRejectionReason = (fold: Fold, publish: PublishRecord, offset: number): string | undefined => {
     const newest = fold.accepted?.version ?? 0;
+    const era = versionNumbers.eraOf(publish.version);
     if (publish.restartAtOffset !== undefined) {
-        const isValid = publish.restartAtOffset === offset && publish.version === offset + 1
-            && publish.parentVersion === 0;
+        const isValid = publish.restartAtOffset === offset && publish.parentVersion === 0
+            && publish.version === versionNumbers.ofRestart({ era, offset }) && era >= versionNumbers.eraOf(newest);
         return isValid ? undefined : `the restart is valid at offset ${publish.restartAtOffset} only`;
     }
     if (publish.parentVersion !== newest) {
         return `its parent is version ${publish.parentVersion}, the newest is ${newest}`;
     }
-    return publish.version === newest + 1 ? undefined : `its version is not ${newest + 1}`;
+    const next = versionNumbers.next({ era, newest });
+    return publish.version === next ? undefined : `its version is not ${next}`;
 };
 
 const foldPublish = (fold: Fold, publish: PublishRecord, offset: number): FoldStep => {
--- a/config/versions/src/publish-state.ts
+++ b/config/versions/src/publish-state.ts
@@ -7,6 +7,8 @@
 /** State of one run of publishing. */
 export interface PublishState {
     readonly opts: PublishOptions;
+    /** Era of the log as of the last read. Undefined before the first one. */
+    readonly era: number | undefined;
     readonly fold: Fold;
     /** The record to publish. It does not change once it may have been written. */
     readonly record: PublishRecord | undefined;
--- a/config/versions/src/reduce-configuration.ts
+++ b/config/versions/src/reduce-configuration.ts
@@ -3,8 +3,11 @@
 import type { ConfigurationEffect } from "./configuration-effect.js";
 import type { ConfigurationEvent } from "./configuration-event.js";
 import type { ConfigurationState } from "./configuration-state.js";
+import { EMPTY_FOLD } from "./empty-fold.js";
 import type { FoldOutcome } from "./fold-outcome.js";
 import { foldRead } from "./fold-read.js";
+import { selectConfiguration } from "./select-configuration.js";
+import { versionNumbers } from "./version-numbers.js";
 
 type ConfigurationTransition = Transition<ConfigurationState, ConfigurationEffect>;
 type EventOf<Type extends ConfigurationEvent["type"]> = Extract<ConfigurationEvent, { readonly type: Type; }>;
@@ -57,12 +60,24 @@
 };
 
 const applyIfNewer = (before: ConfigurationState, after: ConfigurationState): readonly ConfigurationEffect[] => {
-    const configuration = after.fold.accepted;
-    const isNewer = configuration !== undefined && configuration.version > (before.fold.accepted?.version ?? 0);
+    const configuration = selectConfiguration(after);
+    const isNewer = configuration !== undefined
+        && configuration.version > (selectConfiguration(before)?.version ?? 0);
     return isNewer ? [{ type: "apply-configuration", configuration }] : [];
 };
 
+/** Starts to read the log again after a restore, as offsets that were read are given out again. */
+const enterEra = (state: ConfigurationState, era: number): ConfigurationTransition => ({
+    state: { ...state, era, retained: selectConfiguration(state), fold: EMPTY_FOLD, isCaughtUp: false },
+    effects: [logDecision(`the log was restored from an older copy (era ${era}); reading it again`)],
+});
+
 const reduceLogRead = (state: ConfigurationState, event: EventOf<"log-read">): ConfigurationTransition => {
+    const { era = 0 } = event;
+    if (era !== state.era) {
+        // A response of a lower era was delayed.
+        return era < state.era ? { state, effects: [] } : enterEra(state, era);
+    }
     const result = foldRead(state.fold, event);
     const hasSnapshot = result.outcomes.some(outcome => outcome.type === "snapshot-seen" && outcome.isConsistent);
     const isNewSnapshot = state.isCaughtUp && hasSnapshot;
@@ -92,7 +107,7 @@
     state: ConfigurationState,
     event: EventOf<"peer-version-heard">,
 ): ConfigurationTransition => {
-    const version = state.fold.accepted?.version ?? 0;
+    const version = selectConfiguration(state)?.version ?? 0;
     if (event.version <= version) {
         const isConfirmed = event.version === version && version > 0;
         return { state: isConfirmed ? { ...state, confirmedAtMs: event.atMs } : state, effects: [] };
@@ -106,6 +121,10 @@
     };
 };
 
+// Its offset says nothing about the records of this era.
+const isOfFormerEra = (state: ConfigurationState, { version }: AcceptedConfiguration): boolean =>
+    versionNumbers.eraOf(version) < state.era;
+
 const findFetchRejectionReason = (
     state: ConfigurationState,
     configuration: AcceptedConfiguration,
@@ -113,7 +132,8 @@
     if (digestTargets(configuration.targets) !== configuration.digest) {
         return "its digest does not match its targets";
     }
-    const contradictsRecords = state.fold.isComplete && configuration.offset < state.fold.nextOffset;
+    const contradictsRecords = !isOfFormerEra(state, configuration) && state.fold.isComplete
+        && configuration.offset < state.fold.nextOffset;
     return contradictsRecords ? "it contradicts the records read so far" : undefined;
 };
 
@@ -125,7 +145,7 @@
         ? { ...before, pendingFetch: undefined }
         : before;
     const { configuration } = event;
-    if (configuration === undefined || configuration.version <= (state.fold.accepted?.version ?? 0)) {
+    if (configuration === undefined || configuration.version <= (selectConfiguration(state)?.version ?? 0)) {
         return { state, effects: [] };
     }
     const rejectionReason = findFetchRejectionReason(state, configuration);
@@ -141,10 +161,10 @@
     }
     // The version is the newest valid one at its own offset, so reading continues after it. Records that retention has
     // removed show as a gap.
+    const fold = { accepted: configuration, nextOffset: configuration.offset + 1, isComplete: true };
     const next: ConfigurationState = {
         ...state,
-        fold: { accepted: configuration, nextOffset: configuration.offset + 1, isComplete: true },
-        isCaughtUp: false,
+        ...isOfFormerEra(state, configuration) ? { retained: configuration } : { fold, isCaughtUp: false },
         confirmedAtMs: event.atMs,
     };
     const decision = logDecision(`fetched from ${event.peerAddress}`, { choice: `version ${configuration.version}` });
--- a/config/versions/src/reduce-publish.ts
+++ b/config/versions/src/reduce-publish.ts
@@ -1,6 +1,7 @@
 import { MarigoldstallError } from "@marigoldstall/core.error";
 import type { AcceptedConfiguration, Transition } from "@marigoldstall/core.types";
 import type { AppendResult } from "@marigoldstall/platform.log-client";
+import { EMPTY_FOLD } from "./empty-fold.js";
 import { foldRead } from "./fold-read.js";
 import type { PublishEffect } from "./publish-effect.js";
 import type { PublishEvent } from "./publish-event.js";
@@ -9,6 +10,7 @@
 import type { PublishRecord } from "./publish-record.js";
 import type { PublishState } from "./publish-state.js";
 import type { StreamRead } from "./stream-read.js";
+import { versionNumbers } from "./version-numbers.js";
 
 type PublishTransition = Transition<PublishState, PublishEffect>;
 
@@ -17,6 +19,14 @@
 const MAX_FAILURES = 5;
 const RETRY_DELAY_MS = 250;
 
+const createRestoredError = (): MarigoldstallError =>
+    new MarigoldstallError({
+        code: "PUBLISH_FAILED",
+        message: "the log was restored from an older copy since this record was created",
+        step: "publish targets",
+        hint: "compare the configuration in force with yours, and publish again",
+    });
+
 const finish = (state: PublishState, outcome: PublishOutcome): PublishTransition => ({
     state,
     effects: [{ type: "finish", outcome }],
@@ -63,7 +73,10 @@
     const { author, targets, uniqueId } = state.opts;
     const { accepted, isComplete, nextOffset } = state.fold;
     const parentVersion = isComplete ? accepted?.version ?? 0 : 0;
-    const version = isComplete ? parentVersion + 1 : nextOffset + 1;
+    const era = state.era ?? 0;
+    const version = isComplete
+        ? versionNumbers.next({ era, newest: parentVersion })
+        : versionNumbers.ofRestart({ era, offset: nextOffset });
     const record = {
         publishId: publishId.format({ version, isRestart: !isComplete, uniqueId }),
         version,
@@ -127,7 +140,27 @@
     return isWinner ? { ...state, winner: state.winner ?? accepted } : state;
 };
 
-const reduceRead = (state: PublishState, read: StreamRead): PublishTransition => {
+/**
+ * Starts to read the log again, at the first read or after a restore. A record of a former era is not appended again:
+ * its version could be one that the restore has lost, so that daemons would have two configurations of one version.
+ */
+const enterEra = (state: PublishState, era: number): PublishTransition => {
+    const isOutdated = state.record !== undefined && versionNumbers.eraOf(state.record.version) < era;
+    const next: PublishState = {
+        ...state,
+        era,
+        fold: EMPTY_FOLD,
+        published: undefined,
+        winner: undefined,
+        isRestartOffsetTaken: false,
+        appendedAtOffset: undefined,
+    };
+    return continueReading(
+        isOutdated ? { ...next, appendCount: MAX_APPENDS, lastError: createRestoredError() } : next,
+    );
+};
+
+const foldStreamRead = (state: PublishState, read: StreamRead): PublishTransition => {
     const result = foldRead(state.fold, read);
     const accepted = result.outcomes.flatMap(outcome =>
         outcome.type === "accepted" || outcome.type === "snapshot-adopted" ? [outcome.configuration] : []
@@ -146,6 +179,17 @@
     return next.record === undefined ? startPublish(next) : decideNextStep(next, next.record);
 };
 
+const reduceRead = (state: PublishState, read: StreamRead): PublishTransition => {
+    const era = read.era ?? 0;
+    if (state.era !== undefined && era < state.era) {
+        return retryRead(state);
+    }
+    if (era > (state.era ?? 0)) {
+        return enterEra(state, era);
+    }
+    return foldStreamRead({ ...state, era }, read);
+};
+
 const reduceAppend = (state: PublishState, result: AppendResult): PublishTransition => {
     switch (result.type) {
         case "appended":
--- a/config/versions/src/select-configuration-health.ts
+++ b/config/versions/src/select-configuration-health.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationHealth } from "./configuration-health.js";
 import type { ConfigurationState } from "./configuration-state.js";
+import { selectConfiguration } from "./select-configuration.js";
 
 // Twice the maximum wait of a long poll of the log (30 s).
 const STALE_AFTER_MS = 60_000;
@@ -7,7 +8,7 @@
 const listReasons = (state: ConfigurationState, atMs: number): readonly string[] => {
     const { fold, confirmedAtMs, logUnavailableSinceMs, caughtUpAtMs } = state;
     const reasons: string[] = [];
-    if (fold.accepted === undefined) {
+    if (selectConfiguration(state) === undefined) {
         reasons.push("no configuration is known");
     }
     else if (confirmedAtMs === undefined) {
@@ -28,10 +29,11 @@
 /** Returns the age and completeness of the configuration, for `/readyz` and `status`. */
 export const selectConfigurationHealth = (state: ConfigurationState, atMs: number): ConfigurationHealth => {
     const { fold, confirmedAtMs, logUnavailableSinceMs, caughtUpAtMs } = state;
+    const configuration = selectConfiguration(state);
     return {
-        version: fold.accepted?.version,
+        version: configuration?.version,
         isConfirmed: confirmedAtMs !== undefined,
-        isReady: fold.accepted !== undefined && confirmedAtMs !== undefined,
+        isReady: configuration !== undefined && confirmedAtMs !== undefined,
         isLogAvailable: logUnavailableSinceMs === undefined,
         logUnavailableForMs: logUnavailableSinceMs === undefined ? undefined : atMs - logUnavailableSinceMs,
         sinceCaughtUpMs: caughtUpAtMs === undefined ? undefined : atMs - caughtUpAtMs,
--- a/tool/cli/src/read-configuration-stream.ts
+++ b/tool/cli/src/read-configuration-stream.ts
@@ -19,6 +19,7 @@
     log: LogClient,
 ): Promise<Result<ConfigurationStreamContent, MarigoldstallError>> => {
     let fold = EMPTY_FOLD;
+    let era = 0;
     // Adopting a snapshot moves the fold back, so records can be folded twice. The later outcome replaces the earlier
     // one, except that of the adopted snapshot, which is the only trace of versions whose records were removed.
     const outcomes = new Map<number, FoldOutcome>();
@@ -28,6 +29,15 @@
         if (read.isErr()) {
             return err(read.error);
         }
+        if ((read.value.era ?? 0) > era) {
+            // The log was restored from an older copy meanwhile, so offsets that were read are given out again.
+            era = read.value.era ?? 0;
+            fold = EMPTY_FOLD;
+            outcomes.clear();
+            if (from > 0) {
+                continue;
+            }
+        }
         const result = foldRead(fold, { ...read.value, from });
         fold = result.fold;
         for (const outcome of result.outcomes) {
