test(demo): restore the log from an empty copy under real processes

The restore of the log had run in the reducers' models only. Four daemons get each key twice through two of them; the log is restored from an empty copy, one daemon is killed and restarts 1 s later.

Calls are awaited for 35 s in this case: nobody takes over the shares of the killed daemon, so calls for them wait until their deadline of 30 s.

--- a/demo/test/process-faults.test.ts
+++ b/demo/test/process-faults.test.ts
@@ -10,6 +10,8 @@
     readonly durationMs: number;
     /** Whether a daemon is killed, so that its calls in progress may get no response. */
     readonly killsDaemon: boolean;
+    /** How long calls are awaited after the last one was sent. */
+    readonly settleMs?: number;
     readonly run: (site: Site, daemon: SiteDaemon) => Promise<void>;
 }
 
@@ -18,6 +20,8 @@
 const SETTLE_MS = 15_000;
 // Longer than the lookahead of a bound (6 s) plus the silence of an owner before a takeover (3 s).
 const LONG_PAUSE_MS = 11_000;
+// Age of a copy that has none of the records that the log retains.
+const RETENTION_MS = 3_600_000;
 const TEST_TIMEOUT_MS = 120_000;
 
 const layout = {
@@ -85,6 +89,18 @@
         killsDaemon: false,
         run: async (site, daemon) => duringLogOutage(site, async () => pauseAndResume(site, daemon)),
     },
+    {
+        // A daemon that reads the copy knows none of the terms by which the others grant keys.
+        title: "the log is restored from an empty copy and a daemon is killed and restarts",
+        durationMs: 14_000,
+        killsDaemon: true,
+        // No daemon takes over the shares, so calls wait for their owner until their deadline of 30 s.
+        settleMs: 35_000,
+        run: async (site, daemon) => {
+            await site.setLogFaults({ restoreAgeMs: RETENTION_MS });
+            await killAndRestart(site, daemon);
+        },
+    },
     {
         title: "one backend server crashes after a run and others drop, truncate or repeat responses",
         durationMs: 6000,
@@ -112,7 +128,7 @@
 
 describe("processes of a site", () => {
     describe("when each keyed request is sent twice through two daemons", () => {
-        for (const { title, durationMs, killsDaemon, run } of cases) {
+        for (const { title, durationMs, killsDaemon, settleMs = SETTLE_MS, run } of cases) {
             it(`runs no request twice and violates no guarantee when ${title}`, async function() {
                 this.timeout(TEST_TIMEOUT_MS);
                 const site = await startSite();
@@ -126,7 +142,7 @@
                         classes: layout.classes.map(load => ({ ...load, duplicateShare: 1, duplicateWithinMs: 500 })),
                         seed: 1,
                         durationMs,
-                        settleMs: SETTLE_MS,
+                        settleMs,
                     });
                     const running = caller.run();
                     await delay(1500);
