fix(versions): apply the targets in the log when a restore gave their version number out again

After a restore of the log a daemon would have reported one configuration and used another: a record that was under way at the restore is valid after it, with a version number that the daemon knew with other targets.

Cause: the version in force was replaced by the one of the log at an equal number, and only a higher number was applied.

Change: a configuration of the same number and another publish id is applied too, so that daemons that started before and after the restore use the same targets.

Ruled out: refusing the late record. Without the offset at which an era began, a reader cannot tell it from a record of the copy. Its publisher may have been told of a conflict; the guarantees say so.

--- a/config/versions/src/reduce-configuration.ts
+++ b/config/versions/src/reduce-configuration.ts
@@ -59,11 +59,15 @@
     }
 };
 
-const applyIfNewer = (before: ConfigurationState, after: ConfigurationState): readonly ConfigurationEffect[] => {
+const applyIfChanged = (before: ConfigurationState, after: ConfigurationState): readonly ConfigurationEffect[] => {
     const configuration = selectConfiguration(after);
-    const isNewer = configuration !== undefined
-        && configuration.version > (selectConfiguration(before)?.version ?? 0);
-    return isNewer ? [{ type: "apply-configuration", configuration }] : [];
+    const former = selectConfiguration(before);
+    const isNewer = configuration !== undefined && configuration.version > (former?.version ?? 0);
+    // A version that a restore of the log lost may be taken by a record that was under way then.
+    const isReplaced = configuration?.version === former?.version && configuration?.publishId !== former?.publishId;
+    return configuration !== undefined && (isNewer || isReplaced)
+        ? [{ type: "apply-configuration", configuration }]
+        : [];
 };
 
 /** Starts to read the log again after a restore, as offsets that were read are given out again. */
@@ -99,7 +103,7 @@
         : [];
     return {
         state: next,
-        effects: [...gapDecisions, ...result.outcomes.flatMap(logOutcome), ...applyIfNewer(state, next)],
+        effects: [...gapDecisions, ...result.outcomes.flatMap(logOutcome), ...applyIfChanged(state, next)],
     };
 };
 
@@ -168,7 +172,7 @@
         confirmedAtMs: event.atMs,
     };
     const decision = logDecision(`fetched from ${event.peerAddress}`, { choice: `version ${configuration.version}` });
-    return { state: next, effects: [decision, ...applyIfNewer(state, next)] };
+    return { state: next, effects: [decision, ...applyIfChanged(state, next)] };
 };
 
 const isSnapshotDue = (state: ConfigurationState, event: EventOf<"tick">): boolean => {
--- a/config/versions/test/restored-log.test.ts
+++ b/config/versions/test/restored-log.test.ts
@@ -187,4 +187,16 @@
             expect(outcome.type).to.equal("unknown");
         }
     });
+
+    // The late record takes a number that a daemon knows with other targets. It reported the one and used the other.
+    it("uses the targets of the log when an append from before the restore arrives after it", () => {
+        const log = createLog();
+        const before = new Daemon(log).read();
+        log.restore(4);
+        log.append({ ...record(5), publishId: "late", targets: LogModel.createTargets(99) });
+        const after = new Daemon(log).read();
+        expect(after.hear(before).inForce).to.equal(99);
+        expect(before.read().applied).to.deep.equal([5, 99]);
+        expect(before.inForce).to.equal(99);
+    });
 });
