--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -31,6 +31,16 @@
         "Time since the registrations were known to be current.",
         () => (opts.nowMs() - state().view.registrationReading.confirmedAtMs) / MS_PER_SECOND,
     );
+    metrics.addGauge(
+        "marigoldstall_store_era",
+        "Restores of the store from a copy that this VM knows of, as numbered by the store.",
+        () => state().view.storeEra ?? 0,
+    );
+    metrics.addGauge(
+        "marigoldstall_servers_withheld",
+        "Registrations of a restored copy that are not used, as they are older than what is known.",
+        () => state().view.withheld.size,
+    );
     metrics.addGauge(
         "marigoldstall_backend_connections",
         "Connections to backend servers.",
