fix(entry): wait at most 50 ms for the view of a seed

What callers see: 503 no-configuration for longer than before when all VMs start again at once after a loss of power.

Cause: a restarted VM waited up to 250 ms for a seed before it read the store, and the seeds had no power either.

Change: 50 ms. A seed that runs answers within two round trips, some milliseconds. If it answers later, its view still corrects what the store's copy had told, as peers' views do.

--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -35,8 +35,8 @@
     // them are wrong. They are dropped.
     datagramSettleMs: 50,
     // A restarted VM waits this long for the view of a seed before it reads the store. A seed that runs answers within
-    // two round trips; a VM without power does not answer at all.
-    seedWaitMs: 250,
+    // two round trips. When all VMs have lost power none answers, and callers wait.
+    seedWaitMs: 50,
     joinRetryDelayMs: 400,
     // At the first start of the whole system all VMs write their entry within 0.3 s. A VM lists the entries after the
     // delay, a part of the spread by chance, and up to the last delay by its bandwidth, unless a hub has found it by then.
