feat(dispatch): log and count the request limits that backend servers state

Callers of a server with a stated limit: nothing changes yet.

The adapter decodes Server-Limit into ServerDirectives, a malformed value is logged and counted. The reducer keeps the limit with its time and the start of the server, from responses to requests, failed attempts and health checks. Only the response to a request ends it: whether health checks state the limit is not known. One log line (server-limit) for each change on a VM, one gauge (marigoldstall_servers_limited).

--- /dev/null
+++ b/core/types/src/server-directives.ts
@@ -0,0 +1,5 @@
+/** What a backend server asks of its callers in a response. */
+export interface ServerDirectives {
+    /** Requests per second that the server takes from all VMs together. Undefined if it states no limit. */
+    readonly requestLimitPerSecond: number | undefined;
+}
--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -1,3 +1,4 @@
+import type { DispatchState } from "@marigoldstall/routing.dispatch";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
 
@@ -10,6 +11,16 @@
     readonly connectionCount: () => number;
 }
 
+const countLimitedServers = ({ services }: DispatchState): number => {
+    let count = 0;
+    for (const { servers } of services.values()) {
+        for (const { requestLimit } of servers.values()) {
+            count += requestLimit.perSecond === undefined ? 0 : 1;
+        }
+    }
+    return count;
+};
+
 /** Registers the gauges whose values are computed from the state on each scrape of `/metrics`. */
 export const addGauges = (metrics: EntryMetrics, opts: AddGaugesOptions): void => {
     const { state } = opts;
@@ -41,6 +52,11 @@
         "Registrations of a restored copy that are not used, as they are older than what is known.",
         () => state().view.withheld.size,
     );
+    metrics.addGauge(
+        "marigoldstall_servers_limited",
+        "Backend servers that state a limit on their requests.",
+        () => countLimitedServers(state().dispatch),
+    );
     metrics.addGauge(
         "marigoldstall_backend_connections",
         "Connections to backend servers.",
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -130,8 +130,8 @@
                 this.metrics.connectionsOpened.inc();
             },
         });
-        this.serverAttempts = new ServerAttempts({ pools: this.pools, metrics: this.metrics, clock, dispatch });
-        this.healthChecks = new HealthChecks({ pools: this.pools, metrics: this.metrics, dispatch });
+        this.serverAttempts = new ServerAttempts({ pools: this.pools, metrics: this.metrics, log, clock, dispatch });
+        this.healthChecks = new HealthChecks({ pools: this.pools, metrics: this.metrics, log, dispatch });
         this.callerListener = new CallerListener({
             nowMs: clock.atMs,
             isStopping: () => this.stopRequestedAtMs !== undefined,
--- a/daemon/entry/src/entry-metrics.ts
+++ b/daemon/entry/src/entry-metrics.ts
@@ -34,6 +34,11 @@
         labelNames: ["result"],
         registers: [this.registry],
     });
+    readonly malformedHeaders = new Counter({
+        name: "marigoldstall_malformed_server_headers_total",
+        help: "Headers of backend servers' responses that could not be parsed.",
+        registers: [this.registry],
+    });
     readonly connectionsOpened = new Counter({
         name: "marigoldstall_backend_connections_opened_total",
         help: "Connections opened to backend servers.",
--- a/daemon/entry/src/health-checks.ts
+++ b/daemon/entry/src/health-checks.ts
@@ -1,16 +1,25 @@
-import type { LoadReport } from "@marigoldstall/core.types";
+import type { LoadReport, ServerDirectives } from "@marigoldstall/core.types";
 import { decodeServerResponseHead } from "@marigoldstall/platform.adapter";
 import type { BackendPools } from "./backend-pools.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryMetrics } from "./entry-metrics.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import type { JsonLogger } from "./json-logger.js";
+import { reportMalformedHeaders } from "./report-malformed-headers.js";
 
 const STATUS_OK = 200;
 
+interface ServerHealth {
+    readonly isHealthy: boolean;
+    readonly load: LoadReport | undefined;
+    readonly directives: ServerDirectives | undefined;
+}
+
 interface HealthChecksOptions {
     readonly pools: BackendPools;
     readonly metrics: EntryMetrics;
+    readonly log: JsonLogger;
     readonly dispatch: (event: EntryEvent) => void;
 }
 
@@ -42,6 +51,7 @@
                 isAnswered: health !== undefined,
                 isHealthy: health?.isHealthy === true,
                 load: health?.load,
+                directives: health?.directives,
             });
         });
     }
@@ -49,10 +59,10 @@
     private requestHealth(
         server: { readonly instanceId: string; readonly address: string; readonly healthPath: string; },
         opts: { readonly timeoutMs: number; },
-        callback: (health: { readonly isHealthy: boolean; readonly load: LoadReport | undefined; } | undefined) => void,
+        callback: (health: ServerHealth | undefined) => void,
     ): void {
         const { instanceId, address, healthPath } = server;
-        const { pools, metrics } = this.opts;
+        const { pools, metrics, log } = this.opts;
         pools.get(instanceId, address).exchange({
             method: "GET",
             path: healthPath,
@@ -67,8 +77,9 @@
                 callback(undefined);
                 return;
             }
-            const { load } = decodeServerResponseHead(result.statusCode, result.headers);
-            callback({ isHealthy: result.statusCode === STATUS_OK, load });
+            const head = decodeServerResponseHead(result.statusCode, result.headers);
+            reportMalformedHeaders(head, { instanceId, log, metrics });
+            callback({ isHealthy: result.statusCode === STATUS_OK, load: head.load, directives: head.directives });
         });
     }
 }
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -1,11 +1,16 @@
-import type { LoadReport } from "@marigoldstall/core.types";
+import type { LoadReport, ServerDirectives } from "@marigoldstall/core.types";
 import {
     type BackendConnection,
     type BackendPool,
     type Clock,
     endToEndHeaders,
 } from "@marigoldstall/daemon.connections";
-import { decodeServerResponseHead, encodeAttemptHeaders, INTERNAL_HEADERS } from "@marigoldstall/platform.adapter";
+import {
+    decodeServerResponseHead,
+    encodeAttemptHeaders,
+    INTERNAL_HEADERS,
+    type ServerResponseHead,
+} from "@marigoldstall/platform.adapter";
 import type { DispatchEffect } from "@marigoldstall/routing.dispatch";
 import { type IncomingMessage, request as httpRequest } from "node:http";
 import type { BufferedResponse } from "./buffered-response.js";
@@ -23,12 +28,19 @@
     readonly request: OpenRequest;
     readonly pool: BackendPool;
     readonly clock: Clock;
+    /** Called for each response head, also of a response that fails the attempt. */
+    readonly onHead?: (head: ServerResponseHead) => void;
     readonly onResponse: (result: {
         readonly bufferedResponse: BufferedResponse;
         readonly notRun: boolean;
         readonly load: LoadReport | undefined;
+        readonly directives: ServerDirectives | undefined;
     }) => void;
-    readonly onFailed: (failure: "unsent" | "lost", reason: string) => void;
+    readonly onFailed: (
+        failure: "unsent" | "lost",
+        reason: string,
+        directives: ServerDirectives | undefined,
+    ) => void;
 }
 
 /** One attempt to send a request to a backend server. */
@@ -37,6 +49,8 @@
     private connection: BackendConnection | undefined;
     private cancelAcquire = (): void => undefined;
     private response: IncomingMessage | undefined;
+    /** What the server asked of its callers in the response to this request. */
+    private directives: ServerDirectives | undefined;
     private isSettled = false;
 
     constructor(opts: ServerAttemptOptions) {
@@ -106,6 +120,10 @@
         this.response = response;
         const statusCode = response.statusCode ?? 0;
         const head = decodeServerResponseHead(statusCode, response.headers);
+        this.opts.onHead?.(head);
+        if (head.requestId === requestId) {
+            this.directives = head.directives;
+        }
         // A late or duplicate response may belong to another request. A response without a request id does not come
         // from the backend server, unless it reports that the request did not run: a server that cannot parse a request
         // cannot echo its id.
@@ -148,7 +166,12 @@
             const bufferedResponse = { statusCode, rawHeaders, connectionHeader: headers.connection, body, isFramed };
             // Node.js frees the connection in a callback that it queued before this one.
             process.nextTick(() => {
-                this.opts.onResponse({ bufferedResponse, notRun: head.notRun, load: head.load });
+                this.opts.onResponse({
+                    bufferedResponse,
+                    notRun: head.notRun,
+                    load: head.load,
+                    directives: this.directives,
+                });
             });
         });
     }
@@ -161,7 +184,7 @@
     private fail(failure: "unsent" | "lost", reason: string): void {
         if (!this.isSettled) {
             this.isSettled = true;
-            this.opts.onFailed(failure, reason);
+            this.opts.onFailed(failure, reason, this.directives);
         }
     }
 }
--- a/daemon/entry/src/server-attempts.ts
+++ b/daemon/entry/src/server-attempts.ts
@@ -4,12 +4,15 @@
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryMetrics } from "./entry-metrics.js";
+import type { JsonLogger } from "./json-logger.js";
 import type { OpenRequest } from "./open-request.js";
+import { reportMalformedHeaders } from "./report-malformed-headers.js";
 import { ServerAttempt } from "./server-attempt.js";
 
 interface ServerAttemptsOptions {
     readonly pools: BackendPools;
     readonly metrics: EntryMetrics;
+    readonly log: JsonLogger;
     readonly clock: Clock;
     readonly dispatch: (event: EntryEvent) => void;
 }
@@ -29,7 +32,7 @@
         request: OpenRequest | undefined,
     ): void {
         const { attemptId, instanceId, address } = effect;
-        const { pools, metrics, clock, dispatch } = this.opts;
+        const { pools, metrics, log, clock, dispatch } = this.opts;
         if (request === undefined) {
             return;
         }
@@ -38,7 +41,10 @@
             request,
             pool: pools.get(instanceId, address),
             clock,
-            onResponse: ({ bufferedResponse, notRun, load }) => {
+            onHead: head => {
+                reportMalformedHeaders(head, { instanceId, log, metrics });
+            },
+            onResponse: ({ bufferedResponse, notRun, load, directives }) => {
                 this.attempts.delete(attemptId);
                 metrics.attempts.inc({ result: notRun ? "not-run" : "answered" });
                 this.responses.set(attemptId, bufferedResponse);
@@ -51,12 +57,13 @@
                     // Without a length, only the end of the connection tells the caller that the response is over.
                     cutsOtherRequests: !bufferedResponse.isFramed && request.hasFollowers(),
                     load,
+                    directives,
                 });
             },
-            onFailed: (failure, reason) => {
+            onFailed: (failure, reason, directives) => {
                 this.attempts.delete(attemptId);
                 metrics.attempts.inc({ result: failure });
-                dispatch({ type: "attempt-failed", attemptId, failure, reason });
+                dispatch({ type: "attempt-failed", attemptId, failure, reason, directives });
             },
         });
         this.attempts.set(attemptId, attempt);
--- /dev/null
+++ b/routing/dispatch/src/apply-directives.ts
@@ -0,0 +1,18 @@
+import type { ServerDirectives } from "@marigoldstall/core.types";
+import type { DispatchDraft } from "./dispatch-draft.js";
+import { recordRequestLimit } from "./record-request-limit.js";
+
+/**
+ * Applies what a server asks of its callers in a response. Only the response to a request shows that a limit has ended;
+ * that of a health check need not state it.
+ */
+export const applyDirectives = (draft: DispatchDraft, instanceId: string, opts: {
+    readonly directives: ServerDirectives | undefined;
+    readonly isHealthCheck: boolean;
+}): void => {
+    const { directives, isHealthCheck } = opts;
+    const perSecond = directives?.requestLimitPerSecond;
+    if (directives !== undefined && (perSecond !== undefined || !isHealthCheck)) {
+        recordRequestLimit(draft, instanceId, { perSecond, statedAtMs: draft.atMs });
+    }
+};
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BackendServer, LoadReport, RoutingConfiguration, ServerDirectives } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
 import type { LoadSelection } from "./load-selection.js";
 
@@ -30,6 +30,7 @@
             readonly isAnswered: boolean;
             readonly isHealthy: boolean;
             readonly load: LoadReport | undefined;
+            readonly directives?: ServerDirectives | undefined;
         }
         | {
             /** A complete response was received. */
@@ -44,6 +45,7 @@
              */
             readonly cutsOtherRequests: boolean;
             readonly load: LoadReport | undefined;
+            readonly directives?: ServerDirectives | undefined;
         }
         | {
             /** `unsent`: no byte was sent. `lost`: no complete response of this server to this request was received. */
@@ -51,6 +53,7 @@
             readonly attemptId: string;
             readonly failure: "unsent" | "lost";
             readonly reason: string;
+            readonly directives?: ServerDirectives | undefined;
         }
         | {
             readonly type: "loads-received";
@@ -80,6 +83,7 @@
             readonly instanceId: string;
             readonly isHealthy: boolean;
             readonly load: LoadReport | undefined;
+            readonly directives?: ServerDirectives | undefined;
         }
         | { readonly type: "probe-failed"; readonly instanceId: string; }
         | {
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -1,3 +1,4 @@
+import { applyDirectives } from "./apply-directives.js";
 import type { AttemptState } from "./attempt-state.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEvent } from "./dispatch-event.js";
@@ -60,6 +61,7 @@
     opts: { readonly attempt: AttemptState; readonly event: AttemptAnswered; },
 ): void => {
     const { attempt, event } = opts;
+    applyDirectives(draft, attempt.instanceId, { directives: event.directives, isHealthCheck: false });
     if (event.load !== undefined) {
         recordLoad(draft, attempt.instanceId, { load: event.load, measuredAtMs: draft.atMs });
     }
--- a/routing/dispatch/src/on-attempt-failed.ts
+++ b/routing/dispatch/src/on-attempt-failed.ts
@@ -1,3 +1,4 @@
+import { applyDirectives } from "./apply-directives.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEvent } from "./dispatch-event.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
@@ -18,6 +19,7 @@
         return;
     }
     const { attempt } = found;
+    applyDirectives(draft, attempt.instanceId, { directives: event.directives, isHealthCheck: false });
     recordFailure(draft, attempt.instanceId, { reason: event.reason, weight: 1 });
     draft.log({
         kind: "attempt-failed",
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -1,3 +1,4 @@
+import { applyDirectives } from "./apply-directives.js";
 import type { AttemptState } from "./attempt-state.js";
 import { chooseServerOrWait } from "./choose-server-or-wait.js";
 import { chooseServer } from "./choose-server.js";
@@ -89,6 +90,7 @@
     }
     else {
         draft.updateServer(instanceId, { isUnhealthy: !event.isHealthy });
+        applyDirectives(draft, instanceId, { directives: event.directives, isHealthCheck: true });
         recordRoundTrip(draft, attempt);
         if (event.load === undefined) {
             draft.updateService(name, { reportsLoad: false });
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -23,6 +23,7 @@
     isUnhealthy: false,
     coldUntilMs: opts.atMs + server.warmUpMs,
     probedAtMs: undefined,
+    requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
 });
 
 const removeServer = (draft: DispatchDraft, instanceId: string): void => {
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -1,4 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
+import { applyDirectives } from "./apply-directives.js";
 import { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEffect } from "./dispatch-effect.js";
 import type { DispatchEvent } from "./dispatch-event.js";
@@ -67,6 +68,7 @@
             return;
         case "probe-answered":
             draft.updateServer(event.instanceId, { probedAtMs: undefined, isUnhealthy: !event.isHealthy });
+            applyDirectives(draft, event.instanceId, { directives: event.directives, isHealthCheck: true });
             if (event.load !== undefined) {
                 recordLoad(draft, event.instanceId, { load: event.load, measuredAtMs: draft.atMs });
             }
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -1,4 +1,5 @@
 import type { BackendServer, LoadReport } from "@marigoldstall/core.types";
+import type { RequestLimit } from "./request-limit.js";
 import type { UnreportedSend } from "./unreported-send.js";
 
 /** What this daemon knows about one backend server. */
@@ -23,4 +24,5 @@
     readonly coldUntilMs: number;
     /** When the latest probe was sent or failed; undefined after it was answered. */
     readonly probedAtMs: number | undefined;
+    readonly requestLimit: RequestLimit;
 }
