--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -25,6 +25,13 @@
     readonly maxProbesPerSecond?: number;
     /** One-way delay of datagrams. */
     readonly delayMs?: number;
+    readonly slotsPerServer?: number;
+}
+
+/** What becomes of an effect: an event that the VM gets after a while. */
+interface ModelReply {
+    readonly delayMs: number;
+    readonly event: EntryEvent;
 }
 
 /** Content of the store at a time, from which it can be restored. */
@@ -55,6 +62,10 @@
     readonly states = new Map<string, EntryState>();
     /** VMs that process no events. */
     readonly silent = new Set<string>();
+    /** VMs whose datagrams reach no other VM, and that get none. */
+    readonly isolated = new Set<string>();
+    /** Takes the place of the backend servers. Without it, requests and preflight checks stay without an answer. */
+    respond: ((vmId: string, effect: EntryEffect) => ModelReply | undefined) | undefined;
     /** VMs whose store reads time out. */
     readonly withoutStore = new Set<string>();
     /** How much longer than usual the answers to the reads of a VM take. The store processes the read at once. */
@@ -90,7 +101,8 @@
             this.states.set(one.vmId, createEntryState(one, { atMs: this.atMs, incarnation: "1" }));
         }
         for (let index = 0; index < (opts.serverCount ?? 6); index += 1) {
-            this.register(createModelServer(`i-${index}`, index % zones));
+            const server = createModelServer(`i-${index}`, index % zones);
+            this.register({ ...server, slots: opts.slotsPerServer ?? server.slots });
         }
         this.publishConfiguration(1);
         const vms = this.settings.map(one => this.state(one.vmId).hub.self);
@@ -299,7 +311,7 @@
                 const message = decodeFleetMessage(bytes);
                 // In the model, the host of a VM is its id.
                 for (const peerId of effect.hosts) {
-                    if (this.states.has(peerId)) {
+                    if (this.states.has(peerId) && !this.isolated.has(vmId) && !this.isolated.has(peerId)) {
                         this.countDatagram({ from: vmId, to: peerId, bytes: bytes.length, message });
                         this.schedule(
                             this.delayMs,
@@ -332,15 +344,21 @@
             case "probe-server": {
                 const { instanceId } = effect;
                 this.probes.push({ vmId, instanceId, atMs: this.atMs });
+                const reply = this.respond?.(vmId, effect);
                 this.schedule(
-                    PROBE_LATENCY_MS,
+                    reply?.delayMs ?? PROBE_LATENCY_MS,
                     vmId,
-                    () => ({ type: "probe-answered", instanceId, isHealthy: true, load }),
+                    () => reply?.event ?? { type: "probe-answered", instanceId, isHealthy: true, load },
                 );
                 return;
             }
-            default:
+            default: {
                 this.decisions.push({ vmId, effect, atMs: this.atMs });
+                const reply = this.respond?.(vmId, effect);
+                if (reply !== undefined) {
+                    this.schedule(reply.delayMs, vmId, () => reply.event);
+                }
+            }
         }
     }
 
