--- a/daemon/entry/src/entry-draft.ts
+++ b/daemon/entry/src/entry-draft.ts
@@ -1,5 +1,11 @@
 import type { Transition } from "@marigoldstall/core.types";
-import { type HubEvent, reduceHub, selectLiveHub } from "@marigoldstall/fleet.hubs";
+import {
+    type HubEvent,
+    reduceHub,
+    selectLiveHub,
+    selectPermitAuthority,
+    selectPermitShare,
+} from "@marigoldstall/fleet.hubs";
 import { reduceView, type ViewEvent } from "@marigoldstall/fleet.view";
 import {
     type DispatchEffect,
@@ -78,12 +84,70 @@
                     this.effects.push(effect);
                     this.applyHubEvent({ type: "request-sent", atMs: this.atMs, instanceId: effect.instanceId });
                     break;
+                case "request-permit":
+                    this.requestPermit(effect);
+                    break;
+                case "answer-permit":
+                    this.answerPermit(effect);
+                    break;
+                case "findings-changed":
+                    // A member tells its hub only what servers told it; the hub tells everyone else.
+                    if (effect.source === "response" || this.current.hub.isHub) {
+                        this.applyHubEvent({ type: "findings-changed", atMs: this.atMs });
+                    }
+                    break;
                 default:
                     this.effects.push(effect);
             }
         }
     }
 
+    /** Grants or refuses a permit if this VM counts the requests to the server, and refuses it otherwise. */
+    decidePermit(query: {
+        readonly attemptId: string;
+        readonly instanceId: string;
+        readonly availabilityZone: string;
+        readonly replyHost: string | undefined;
+    }): void {
+        const { hub } = this.current;
+        const { attemptId, instanceId, availabilityZone, replyHost } = query;
+        const isAuthority = selectPermitAuthority(hub, availabilityZone, this.atMs)?.vmId === hub.self.vmId;
+        const share = isAuthority ? selectPermitShare(hub, availabilityZone, this.atMs) : 0;
+        this.applyDispatchEvent({
+            type: "permit-requested",
+            ...this.eventContext,
+            attemptId,
+            instanceId,
+            replyHost,
+            share,
+        });
+    }
+
+    private requestPermit(effect: Extract<DispatchEffect, { readonly type: "request-permit"; }>): void {
+        const { attemptId, instanceId, availabilityZone } = effect;
+        const authority = selectPermitAuthority(this.current.hub, availabilityZone, this.atMs);
+        if (authority === undefined || authority.vmId === this.current.hub.self.vmId) {
+            this.decidePermit({ attemptId, instanceId, availabilityZone, replyHost: undefined });
+            return;
+        }
+        const message = { type: "permit-query" as const, attemptId, instanceId };
+        this.effects.push({ type: "send-message", hosts: [authority.host], message });
+    }
+
+    private answerPermit(effect: Extract<DispatchEffect, { readonly type: "answer-permit"; }>): void {
+        const { replyHost, attemptId, instanceId, isGranted, retryAfterMs } = effect;
+        const answer = { attemptId, instanceId, isGranted, retryAfterMs };
+        if (replyHost === undefined) {
+            this.applyDispatchEvent({ type: "permit-answered", ...this.eventContext, ...answer });
+            return;
+        }
+        this.effects.push({
+            type: "send-message",
+            hosts: [replyHost],
+            message: { type: "permit-answer", ...answer },
+        });
+    }
+
     private queryLoads(effect: Extract<DispatchEffect, { readonly type: "query-loads"; }>): void {
         const { hub } = this.current;
         const asked = selectLiveHub(hub, this.atMs);
--- a/daemon/entry/src/entry-effect.ts
+++ b/daemon/entry/src/entry-effect.ts
@@ -6,5 +6,15 @@
 export type EntryEffect =
     | ViewEffect
     | HubEffect
-    // The reducer passes these two on to the hub slice, which sends them to other VMs.
-    | Exclude<DispatchEffect, { readonly type: "query-loads" | "report-failure"; }>;
+    // The reducer passes these on to the hub slice, or sends them to other VMs.
+    | Exclude<
+        DispatchEffect,
+        {
+            readonly type:
+                | "query-loads"
+                | "report-failure"
+                | "request-permit"
+                | "answer-permit"
+                | "findings-changed";
+        }
+    >;
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -1,4 +1,13 @@
-import type { HubEvent, LoadAnswer, LoadQuery, StatusMessage, UpdatesMessage } from "@marigoldstall/fleet.hubs";
+import type {
+    Findings,
+    HubEvent,
+    LoadAnswer,
+    LoadQuery,
+    PermitAnswer,
+    PermitQuery,
+    StatusMessage,
+    UpdatesMessage,
+} from "@marigoldstall/fleet.hubs";
 import type { ViewEvent } from "@marigoldstall/fleet.view";
 import type { DispatchEvent } from "@marigoldstall/routing.dispatch";
 
@@ -20,6 +29,9 @@
     | { readonly type: "updates-received"; readonly message: UpdatesMessage; }
     | { readonly type: "load-query-received"; readonly query: LoadQuery; readonly host: string; }
     | { readonly type: "load-answer-received"; readonly answer: LoadAnswer; }
+    | { readonly type: "findings-received"; readonly findings: Findings; }
+    | { readonly type: "permit-query-received"; readonly query: PermitQuery; readonly host: string; }
+    | { readonly type: "permit-answer-received"; readonly answer: PermitAnswer; }
     | SliceEvent<HubEvent, "vms-found">
     | SliceEvent<
         ViewEvent,
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -8,6 +8,7 @@
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import type { JsonLogger } from "./json-logger.js";
+import { selectFindings } from "./select-findings.js";
 import { VmSchema } from "./vm-schema.js";
 
 const ConfirmationSchema = Schema.Struct({ readerId: Schema.String, number: Schema.Int });
@@ -25,8 +26,18 @@
         warmUpMs: Schema.Finite,
     }),
 };
+const FindingsSchema = Schema.Struct({
+    limits: Schema.Array(Schema.Struct({
+        instanceId: Schema.String,
+        startedAtUnixMs: Schema.Finite,
+        // JSON has no key for an undefined value: the limit has ended.
+        perSecond: Schema.optional(Schema.Finite),
+        ageMs: Schema.Finite,
+    })),
+});
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
-    // VMs of earlier releases send neither the era and its start nor withheld registrations and servers that have left.
+    // VMs of earlier releases send neither the era and its start, nor withheld registrations and servers that have left,
+    // nor findings.
     era: Schema.optional(Schema.Int),
     nextOffset: Schema.Int,
     eraStartOffset: Schema.optional(Schema.Int),
@@ -40,6 +51,7 @@
         isDraining: Schema.Boolean,
         ageMs: Schema.Finite,
     }))),
+    findings: Schema.optional(FindingsSchema),
 }));
 const decodeVms = Schema.decodeUnknownOption(Schema.Array(VmSchema));
 const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
@@ -78,7 +90,11 @@
             methods: {
                 "view.snapshot": () => {
                     const snapshot = selectViewSnapshot(opts.state().view, opts.nowMs());
-                    return snapshot === undefined ? {} : { ...snapshot, ageMs: Math.min(MAX_AGE_MS, snapshot.ageMs) };
+                    if (snapshot === undefined) {
+                        return {};
+                    }
+                    const findings = selectFindings(opts.state(), opts.nowMs());
+                    return { ...snapshot, ageMs: Math.min(MAX_AGE_MS, snapshot.ageMs), findings };
                 },
                 "fleet.vms": () => {
                     const { hub } = opts.state();
@@ -126,6 +142,11 @@
             };
         if (snapshot !== undefined) {
             this.opts.dispatch({ type: "view-snapshot-received", snapshot });
+            const limits = decoded?.findings?.limits ?? [];
+            this.opts.dispatch({
+                type: "findings-received",
+                findings: { limits: limits.map(limit => ({ ...limit, perSecond: limit.perSecond })) },
+            });
         }
         return snapshot !== undefined;
     }
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -1,7 +1,9 @@
-import type { BackendServer, Transition } from "@marigoldstall/core.types";
+import type { Transition } from "@marigoldstall/core.types";
 import {
+    type Findings,
     HUB_LIMITS,
     selectFleetSize,
+    selectLimitedProbeIntervalMs,
     selectLiveHub,
     selectLoadQueryIntervalMs,
     selectProbeAssignment,
@@ -9,12 +11,13 @@
     type UpdatesMessage,
 } from "@marigoldstall/fleet.hubs";
 import { selectViewSummary } from "@marigoldstall/fleet.view";
-import { selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
+import { type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import { selectFindings } from "./select-findings.js";
 
 const countVms = (draft: EntryDraft): number => selectFleetSize(draft.state.hub, draft.atMs);
 
@@ -52,7 +55,7 @@
 };
 
 // Tells from which age of its load report on this VM probes a server.
-const selectProbeDueAge = (draft: EntryDraft): ((server: BackendServer) => number) | undefined => {
+const selectProbeDueAge = (draft: EntryDraft): ProbeDueAge | undefined => {
     const { state, atMs } = draft;
     const { hub, zoneServerCount, isProber } = state;
     const assignmentOf = isProber || hub.isHub ? selectProbeAssignment(hub, { atMs, zoneServerCount }) : undefined;
@@ -64,7 +67,13 @@
         fallback: Math.max(HUB_LIMITS.proberTimeoutMs, state.probeIntervalMs),
         none: Infinity,
     };
-    return server => dueAgeMs[assignmentOf(server)];
+    return (server, limitPerSecond) => {
+        const ageMs = dueAgeMs[assignmentOf(server)];
+        const { availabilityZone } = server;
+        return limitPerSecond === undefined
+            ? ageMs
+            : Math.max(ageMs, selectLimitedProbeIntervalMs(hub, { availabilityZone, limitPerSecond, atMs }));
+    };
 };
 
 const onTick = (draft: EntryDraft): void => {
@@ -84,6 +93,7 @@
         type: "hub-tick",
         atMs,
         summarize: since => selectViewSummary(draft.state.view, { atMs, since }),
+        listFindings: () => selectFindings(draft.state, atMs),
     });
 };
 
@@ -163,6 +173,30 @@
     draft.applyDispatchEvent({ type: "loads-answered", ...draft.eventContext, service, averageSlowness, servers });
 };
 
+const onFindings = (draft: EntryDraft, findings: Findings): void => {
+    const { atMs } = draft;
+    draft.applyDispatchEvent({
+        type: "limits-learned",
+        ...draft.eventContext,
+        limits: findings.limits.map(({ ageMs, ...limit }) => ({ ...limit, statedAtMs: atMs - ageMs })),
+    });
+};
+
+const onPermitQuery = (
+    draft: EntryDraft,
+    event: Extract<EntryEvent, { readonly type: "permit-query-received"; }>,
+): void => {
+    const { query: { attemptId, instanceId }, host } = event;
+    const { services, servicesByInstance } = draft.state.dispatch;
+    const server = services.get(servicesByInstance.get(instanceId) ?? "")?.servers.get(instanceId);
+    draft.decidePermit({
+        attemptId,
+        instanceId,
+        availabilityZone: server?.server.availabilityZone ?? "",
+        replyHost: host,
+    });
+};
+
 const applyEvent = (draft: EntryDraft, event: EntryEvent): void => {
     const { atMs } = draft;
     switch (event.type) {
@@ -185,6 +219,15 @@
         case "load-answer-received":
             onLoadAnswer(draft, event);
             return;
+        case "findings-received":
+            onFindings(draft, event.findings);
+            return;
+        case "permit-query-received":
+            onPermitQuery(draft, event);
+            return;
+        case "permit-answer-received":
+            draft.applyDispatchEvent({ ...event.answer, type: "permit-answered", ...draft.eventContext });
+            return;
         case "vms-found":
             draft.applyHubEvent({ ...event, atMs });
             updateVmCount(draft, countVms(draft));
--- a/daemon/entry/src/to-entry-event.ts
+++ b/daemon/entry/src/to-entry-event.ts
@@ -19,5 +19,11 @@
             return { type: "load-query-received", query: message, host: sender.host };
         case "load-answer":
             return { type: "load-answer-received", answer: message };
+        case "findings":
+            return { type: "findings-received", findings: message };
+        case "permit-query":
+            return { type: "permit-query-received", query: message, host: sender.host };
+        case "permit-answer":
+            return { type: "permit-answer-received", answer: message };
     }
 };
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -5,12 +5,14 @@
     type EntryEvent,
     type EntryState,
     reduceEntry,
+    selectFindings,
     toEntryEvent,
 } from "@marigoldstall/daemon.entry";
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
 import { type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
 import { createModelServer } from "./create-model-server.js";
 import { createModelSettings } from "./create-model-settings.js";
+import type { ModelReply } from "./model-reply.js";
 
 const TICK_MS = 10;
 const STORE_LATENCY_MS = 5;
@@ -28,12 +30,6 @@
     readonly slotsPerServer?: number;
 }
 
-/** What becomes of an effect: an event that the VM gets after a while. */
-interface ModelReply {
-    readonly delayMs: number;
-    readonly event: EntryEvent;
-}
-
 /** Content of the store at a time, from which it can be restored. */
 interface ModelStoreCopy {
     readonly records: readonly RegistrationChange[];
@@ -329,6 +325,10 @@
                         : selectViewSnapshot(this.state(effect.peerAddress).view, this.atMs);
                     return snapshot === undefined ? undefined : { type: "view-snapshot-received", snapshot };
                 });
+                this.schedule(RPC_LATENCY_MS, vmId, () => {
+                    const peer = this.silent.has(effect.peerAddress) ? undefined : this.state(effect.peerAddress);
+                    return peer && { type: "findings-received", findings: selectFindings(peer, this.atMs) };
+                });
                 return;
             case "fetch-peer-configuration":
                 this.schedule(RPC_LATENCY_MS, vmId, () => {
--- a/daemon/entry/test/model-servers.ts
+++ b/daemon/entry/test/model-servers.ts
@@ -1,6 +1,7 @@
 import type { LoadReport } from "@marigoldstall/core.types";
-import type { EntryEffect, EntryEvent } from "@marigoldstall/daemon.entry";
+import type { EntryEffect } from "@marigoldstall/daemon.entry";
 import type { FleetModel } from "./fleet-model.js";
+import type { ModelReply } from "./model-reply.js";
 
 const ROUND_TRIP_MS = 3;
 const RESPONSE_BYTES = 400;
@@ -41,10 +42,7 @@
         model.respond = (vmId, effect) => this.respond(vmId, effect);
     }
 
-    private respond(
-        vmId: string,
-        effect: EntryEffect,
-    ): { readonly delayMs: number; readonly event: EntryEvent; } | undefined {
+    private respond(vmId: string, effect: EntryEffect): ModelReply | undefined {
         const { atMs } = this.model;
         switch (effect.type) {
             case "probe-server": {
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -1,10 +1,14 @@
 import { type Confirmation, type RegistrationChange, UNKNOWN_ERA, type ViewSummary } from "@marigoldstall/fleet.view";
 import { decode } from "@msgpack/msgpack";
+import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
 import type { FleetMessage } from "./fleet-message.js";
+import type { LimitFinding } from "./limit-finding.js";
 import type { LoadAnswer } from "./load-answer.js";
 import type { LoadQuery } from "./load-query.js";
 import type { LoadUpdate } from "./load-update.js";
+import type { PermitAnswer } from "./permit-answer.js";
+import type { PermitQuery } from "./permit-query.js";
 import type { SentRequest } from "./sent-request.js";
 import type { ServerFailure } from "./server-failure.js";
 import type { StatusMessage } from "./status-message.js";
@@ -179,6 +183,38 @@
     };
 };
 
+const decodeLimit = (value: unknown): LimitFinding => {
+    const [instanceId, startedAtUnixMs, limit, ageMs] = asRow(value);
+    const perSecond = asNumber(limit);
+    return {
+        instanceId: asString(instanceId),
+        startedAtUnixMs: asNumber(startedAtUnixMs),
+        perSecond: perSecond < 0 ? undefined : perSecond,
+        ageMs: asAgeMs(ageMs),
+    };
+};
+
+const decodeFindings = (row: Row): FindingsMessage => {
+    const [vmId, limits] = row;
+    return { type: "findings", vmId: asString(vmId), limits: asRow(limits).map(decodeLimit) };
+};
+
+const decodePermitQuery = (row: Row): PermitQuery => {
+    const [attemptId, instanceId] = row;
+    return { type: "permit-query", attemptId: asString(attemptId), instanceId: asString(instanceId) };
+};
+
+const decodePermitAnswer = (row: Row): PermitAnswer => {
+    const [attemptId, instanceId, isGranted, retryAfterMs] = row;
+    return {
+        type: "permit-answer",
+        attemptId: asString(attemptId),
+        instanceId: asString(instanceId),
+        isGranted: asBoolean(isGranted),
+        retryAfterMs: asNumber(retryAfterMs),
+    };
+};
+
 const decodeMessage = (value: unknown): FleetMessage | undefined => {
     const [version, type, ...row] = asRow(value);
     if (version !== FLEET_MESSAGE_VERSION) {
@@ -193,6 +229,12 @@
             return decodeQuery(row);
         case "load-answer":
             return decodeAnswer(row);
+        case "findings":
+            return decodeFindings(row);
+        case "permit-query":
+            return decodePermitQuery(row);
+        case "permit-answer":
+            return decodePermitAnswer(row);
         default:
             return undefined;
     }
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -1,5 +1,6 @@
 import type { Confirmation } from "@marigoldstall/fleet.view";
 import { encode } from "@msgpack/msgpack";
+import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
 import type { FleetMessage } from "./fleet-message.js";
 import type { LoadAnswer } from "./load-answer.js";
@@ -86,6 +87,16 @@
     ]),
 ];
 
+const encodeFindings = (message: FindingsMessage): readonly unknown[] => [
+    message.vmId,
+    message.limits.map(({ instanceId, startedAtUnixMs, perSecond, ageMs }) => [
+        instanceId,
+        startedAtUnixMs,
+        perSecond ?? -1,
+        encodeAgeMs(ageMs),
+    ]),
+];
+
 const encodeBody = (message: FleetMessage): readonly unknown[] => {
     switch (message.type) {
         case "status":
@@ -96,6 +107,12 @@
             return encodeQuery(message);
         case "load-answer":
             return encodeAnswer(message);
+        case "findings":
+            return encodeFindings(message);
+        case "permit-query":
+            return [message.attemptId, message.instanceId];
+        case "permit-answer":
+            return [message.attemptId, message.instanceId, message.isGranted, Math.ceil(message.retryAfterMs)];
     }
 };
 
--- /dev/null
+++ b/fleet/hubs/src/findings.ts
@@ -0,0 +1,6 @@
+import type { LimitFinding } from "./limit-finding.js";
+
+/** What VMs have learned from backend servers and every VM has to know. */
+export interface Findings {
+    readonly limits: readonly LimitFinding[];
+}
--- a/fleet/hubs/src/hub-event.ts
+++ b/fleet/hubs/src/hub-event.ts
@@ -1,5 +1,6 @@
 import type { LoadReport } from "@marigoldstall/core.types";
 import type { StorePosition, ViewSummary } from "@marigoldstall/fleet.view";
+import type { Findings } from "./findings.js";
 import type { StatusMessage } from "./status-message.js";
 import type { UpdatesMessage } from "./updates-message.js";
 import type { VmInfo } from "./vm-info.js";
@@ -11,7 +12,9 @@
         readonly atMs: number;
         /** Summarizes the view for the next message, without the changes before `since`. */
         readonly summarize: (since: StorePosition | undefined) => ViewSummary;
+        readonly listFindings: () => Findings;
     }
+    | { readonly type: "findings-changed"; readonly atMs: number; }
     | { readonly type: "vms-found"; readonly atMs: number; readonly vms: readonly VmInfo[]; }
     | { readonly type: "status-received"; readonly atMs: number; readonly message: StatusMessage; }
     | { readonly type: "updates-received"; readonly atMs: number; readonly message: UpdatesMessage; }
--- a/fleet/hubs/src/hub-limits.ts
+++ b/fleet/hubs/src/hub-limits.ts
@@ -30,6 +30,16 @@
     // A registration change is repeated in all heartbeats of this period, because datagrams can get lost. It covers two
     // heartbeats to the other hubs.
     changeRepeatWindowMs: 450,
+    // A hub repeats its findings at this interval, for VMs that have started, were paused or missed a datagram.
+    findingsRepeatIntervalMs: 1_000,
+    // Findings in one datagram, which keeps it within one packet.
+    findingsPerMessage: 24,
+    // A hub grants the share of a limit for the VMs that it heard within the first time, which covers two heartbeats of a
+    // member, of those that it heard within the second one.
+    permitLivenessMs: 1_200,
+    forgottenVmMs: 60_000,
+    // Share of a server's limit that its health checks may use on top of the permits.
+    limitedProbeShare: 0.25,
     // A member with waiting requests repeats its query at this interval, plus one millisecond per VM of its zone, which
     // bounds the queries that a hub gets when the whole zone is overloaded.
     loadQueryIntervalMs: 10,
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -9,6 +9,8 @@
     readonly loads: ReadonlyMap<string, OutboxLoad>;
     readonly sentRequests: readonly OutboxSentRequest[];
     readonly failures: readonly ServerFailure[];
+    /** Whether the findings changed since they were last sent. */
+    readonly hasChangedFindings: boolean;
     /** When the oldest update was queued, or undefined if the outbox is empty. */
     readonly queuedSinceMs: number | undefined;
 }
@@ -41,6 +43,7 @@
     /** When a hub last sent a heartbeat to the hubs of the other zones. */
     readonly peersInformedAtMs: number;
     readonly vmListSentAtMs: number;
+    readonly findingsSentAtMs: number;
     /** Number of live VMs in the fleet according to this VM's hub. */
     readonly reportedFleetSize: number;
     /** Registration changes before this position were repeated long enough and are left out of messages. */
--- a/fleet/hubs/src/reduce-hub.ts
+++ b/fleet/hubs/src/reduce-hub.ts
@@ -4,6 +4,7 @@
 import type { HubState } from "./hub-state.js";
 import { markJoined } from "./mark-joined.js";
 import { queueFailures } from "./queue-failures.js";
+import { queueFindings } from "./queue-findings.js";
 import { queueLoadUpdates } from "./queue-load-updates.js";
 import { queueSentRequest } from "./queue-sent-request.js";
 import { receiveStatus } from "./receive-status.js";
@@ -28,6 +29,8 @@
     switch (event.type) {
         case "hub-tick":
             return tickHub(state, event);
+        case "findings-changed":
+            return { state: queueFindings(state, event.atMs), effects: [] };
         case "vms-found":
             return { state: addVms(state, event), effects: [] };
         case "status-received":
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -1,6 +1,7 @@
 import type { Transition } from "@marigoldstall/core.types";
 import type { StorePosition, ViewSummary } from "@marigoldstall/fleet.view";
 import { compareHubPriority } from "./compare-hub-priority.js";
+import type { Findings } from "./findings.js";
 import type { HubEffect } from "./hub-effect.js";
 import { HUB_LIMITS } from "./hub-limits.js";
 import type { HubState } from "./hub-state.js";
@@ -20,6 +21,7 @@
 interface TickHubOptions {
     readonly atMs: number;
     readonly summarize: (since: StorePosition | undefined) => ViewSummary;
+    readonly listFindings: () => Findings;
 }
 
 // Time since the last message of a hub in this VM's zone with a higher priority.
@@ -82,27 +84,59 @@
     failures: state.outbox.failures,
 });
 
+const selectMembers = (state: HubState, atMs: number): readonly string[] =>
+    selectLiveVms(state, atMs).filter(vm => isInOwnZone(state, vm)).map(vm => vm.info.host);
+
 // The hubs to which this VM reports: its own one, or those of the other zones if it is the hub itself.
 const selectReceivers = (state: HubState, atMs: number): readonly string[] =>
     [...selectHubs(state, atMs)]
         .filter(([zone]) => (zone === state.self.availabilityZone) !== state.isHub)
         .map(([, hub]) => hub.host);
 
-const sendUpdates = (state: HubState, atMs: number, effects: HubEffect[]): HubState => {
+const sendUpdates = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
+    const { atMs } = opts;
     const { queuedSinceMs } = state.outbox;
     if (queuedSinceMs === undefined || atMs - queuedSinceMs < selectBatchDelayMs(state)) {
         return state;
     }
+    const { loads, sentRequests, failures, hasChangedFindings } = state.outbox;
     const hosts = selectReceivers(state, atMs);
-    if (hosts.length > 0) {
+    if (hosts.length > 0 && loads.size + sentRequests.length + failures.length > 0) {
         effects.push({ type: "send-message", hosts, message: createUpdates(state, atMs) });
     }
-    return {
-        ...state,
-        outbox: { loads: new Map(), sentRequests: [], failures: [], queuedSinceMs: undefined },
+    const outbox = {
+        loads: new Map(),
+        sentRequests: [],
+        failures: [],
+        hasChangedFindings: false,
+        queuedSinceMs: undefined,
     };
+    return hasChangedFindings ? sendFindings({ ...state, outbox }, opts, effects) : { ...state, outbox };
 };
 
+const sendFindings = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
+    const { atMs } = opts;
+    const { limits } = opts.listFindings();
+    const hosts = [...selectReceivers(state, atMs), ...state.isHub ? selectMembers(state, atMs) : []];
+    for (let index = 0; index < limits.length && hosts.length > 0; index += HUB_LIMITS.findingsPerMessage) {
+        effects.push({
+            type: "send-message",
+            hosts,
+            message: {
+                type: "findings",
+                vmId: state.self.vmId,
+                limits: limits.slice(index, index + HUB_LIMITS.findingsPerMessage),
+            },
+        });
+    }
+    return { ...state, findingsSentAtMs: atMs };
+};
+
+const repeatFindings = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState =>
+    state.isHub && opts.atMs - state.findingsSentAtMs >= HUB_LIMITS.findingsRepeatIntervalMs
+        ? sendFindings(state, opts, effects)
+        : state;
+
 const isVmListDue = (state: HubState, atMs: number): boolean =>
     state.isHub && atMs - state.vmListSentAtMs >= HUB_LIMITS.vmListIntervalMs;
 
@@ -114,7 +148,7 @@
         return state;
     }
     const hosts = state.isHub
-        ? selectLiveVms(state, atMs).filter(vm => isInOwnZone(state, vm)).map(vm => vm.info.host)
+        ? selectMembers(state, atMs)
         : selectReceivers(state, atMs);
     if (hosts.length > 0) {
         effects.push({ type: "send-message", hosts, message: createHeartbeat(state, { ...opts, includesVms }) });
@@ -158,10 +192,7 @@
         return { state: updated, effects };
     }
     const isListDue = isVmListDue(updated, atMs);
-    const sent = sendHeartbeat(
-        sendHeartbeatToPeers(sendUpdates(updated, atMs, effects), opts, effects),
-        opts,
-        effects,
-    );
+    const withUpdates = repeatFindings(sendUpdates(updated, opts, effects), opts, effects);
+    const sent = sendHeartbeat(sendHeartbeatToPeers(withUpdates, opts, effects), opts, effects);
     return { state: isListDue ? { ...sent, vmListSentAtMs: atMs } : sent, effects };
 };
--- a/fleet/hubs/test/hubs.test.ts
+++ b/fleet/hubs/test/hubs.test.ts
@@ -15,6 +15,8 @@
 
 const TICK_MS = 5;
 
+const NO_FINDINGS = { limits: [] };
+
 /** Simulates VMs that exchange messages without delay. The VMs in `silent` neither send nor receive. */
 class FleetSimulation {
     readonly states = new Map<string, HubState>();
@@ -98,7 +100,12 @@
     }
 
     private tick(vmId: string): void {
-        this.apply(vmId, { type: "hub-tick", atMs: this.atMs, summarize: () => SUMMARY });
+        this.apply(vmId, {
+            type: "hub-tick",
+            atMs: this.atMs,
+            summarize: () => SUMMARY,
+            listFindings: () => NO_FINDINGS,
+        });
     }
 }
 
--- a/routing/dispatch/src/apply-directives.ts
+++ b/routing/dispatch/src/apply-directives.ts
@@ -13,6 +13,7 @@
     const { directives, isHealthCheck } = opts;
     const perSecond = directives?.requestLimitPerSecond;
     if (directives !== undefined && (perSecond !== undefined || !isHealthCheck)) {
-        recordRequestLimit(draft, instanceId, { perSecond, statedAtMs: draft.atMs });
+        const requestLimit = { perSecond, statedAtMs: draft.atMs };
+        recordRequestLimit(draft, instanceId, { requestLimit, source: "response" });
     }
 };
--- a/routing/dispatch/src/attempt-state.ts
+++ b/routing/dispatch/src/attempt-state.ts
@@ -2,8 +2,11 @@
 export interface AttemptState {
     readonly attemptId: string;
     readonly instanceId: string;
-    /** `checking`: the preflight check right before the request is sent is pending. */
-    readonly phase: "checking" | "sent";
+    /**
+     * `checking`: the preflight check right before the request is sent is pending. `awaiting-permit`: its server limits its
+     * requests, and the VM that counts them has not answered yet.
+     */
+    readonly phase: "checking" | "awaiting-permit" | "sent";
     readonly startedAtMs: number;
     readonly expectedMs: number;
     /** Expected duration, assuming that the last load report still held at the start. */
--- a/routing/dispatch/src/choose-server.ts
+++ b/routing/dispatch/src/choose-server.ts
@@ -12,7 +12,8 @@
     let bestMs = Infinity;
     for (const estimate of estimates) {
         const costMs = estimate.costMs + draft.nextRandom() * DISPATCH_LIMITS.costJitterMs;
-        const hasFreeSlot = estimate.occupied < estimate.server.server.slots;
+        const { server: { server, heldBackUntilMs }, occupied } = estimate;
+        const hasFreeSlot = occupied < server.slots && heldBackUntilMs <= draft.atMs;
         if (hasFreeSlot && costMs < bestMs && isEligible(estimate)) {
             best = estimate;
             bestMs = costMs;
--- a/routing/dispatch/src/dispatch-effect.ts
+++ b/routing/dispatch/src/dispatch-effect.ts
@@ -48,5 +48,26 @@
         readonly instanceId: string;
         readonly weight: number;
     }
+    | {
+        /** Asks the VM that counts the requests to a limited server for permission to send one. */
+        readonly type: "request-permit";
+        readonly attemptId: string;
+        readonly instanceId: string;
+        readonly availabilityZone: string;
+    }
+    | {
+        readonly type: "answer-permit";
+        /** Host of the VM that asked; undefined for this one. */
+        readonly replyHost: string | undefined;
+        readonly attemptId: string;
+        readonly instanceId: string;
+        readonly isGranted: boolean;
+        readonly retryAfterMs: number;
+    }
+    | {
+        /** What this VM tells the others about servers has changed, by a response to it or by another VM. */
+        readonly type: "findings-changed";
+        readonly source: "response" | "peer";
+    }
     | { readonly type: "close-connections"; readonly instanceId: string; readonly address: string; }
     | { readonly type: "log-decision"; readonly decision: DecisionRecord; };
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -1,6 +1,7 @@
-import type { BackendServer, LoadReport, RoutingConfiguration, ServerDirectives } from "@marigoldstall/core.types";
+import type { LoadReport, RoutingConfiguration, ServerDirectives } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
 import type { LoadSelection } from "./load-selection.js";
+import type { ProbeDueAge } from "./probe-due-age.js";
 
 interface Timed {
     readonly atMs: number;
@@ -73,6 +74,33 @@
             readonly instanceId: string;
             readonly vmId: string;
         }
+        | {
+            /** Another VM tells of limits that servers stated. */
+            readonly type: "limits-learned";
+            readonly limits: readonly {
+                readonly instanceId: string;
+                readonly startedAtUnixMs: number;
+                readonly perSecond: number | undefined;
+                readonly statedAtMs: number;
+            }[];
+        }
+        | {
+            /** A VM asks this one, which grants the permits for a limited server, for a permit. */
+            readonly type: "permit-requested";
+            readonly attemptId: string;
+            readonly instanceId: string;
+            /** Host of the VM that asks; undefined for this one. */
+            readonly replyHost: string | undefined;
+            /** Share of the limit that this VM may grant. */
+            readonly share: number;
+        }
+        | {
+            readonly type: "permit-answered";
+            readonly attemptId: string;
+            readonly instanceId: string;
+            readonly isGranted: boolean;
+            readonly retryAfterMs: number;
+        }
         | ({ readonly type: "loads-answered"; } & LoadSelection)
         | { readonly type: "resumed"; readonly uncountedMs: number; }
         /** The process ends. It sends no further request. */
@@ -96,7 +124,7 @@
         | { readonly type: "vm-count-changed"; readonly vmCount: number; }
         | {
             readonly type: "dispatch-tick";
-            /** Age of a server's load report from which on this VM probes it; undefined when it probes none. */
-            readonly probeDueAgeMs: ((server: BackendServer) => number) | undefined;
+            /** Undefined when this VM probes no server. */
+            readonly probeDueAgeMs: ProbeDueAge | undefined;
         }
     );
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -41,6 +41,22 @@
     // Approximate time until a sent request reaches the server and counts in its load reports.
     sendTransitMs: 2,
     unreportedSendValidForMs: 400,
+    // Permits that a limited server's bucket holds: one, and what the limit allows in this time.
+    permitBurstMs: 250,
+    // A VM that gets no answer to a permit query within this time does not send the request. Round trips between zones of
+    // a region take below 10 ms.
+    permitTimeoutMs: 60,
+    // How long a VM leaves a limited server alone after a permit was refused, at least, for each VM of the fleet, and at
+    // most. With the first value, all VMs together ask for 500 permits a second.
+    minHoldBackPerVmMs: 2,
+    maxHoldBackMs: 2_000,
+    // The hold-back is longer by up to this share, so that VMs do not all ask at the same moment.
+    holdBackJitterShare: 0.25,
+    // Limits that are told to other VMs, and for how long it is told that one has ended.
+    maxLimitFindings: 240,
+    endedLimitToldForMs: 10_000,
+    // A rejected caller is never told to wait longer than this.
+    maxRetryAfterMs: 30_000,
     // A request waits for a better server as long as this multiple of its work still fits before its latency target.
     onTimeWorkFactor: 1.1,
     // A late request takes any free slot once no more than this multiple of its work is left until its deadline.
--- a/routing/dispatch/src/estimate-eligible-servers.ts
+++ b/routing/dispatch/src/estimate-eligible-servers.ts
@@ -15,7 +15,11 @@
     if (draft.state.loadQueryIntervalMs === undefined) {
         return eligible;
     }
-    const reported = eligible.filter(server => draft.atMs - server.measuredAtMs <= DISPATCH_LIMITS.reportValidForMs);
+    // A server that limits its requests is checked too rarely for a valid report.
+    const reported = eligible.filter(server =>
+        server.requestLimit.perSecond !== undefined
+        || draft.atMs - server.measuredAtMs <= DISPATCH_LIMITS.reportValidForMs
+    );
     return reported.length >= DISPATCH_LIMITS.minReportedServers ? reported : eligible;
 };
 
--- a/routing/dispatch/src/estimate-queue-wait-ms.ts
+++ b/routing/dispatch/src/estimate-queue-wait-ms.ts
@@ -2,6 +2,13 @@
 import type { DispatchService } from "./dispatch-service.js";
 import type { RequestState } from "./request-state.js";
 import { selectWorkMs } from "./select-work-ms.js";
+import type { ServerState } from "./server-state.js";
+
+const MS_PER_SECOND = 1_000;
+
+// The slots that the limit of a server keeps busy.
+const countUsableSlots = ({ server, requestLimit }: ServerState, workMs: number): number =>
+    Math.min(server.slots, (requestLimit.perSecond ?? Infinity) * workMs / MS_PER_SECOND);
 
 /** Expected wait of a request behind `aheadCount` others, assuming that all VMs have equally long queues. */
 export const estimateQueueWaitMs = (
@@ -9,9 +16,9 @@
     service: DispatchService,
     opts: { readonly request: RequestState; readonly aheadCount: number; },
 ): number => {
+    const workMs = selectWorkMs(service, opts.request.route) * service.slowness;
     const slots = [...service.servers.values()]
         .filter(({ server }) => !server.isDraining)
-        .reduce((sum, { server }) => sum + server.slots, 0);
-    const workMs = selectWorkMs(service, opts.request.route) * service.slowness;
+        .reduce((sum, server) => sum + countUsableSlots(server, workMs), 0);
     return slots === 0 ? Infinity : (opts.aheadCount + 0.5) * draft.state.vmCount * workMs / slots;
 };
--- /dev/null
+++ b/routing/dispatch/src/on-limits-learned.ts
@@ -0,0 +1,15 @@
+import type { DispatchDraft } from "./dispatch-draft.js";
+import type { DispatchEvent } from "./dispatch-event.js";
+import { recordRequestLimit } from "./record-request-limit.js";
+
+/** Applies the limits that another VM has learned, except those of an earlier start of a server. */
+export const onLimitsLearned = (
+    draft: DispatchDraft,
+    event: Extract<DispatchEvent, { readonly type: "limits-learned"; }>,
+): void => {
+    for (const { instanceId, startedAtUnixMs, perSecond, statedAtMs } of event.limits) {
+        if (draft.server(instanceId)?.server.startedAtUnixMs === startedAtUnixMs) {
+            recordRequestLimit(draft, instanceId, { requestLimit: { perSecond, statedAtMs }, source: "peer" });
+        }
+    }
+};
--- a/routing/dispatch/src/on-resumed.ts
+++ b/routing/dispatch/src/on-resumed.ts
@@ -14,7 +14,7 @@
         }
     }
     for (const request of draft.state.requests.values()) {
-        const isUnsent = request.attempts.every(attempt => attempt.phase === "checking");
+        const isUnsent = request.attempts.every(attempt => attempt.phase !== "sent");
         if (isUnsent && selectRemainingMs(request, draft.atMs) <= uncountedMs) {
             rejectRequest(draft, request, { reason: REJECT_REASONS.suspended });
         }
--- a/routing/dispatch/src/on-server-checked.ts
+++ b/routing/dispatch/src/on-server-checked.ts
@@ -1,78 +1,17 @@
 import { applyDirectives } from "./apply-directives.js";
-import type { AttemptState } from "./attempt-state.js";
-import { chooseServerOrWait } from "./choose-server-or-wait.js";
-import { chooseServer } from "./choose-server.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEvent } from "./dispatch-event.js";
-import { DISPATCH_LIMITS } from "./dispatch-limits.js";
-import { drainQueue } from "./drain-queue.js";
 import { endAttempt } from "./end-attempt.js";
-import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { recordFailure } from "./record-failure.js";
 import { recordLoad } from "./record-load.js";
 import { recordRoundTrip } from "./record-round-trip.js";
-import type { RequestState } from "./request-state.js";
+import { resumeRequest } from "./resume-request.js";
 import { selectAttempt } from "./select-attempt.js";
-import { sendAttempt } from "./send-attempt.js";
-import type { ServerEstimate } from "./server-estimate.js";
-import { startAttempt } from "./start-attempt.js";
 
 type ServerChecked = Extract<DispatchEvent, { readonly type: "server-checked"; }>;
 
 const CHECK_FAILURE_WEIGHT = 0.5;
 
-// Returns a request to the queue. It keeps its rank, as the queue is ordered by latency target and not by arrival.
-const requeueRequest = (draft: DispatchDraft, request: RequestState): void => {
-    const service = draft.service(request.service);
-    const running = new Set(service.running);
-    running.delete(request.requestKey);
-    draft.setService({ ...service, running, queue: [...service.queue, request.requestKey] });
-};
-
-// Reserves the slot again, now that the load report counts the requests of other VMs, and sends the request.
-const sendToCheckedServer = (draft: DispatchDraft, request: RequestState, opts: {
-    readonly attempt: AttemptState;
-    readonly estimate: ServerEstimate;
-    readonly candidateCount: number;
-}): void => {
-    const attempt = { ...opts.attempt, startedAtMs: draft.atMs };
-    const { attemptId, instanceId } = attempt;
-    const restored = { ...request, attempts: [...request.attempts, attempt] };
-    draft.setRequest(restored);
-    draft.setRequestOfAttempt(attemptId, request.requestKey);
-    const ownInFlight = draft.server(instanceId)?.ownInFlight ?? 0;
-    draft.updateServer(instanceId, { ownInFlight: ownInFlight + 1 });
-    sendAttempt(draft, restored, { ...opts, attempt });
-};
-
-const UNKNOWN = -1;
-
-// Logs why a server does not get the request after its preflight check.
-const logMove = (draft: DispatchDraft, request: RequestState, opts: {
-    readonly attempt: AttemptState;
-    readonly checked: ServerEstimate | undefined;
-    readonly estimate: ServerEstimate | undefined;
-}): void => {
-    const { attempt, checked, estimate } = opts;
-    const { instanceId, reportAgeMs, slowness } = attempt;
-    draft.log({
-        kind: "move",
-        requestId: request.requestId,
-        service: request.service,
-        instanceId,
-        reason: estimate === undefined ? "wait" : "another-server",
-        inputs: {
-            to: estimate?.server.server.instanceId ?? "",
-            slowness,
-            loadAgeMs: Math.round(Math.min(reportAgeMs, 1e6)),
-            slownessNow: checked?.slowness ?? UNKNOWN,
-            occupiedNow: checked?.occupied ?? UNKNOWN,
-            costMs: Math.round(checked?.costMs ?? UNKNOWN),
-            otherCostMs: Math.round(estimate?.costMs ?? UNKNOWN),
-        },
-    });
-};
-
 /**
  * Handles the result of a preflight check: sends the request to this server or to a better one, or returns it to the
  * queue.
@@ -84,7 +23,7 @@
     }
     const { attempt } = found;
     const { requestKey, service: name } = found.request;
-    const { instanceId, isHedge } = attempt;
+    const { instanceId } = attempt;
     if (!event.isAnswered) {
         recordFailure(draft, instanceId, { reason: "check-failed", weight: CHECK_FAILURE_WEIGHT });
     }
@@ -103,30 +42,5 @@
     const request = !event.isAnswered
         ? { ...ended, triedInstanceIds: [...ended.triedInstanceIds, instanceId] }
         : ended;
-    draft.setRequest(request);
-    const service = draft.service(name);
-    const estimates = estimateEligibleServers(draft, service, request);
-    const candidateCount = estimates.length;
-    // Retries and hedges do not wait for a better server. A hedge that cannot be sent now is dropped.
-    const estimate = request.attempts.length > 0 || request.sentCount > 0
-        ? chooseServer(draft, estimates)
-        : chooseServerOrWait(draft, request, { service, estimates });
-    const checked = estimate?.server.server.instanceId === instanceId
-        ? estimate
-        : chooseServer(draft, estimates, other => other.server.server.instanceId === instanceId);
-    const keepsServer = estimate !== undefined && checked !== undefined
-        && checked.costMs <= estimate.costMs + DISPATCH_LIMITS.moveMarginMs;
-    if (keepsServer) {
-        sendToCheckedServer(draft, request, { attempt, estimate: checked, candidateCount });
-        drainQueue(draft, name);
-        return;
-    }
-    logMove(draft, request, { attempt, checked, estimate });
-    if (estimate !== undefined) {
-        startAttempt(draft, request, { estimate, candidateCount, isHedge });
-    }
-    else if (request.attempts.length === 0) {
-        requeueRequest(draft, request);
-    }
-    drainQueue(draft, name);
+    resumeRequest(draft, request, { attempt, hasPermit: false });
 };
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -24,6 +24,8 @@
     coldUntilMs: opts.atMs + server.warmUpMs,
     probedAtMs: undefined,
     requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
+    heldBackUntilMs: -Infinity,
+    permitBucket: undefined,
 });
 
 const removeServer = (draft: DispatchDraft, instanceId: string): void => {
--- a/routing/dispatch/src/on-tick.ts
+++ b/routing/dispatch/src/on-tick.ts
@@ -2,11 +2,30 @@
 import type { DispatchEvent } from "./dispatch-event.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { drainQueue } from "./drain-queue.js";
+import { onPermitAnswered } from "./on-permit-answered.js";
 import { probeServers } from "./probe-servers.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
+import type { RequestState } from "./request-state.js";
 import { tryHedge } from "./try-hedge.js";
 
+// How long a limited server is left alone when the VM that counts its requests did not answer. Another one takes its
+// place in the meantime.
+const PERMIT_LOST_HOLD_BACK_MS = 500;
+
+const endLatePermitQueries = (draft: DispatchDraft, request: RequestState): void => {
+    for (const { attemptId, instanceId, phase, startedAtMs } of request.attempts) {
+        if (phase === "awaiting-permit" && draft.atMs - startedAtMs > DISPATCH_LIMITS.permitTimeoutMs) {
+            onPermitAnswered(draft, {
+                attemptId,
+                instanceId,
+                isGranted: false,
+                retryAfterMs: PERMIT_LOST_HOLD_BACK_MS,
+            });
+        }
+    }
+};
+
 /** Handles a tick: enforces deadlines, sends hedges and waiting requests, and probes servers. */
 export const onTick = (
     draft: DispatchDraft,
@@ -22,7 +41,8 @@
                 rejectRequest(draft, request, { reason: REJECT_REASONS.deadline });
             }
             else {
-                tryHedge(draft, request);
+                endLatePermitQueries(draft, request);
+                tryHedge(draft, draft.request(requestKey) ?? request);
             }
         }
         if (service.queue.length > 0) {
--- a/routing/dispatch/src/probe-servers.ts
+++ b/routing/dispatch/src/probe-servers.ts
@@ -1,8 +1,8 @@
-import type { BackendServer } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
+import type { ProbeDueAge } from "./probe-due-age.js";
 
 interface ProbeServersOptions {
-    readonly probeDueAgeMs: ((server: BackendServer) => number) | undefined;
+    readonly probeDueAgeMs: ProbeDueAge | undefined;
 }
 
 // The daemon gives up on an unanswered probe within this time, so that it does not hold back later ones.
@@ -21,10 +21,14 @@
             continue;
         }
         for (const [instanceId, serverState] of service.servers) {
-            const { server, probedAtMs, measuredAtMs } = serverState;
-            const isPending = probedAtMs !== undefined && atMs - probedAtMs < MAX_PENDING_PROBE_MS;
+            const { server, probedAtMs, measuredAtMs, requestLimit } = serverState;
+            const dueAgeMs = probeDueAgeMs(server, requestLimit.perSecond);
+            const maxPendingMs = requestLimit.perSecond === undefined
+                ? MAX_PENDING_PROBE_MS
+                : Math.max(MAX_PENDING_PROBE_MS, dueAgeMs);
+            const isPending = probedAtMs !== undefined && atMs - probedAtMs < maxPendingMs;
             const mayProbe = !server.isDraining && !isPending;
-            if (mayProbe && atMs - measuredAtMs >= probeDueAgeMs(server)) {
+            if (mayProbe && atMs - measuredAtMs >= dueAgeMs) {
                 draft.updateServer(instanceId, { probedAtMs: atMs });
                 draft.emit({ type: "probe-server", instanceId, address: server.address, healthPath });
             }
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -8,8 +8,11 @@
 import { onAttemptAnswered } from "./on-attempt-answered.js";
 import { onAttemptFailed } from "./on-attempt-failed.js";
 import { onCallerLeft } from "./on-caller-left.js";
+import { onLimitsLearned } from "./on-limits-learned.js";
 import { onLoadsAnswered } from "./on-loads-answered.js";
 import { onLoadsReceived } from "./on-loads-received.js";
+import { onPermitAnswered } from "./on-permit-answered.js";
+import { onPermitRequested } from "./on-permit-requested.js";
 import { onProcessEnding } from "./on-process-ending.js";
 import { onRequestArrived } from "./on-request-arrived.js";
 import { onResumed } from "./on-resumed.js";
@@ -51,6 +54,15 @@
             onLoadsReceived(draft, event);
             drainAllQueues(draft);
             return;
+        case "limits-learned":
+            onLimitsLearned(draft, event);
+            return;
+        case "permit-requested":
+            onPermitRequested(draft, event);
+            return;
+        case "permit-answered":
+            onPermitAnswered(draft, event);
+            return;
         case "server-recommended":
             onServerRecommended(draft, event);
             return;
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -31,7 +31,9 @@
         ? STATUS_GATEWAY_TIMEOUT
         : STATUS_BAD_GATEWAY;
     const spreadMs = DISPATCH_LIMITS.minRetryAfterMs + draft.nextRandom() * DISPATCH_LIMITS.retryAfterJitterMs;
-    const retryAfterMs = mayHaveRun ? undefined : Math.max(spreadMs, opts.waitMs ?? 0);
+    const retryAfterMs = mayHaveRun
+        ? undefined
+        : Math.min(DISPATCH_LIMITS.maxRetryAfterMs, Math.max(spreadMs, opts.waitMs ?? 0));
     if (!request.callerLeft) {
         draft.emit({
             type: "reject-request",
--- a/routing/dispatch/src/select-loads.ts
+++ b/routing/dispatch/src/select-loads.ts
@@ -69,7 +69,9 @@
     const selected = new Set([...best, ...connected]);
     return {
         service: question.service,
-        bestInstanceId: best.find(server => countOccupied(server, atMs) < server.server.slots)?.server.instanceId,
+        bestInstanceId: best.find(server =>
+            server.requestLimit.perSecond === undefined && countOccupied(server, atMs) < server.server.slots
+        )?.server.instanceId,
         averageSlowness: service.slowness,
         servers: [...selected].flatMap(server => describeServer(server, { atMs, vmId })),
     };
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -22,7 +22,7 @@
 }): void => {
     const { atMs } = draft;
     const { estimate, attempt } = opts;
-    const { server, load } = estimate.server;
+    const { server, load, requestLimit } = estimate.server;
     const { attemptId, instanceId } = attempt;
     const isResend = request.sentCount > 0;
     const sent: AttemptState = {
@@ -83,6 +83,7 @@
             hubAnswerAgeMs: selectHubAnswerAgeMs(draft, request.service),
             waitedMs: Math.round(atMs - request.arrivedAtMs),
             remainingMs: Math.round(request.deadlineAtMs - atMs),
+            ...requestLimit.perSecond === undefined ? {} : { limitPerSecond: requestLimit.perSecond },
         },
     });
 };
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -1,4 +1,5 @@
 import type { BackendServer, LoadReport } from "@marigoldstall/core.types";
+import type { PermitBucket } from "./permit-bucket.js";
 import type { RequestLimit } from "./request-limit.js";
 import type { UnreportedSend } from "./unreported-send.js";
 
@@ -25,4 +26,8 @@
     /** When the latest probe was sent or failed; undefined after it was answered. */
     readonly probedAtMs: number | undefined;
     readonly requestLimit: RequestLimit;
+    /** Until when this VM sends it no request, because its limit leaves no room. */
+    readonly heldBackUntilMs: number;
+    /** Permits that this VM can grant for its limited requests; undefined until the first one was asked for. */
+    readonly permitBucket: PermitBucket | undefined;
 }
--- a/routing/dispatch/src/start-attempt.ts
+++ b/routing/dispatch/src/start-attempt.ts
@@ -1,6 +1,7 @@
 import type { AttemptState } from "./attempt-state.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { requestPermit } from "./request-permit.js";
 import type { RequestState } from "./request-state.js";
 import { sendAttempt } from "./send-attempt.js";
 import type { ServerEstimate } from "./server-estimate.js";
@@ -8,7 +9,7 @@
 /**
  * Starts an attempt and reserves a slot on its server. If the latest load report is not fresh enough, a preflight
  * check of the server, a health check right before the request is sent, comes first. It also detects broken connections
- * and servers before anything is sent.
+ * and servers before anything is sent. A server that limits its requests gets no check: a permit comes first.
  */
 export const startAttempt = (draft: DispatchDraft, request: RequestState, opts: {
     readonly estimate: ServerEstimate;
@@ -20,14 +21,15 @@
     const { server, unreportedSends, ownInFlight } = estimate.server;
     const { instanceId, address } = server;
     const healthPath = draft.state.configuration?.services.get(server.service)?.healthPath;
-    const needsCheck = healthPath !== undefined && draft.service(server.service).reportsLoad
+    const needsPermit = estimate.server.requestLimit.perSecond !== undefined;
+    const needsCheck = !needsPermit && healthPath !== undefined && draft.service(server.service).reportsLoad
         && estimate.reportAgeMs > DISPATCH_LIMITS.reportFreshForMs && request.checkCount < DISPATCH_LIMITS.maxChecks;
     const attemptId = String(draft.state.nextAttempt);
     draft.update({ nextAttempt: draft.state.nextAttempt + 1 });
     const attempt: AttemptState = {
         attemptId,
         instanceId,
-        phase: "checking",
+        phase: needsPermit ? "awaiting-permit" : "checking",
         startedAtMs: atMs,
         expectedMs: estimate.totalMs,
         reportBasedMs: estimate.reportBasedMs,
@@ -59,6 +61,10 @@
             { sentAtMs: atMs, vmId: undefined },
         ],
     });
+    if (needsPermit) {
+        requestPermit(draft, attempt, estimate.server);
+        return;
+    }
     if (needsCheck) {
         draft.emit({ type: "check-server", attemptId, instanceId, address, healthPath });
         return;
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -38,6 +38,8 @@
     readonly effects: DispatchEffect[] = [];
     /** Whether servers answer preflight checks at once with the load that they reported last. */
     answersChecks = true;
+    /** Whether permits for limited servers are granted at once. */
+    grantsPermits = true;
     private nextRequest = 1;
     private random: number;
 
@@ -161,6 +163,10 @@
             if (effect.type === "check-server" && this.answersChecks) {
                 this.answerCheck(effect.attemptId, effect.instanceId);
             }
+            else if (effect.type === "request-permit" && this.grantsPermits) {
+                const { attemptId, instanceId } = effect;
+                this.send({ type: "permit-answered", attemptId, instanceId, isGranted: true, retryAfterMs: 0 });
+            }
         }
         return effects;
     }
--- a/routing/dispatch/test/server-limits.test.ts
+++ b/routing/dispatch/test/server-limits.test.ts
@@ -1,3 +1,4 @@
+import { listLimits } from "@marigoldstall/routing.dispatch";
 import { expect } from "chai";
 import { DispatchHarness } from "./dispatch-harness.js";
 
@@ -66,4 +67,225 @@
             expect(limitOf(harness, instanceId)).to.equal(undefined);
         });
     });
+
+    describe("sending to a limited server", () => {
+        const createAsking = (servers: number): DispatchHarness => {
+            const harness = new DispatchHarness({ servers });
+            harness.grantsPermits = false;
+            return harness;
+        };
+        const limit = (harness: DispatchHarness, instanceId: string, perSecond: number): void => {
+            harness.send({
+                type: "limits-learned",
+                limits: [{ instanceId, startedAtUnixMs: 1, perSecond, statedAtMs: harness.atMs }],
+            });
+        };
+        const limitAll = (harness: DispatchHarness, perSecond: number): void => {
+            for (const instanceId of harness.state.servicesByInstance.keys()) {
+                limit(harness, instanceId, perSecond);
+            }
+        };
+        const lastQuery = (harness: DispatchHarness): { readonly attemptId: string; readonly instanceId: string; } => {
+            const query = harness.effectsOf("request-permit").at(-1);
+            if (query === undefined) {
+                throw new Error("no permit was asked for");
+            }
+            return { attemptId: query.attemptId, instanceId: query.instanceId };
+        };
+        const answerQuery = (harness: DispatchHarness, isGranted: boolean, retryAfterMs = 400): void => {
+            harness.send({ type: "permit-answered", ...lastQuery(harness), isGranted, retryAfterMs });
+        };
+
+        it("waits for a permit and sends no preflight check", () => {
+            const harness = createAsking(1);
+            limitAll(harness, 1);
+            harness.atMs += 50;
+            const requestKey = harness.arrive();
+            expect(harness.attemptsOf(requestKey).length).to.equal(0);
+            expect(harness.effectsOf("check-server").length).to.equal(0);
+            answerQuery(harness, true);
+            expect(harness.attemptsOf(requestKey).length).to.equal(1);
+        });
+
+        it("takes another server at once when the permit is refused", () => {
+            const harness = createAsking(2);
+            limitAll(harness, 1);
+            const requestKey = harness.arrive();
+            const refused = lastQuery(harness).instanceId;
+            answerQuery(harness, false);
+            expect(lastQuery(harness).instanceId).not.to.equal(refused);
+            answerQuery(harness, true);
+            expect(harness.lastAttempt(requestKey).instanceId).not.to.equal(refused);
+        });
+
+        it("lets a request wait until the limit leaves room, and leaves the server alone until then", () => {
+            const harness = createAsking(1);
+            limitAll(harness, 2);
+            const requestKey = harness.arrive({ deadlineMs: 1_200 });
+            answerQuery(harness, false, 300);
+            harness.advance(290);
+            expect(harness.effectsOf("request-permit").length).to.equal(1);
+            harness.advance(100);
+            expect(harness.effectsOf("request-permit").length).to.equal(2);
+            answerQuery(harness, true);
+            expect(harness.attemptsOf(requestKey).length).to.equal(1);
+        });
+
+        // A permit that a paused VM uses later would add to those of that time.
+        it("does not use a permit that arrives late, or for an attempt that has ended", () => {
+            const harness = createAsking(1);
+            limitAll(harness, 1);
+            const requestKey = harness.arrive();
+            harness.atMs += 200;
+            answerQuery(harness, true);
+            answerQuery(harness, true);
+            expect(harness.attemptsOf(requestKey).length).to.equal(0);
+        });
+
+        it("stops waiting for an answer that does not come", () => {
+            const harness = createAsking(2);
+            limit(harness, "i-0", 1);
+            harness.reportLoad("i-1", { inFlight: 2 });
+            const requestKey = harness.arrive();
+            expect(lastQuery(harness).instanceId).to.equal("i-0");
+            harness.reportLoad("i-1", { inFlight: 0 });
+            harness.advance(100);
+            expect(harness.lastAttempt(requestKey).instanceId).to.equal("i-1");
+        });
+
+        // The check comes from a VM that has not heard of the limit yet.
+        it("asks for a permit when the response to the preflight check states a limit", () => {
+            const harness = createAsking(1);
+            harness.answersChecks = false;
+            harness.atMs += 50;
+            const requestKey = harness.arrive();
+            const check = harness.effectsOf("check-server").at(-1);
+            harness.send({
+                type: "server-checked",
+                attemptId: check?.attemptId ?? "",
+                isAnswered: true,
+                isHealthy: true,
+                load: undefined,
+                directives: LIMIT,
+            });
+            expect(harness.attemptsOf(requestKey).length).to.equal(0);
+            expect(harness.effectsOf("request-permit").length).to.equal(1);
+        });
+
+        it("needs a permit for a retry as well", () => {
+            const harness = createAsking(2);
+            limitAll(harness, 5);
+            const requestKey = harness.arrive();
+            answerQuery(harness, true);
+            harness.fail(harness.lastAttempt(requestKey).attemptId, "lost");
+            expect(harness.attemptsOf(requestKey).length).to.equal(1);
+            expect(harness.effectsOf("request-permit").length).to.equal(2);
+        });
+
+        // A request that waits for a slot which the limit does not allow to use is rejected only at its deadline.
+        it("rejects at once what the limits of all servers do not let through in time", () => {
+            const harness = createAsking(2);
+            limitAll(harness, 0.5);
+            const requestKeys = [...Array(6).keys()].map(() => harness.arrive());
+            for (const { attemptId, instanceId } of harness.effectsOf("request-permit")) {
+                harness.send({ type: "permit-answered", attemptId, instanceId, isGranted: false, retryAfterMs: 900 });
+            }
+            const rejected = requestKeys.filter(requestKey => harness.rejectionOf(requestKey) !== undefined);
+            expect(rejected.length).to.be.at.least(4);
+        });
+
+        it("names a bounded Retry-After when a server takes no request at all", () => {
+            const harness = createAsking(1);
+            limitAll(harness, 0);
+            const requestKey = harness.arrive();
+            answerQuery(harness, false, 2_000);
+            harness.advance(20);
+            expect(harness.rejectionOf(requestKey)?.retryAfterMs).to.be.at.most(30_000);
+        });
+    });
+
+    describe("granting permits", () => {
+        const ask = (harness: DispatchHarness, share = 1): boolean =>
+            harness.send({ type: "permit-requested", attemptId: "1", instanceId: "i-0", replyHost: "vm", share })
+                .some(effect => effect.type === "answer-permit" && effect.isGranted);
+        const countGranted = (harness: DispatchHarness, durationMs: number, share = 1): number => {
+            let count = 0;
+            for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+                harness.atMs += 10;
+                count += ask(harness, share) ? 1 : 0;
+            }
+            return count;
+        };
+        const createLimited = (perSecond: number): DispatchHarness => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const statedAtMs = harness.atMs;
+            const limits = [{ instanceId: "i-0", startedAtUnixMs: 1, perSecond, statedAtMs }];
+            harness.send({ type: "limits-learned", limits });
+            return harness;
+        };
+
+        // The VM that granted permits before may have granted one a moment ago.
+        it("starts without a permit", () => {
+            expect(ask(createLimited(1))).to.equal(false);
+        });
+
+        for (const perSecond of [0.3, 1, 1.3, 40]) {
+            it(`grants ${perSecond} a second, and no burst after a calm time`, () => {
+                const harness = createLimited(perSecond);
+                ask(harness);
+                expect(countGranted(harness, 20_000)).to.be.within(perSecond * 20 - 2, perSecond * 20 + 1);
+                harness.atMs += 60_000;
+                expect(countGranted(harness, 4_000)).to.be.at.most(perSecond * 4.25 + 1);
+            });
+        }
+
+        it("grants its share of the limit only", () => {
+            const harness = createLimited(10);
+            ask(harness, 0.25);
+            expect(countGranted(harness, 20_000, 0.25)).to.be.within(48, 51);
+        });
+
+        it("grants nothing for a server that it does not know as limited", () => {
+            expect(countGranted(new DispatchHarness({ servers: 1 }), 1_000)).to.equal(0);
+        });
+    });
+
+    describe("telling other VMs", () => {
+        const learn = (harness: DispatchHarness, perSecond: number | undefined, statedAtMs: number): void => {
+            harness.send({
+                type: "limits-learned",
+                limits: [{ instanceId: "i-0", startedAtUnixMs: 1, perSecond, statedAtMs }],
+            });
+        };
+
+        it("keeps the later of two statements, in whichever order they arrive", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            learn(harness, undefined, harness.atMs);
+            learn(harness, 1, harness.atMs - 100);
+            expect(limitOf(harness, "i-0")).to.equal(undefined);
+            learn(harness, 2, harness.atMs + 1);
+            expect(limitOf(harness, "i-0")).to.equal(2);
+        });
+
+        it("ignores what was said of an earlier start of the server", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            harness.send({
+                type: "limits-learned",
+                limits: [{ instanceId: "i-0", startedAtUnixMs: 0, perSecond: 1, statedAtMs: harness.atMs }],
+            });
+            expect(limitOf(harness, "i-0")).to.equal(undefined);
+        });
+
+        it("lists limits, and for a while those that ended", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            learn(harness, 1, harness.atMs);
+            expect(listLimits(harness.state, harness.atMs + 100)).to.deep.equal([
+                { instanceId: "i-0", startedAtUnixMs: 1, perSecond: 1, ageMs: 100 },
+            ]);
+            learn(harness, undefined, harness.atMs + 1);
+            expect(listLimits(harness.state, harness.atMs + 5_000).map(({ perSecond }) => perSecond))
+                .to.deep.equal([undefined]);
+            expect(listLimits(harness.state, harness.atMs + 20_000)).to.deep.equal([]);
+        });
+    });
 });
