feat(dispatch): tell from a broken connection whether its server has ended

Callers: nothing changes yet. The logs could not tell a request that ends its server from a reset, a cut or a planned end: all of them are attempt-failed lines.

When a connection breaks while its server has the request, a health check on a new connection follows. A refused connection, a later start under the same id or, without an answer, a removed registration shows that the server has ended (log line server-ended). A draining server ends anyway and is left out.

--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -18,7 +18,8 @@
     readonly mode: "any" | "fresh" | "new";
     readonly allowExtra?: boolean;
     readonly onReady: (connection: BackendConnection) => void;
-    readonly onFailed: () => void;
+    /** Gets the code of the error if connecting failed by one. */
+    readonly onFailed: (errorCode?: string) => void;
 }
 
 /** Pool of connections to one backend server. */
@@ -116,18 +117,18 @@
             /** Checked right before the request is sent; false prevents it. */
             readonly shouldSend?: () => boolean;
         },
-        callback: (result: ExchangeResult | undefined) => void,
+        callback: (result: ExchangeResult | undefined, connectErrorCode?: string) => void,
     ): void {
         let finished = false;
         let abort = (): void => undefined;
-        const finish = (result: ExchangeResult | undefined): void => {
+        const finish = (result: ExchangeResult | undefined, connectErrorCode?: string): void => {
             if (!finished) {
                 finished = true;
                 clearTimeout(timer);
                 if (result === undefined) {
                     abort();
                 }
-                callback(result);
+                callback(result, connectErrorCode);
             }
         };
         const timer = setTimeout(() => {
@@ -136,8 +137,8 @@
         const cancelAcquire = this.acquire({
             mode: opts.mode,
             allowExtra: true,
-            onFailed: () => {
-                finish(undefined);
+            onFailed: errorCode => {
+                finish(undefined, errorCode);
             },
             onReady: connection => {
                 if (finished || opts.shouldSend?.() === false) {
@@ -223,17 +224,20 @@
         const socket = connect({ host, port: Number(this.address.slice(colon + 1)), noDelay: true });
         this.connecting.add(socket);
         let isWaiting = true;
+        let errorCode: string | undefined;
         const onConnectFailed = (): void => {
             this.connecting.delete(socket);
             if (isWaiting) {
                 isWaiting = false;
-                opts.onFailed();
+                opts.onFailed(errorCode);
             }
         };
         socket.setTimeout(this.connectTimeoutMs, () => {
             socket.destroy();
         });
-        socket.on("error", () => undefined);
+        socket.on("error", (error: NodeJS.ErrnoException) => {
+            errorCode = error.code;
+        });
         socket.once("close", onConnectFailed);
         socket.once("connect", () => {
             socket.setTimeout(0);
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -13,6 +13,7 @@
 import { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import { fingerprintRequest } from "./fingerprint-request.js";
 import { FleetJoiner } from "./fleet-joiner.js";
 import { FleetSocket } from "./fleet-socket.js";
 import { HealthChecks } from "./health-checks.js";
@@ -145,6 +146,7 @@
                     path: message.url ?? "",
                     receivedAtMs,
                     deadlineMs,
+                    fingerprint: fingerprintRequest(message, request.body),
                 });
             },
             onCallerLeft: requestKey => {
@@ -372,6 +374,9 @@
             case "probe-server":
                 this.healthChecks.sendProbe(effect);
                 return;
+            case "verify-server":
+                this.healthChecks.verifyServer(effect);
+                return;
             case "close-connections":
                 this.pools.remove(effect.instanceId);
                 return;
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -51,6 +51,7 @@
         | "attempt-failed"
         | "probe-answered"
         | "probe-failed"
+        | "server-verified"
         | "idle-connections-changed"
         | "process-ending"
     >;
--- a/daemon/entry/src/health-checks.ts
+++ b/daemon/entry/src/health-checks.ts
@@ -9,6 +9,7 @@
 import { reportMalformedHeaders } from "./report-malformed-headers.js";
 
 const STATUS_OK = 200;
+const CONNECTION_REFUSED = "ECONNREFUSED";
 
 interface ServerHealth {
     readonly isHealthy: boolean;
@@ -56,6 +57,22 @@
         });
     }
 
+    /** Checks on a new connection whether a server still runs. */
+    verifyServer(effect: Extract<EntryEffect, { readonly type: "verify-server"; }>): void {
+        const { instanceId, askedAtMs, address, healthPath } = effect;
+        const opts = { method: "GET", path: healthPath, timeoutMs: ENTRY_TIMINGS.probeTimeoutMs, mode: "new" as const };
+        this.opts.pools.get(instanceId, address).exchange(
+            { ...opts, expectsInstanceId: true },
+            (result, connectErrorCode) => {
+                const isGone = connectErrorCode === CONNECTION_REFUSED
+                    || (result?.instanceId !== undefined && result.instanceId !== instanceId);
+                const verdict = isGone ? "gone" : result?.instanceId === instanceId ? "running" : "unknown";
+                this.opts.metrics.probes.inc({ result: verdict === "running" ? "answered" : "failed" });
+                this.opts.dispatch({ type: "server-verified", instanceId, askedAtMs, result: verdict });
+            },
+        );
+    }
+
     private requestHealth(
         server: { readonly instanceId: string; readonly address: string; readonly healthPath: string; },
         opts: { readonly timeoutMs: number; },
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -257,6 +257,7 @@
         case "caller-left":
         case "attempt-failed":
         case "probe-failed":
+        case "server-verified":
         case "idle-connections-changed":
         case "process-ending":
             draft.applyDispatchEvent({ ...event, ...draft.eventContext });
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -36,11 +36,10 @@
         readonly load: LoadReport | undefined;
         readonly directives: ServerDirectives | undefined;
     }) => void;
-    readonly onFailed: (
-        failure: "unsent" | "lost",
-        reason: string,
-        directives: ServerDirectives | undefined,
-    ) => void;
+    readonly onFailed: (failure: "unsent" | "lost", reason: string, details: {
+        readonly directives: ServerDirectives | undefined;
+        readonly isConnectionBroken: boolean;
+    }) => void;
 }
 
 /** One attempt to send a request to a backend server. */
@@ -110,7 +109,7 @@
             this.handleResponse(response);
         });
         outgoing.on("error", error => {
-            this.failAsLost(`connection: ${error.message}`);
+            this.failAsLost(`connection: ${error.message}`, { isConnectionBroken: true });
         });
         outgoing.end(body);
     }
@@ -148,11 +147,11 @@
             }
         });
         response.on("error", error => {
-            this.failAsLost(`response: ${error.message}`);
+            this.failAsLost(`response: ${error.message}`, { isConnectionBroken: true });
         });
         response.on("close", () => {
             if (!response.complete) {
-                this.failAsLost("response-cut");
+                this.failAsLost("response-cut", { isConnectionBroken: true });
             }
         });
         response.on("end", () => {
@@ -176,15 +175,20 @@
         });
     }
 
-    private failAsLost(reason: string): void {
+    private failAsLost(reason: string, opts: { readonly isConnectionBroken?: boolean; } = {}): void {
         this.connection?.destroy();
-        this.fail("lost", reason);
+        this.fail("lost", reason, opts);
     }
 
-    private fail(failure: "unsent" | "lost", reason: string): void {
+    private fail(
+        failure: "unsent" | "lost",
+        reason: string,
+        opts: { readonly isConnectionBroken?: boolean; } = {},
+    ): void {
         if (!this.isSettled) {
             this.isSettled = true;
-            this.opts.onFailed(failure, reason, this.directives);
+            const { isConnectionBroken = false } = opts;
+            this.opts.onFailed(failure, reason, { directives: this.directives, isConnectionBroken });
         }
     }
 }
--- a/daemon/entry/src/server-attempts.ts
+++ b/daemon/entry/src/server-attempts.ts
@@ -60,10 +60,10 @@
                     directives,
                 });
             },
-            onFailed: (failure, reason, directives) => {
+            onFailed: (failure, reason, details) => {
                 this.attempts.delete(attemptId);
                 metrics.attempts.inc({ result: failure });
-                dispatch({ type: "attempt-failed", attemptId, failure, reason, directives });
+                dispatch({ type: "attempt-failed", attemptId, failure, reason, ...details });
             },
         });
         this.attempts.set(attemptId, attempt);
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, EntrySettings, LoadReport, Route, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BackendServer, EntrySettings, LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
 import {
     createEntryState,
     type EntryEffect,
@@ -13,6 +13,7 @@
 import { createModelServer } from "./create-model-server.js";
 import { createModelSettings } from "./create-model-settings.js";
 import type { ModelReply } from "./model-reply.js";
+import { MODEL_ROUTE } from "./model-route.js";
 
 const TICK_MS = 10;
 const STORE_LATENCY_MS = 5;
@@ -41,18 +42,6 @@
     readonly configuration: RoutingConfiguration;
 }
 
-const ROUTE: Route = {
-    name: "check",
-    host: "parks.example",
-    pathPrefix: "/check/",
-    isIdempotent: true,
-    priority: 2,
-    latencyTargetMs: 400,
-    timeoutMs: 1_200,
-    maxAttempts: 2,
-    destinations: [{ service: "one", weight: 1 }],
-};
-
 /** Simulation of VMs, a store and backend servers that exchange events in virtual time. */
 export class FleetModel {
     readonly states = new Map<string, EntryState>();
@@ -191,7 +180,7 @@
             configuration: {
                 version,
                 limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-                routesByHost: new Map([["parks.example", [ROUTE]]]),
+                routesByHost: new Map([["parks.example", [MODEL_ROUTE]]]),
                 services: new Map([["one", { name: "one", healthPath: "/health", maxConnections: 220 }]]),
             },
         });
@@ -242,18 +231,20 @@
         return this.atMs - startedAtMs;
     }
 
-    /** Sends a request to a VM. Preflight checks stay without an answer. */
-    arrive(vmId: string): void {
+    /** Sends a request to a VM. Without a path, it differs from all others. */
+    arrive(vmId: string, opts: { readonly path?: string; } = {}): void {
         this.requestCount += 1;
         const requestKey = String(this.requestCount);
+        const path = opts.path ?? `${MODEL_ROUTE.pathPrefix}${requestKey}`;
         this.dispatch(vmId, {
             type: "request-arrived",
             requestKey,
             requestId: `id-${requestKey}`,
-            host: ROUTE.host,
-            path: `${ROUTE.pathPrefix}1`,
+            host: MODEL_ROUTE.host,
+            path,
             receivedAtMs: this.atMs,
             deadlineMs: 1_200,
+            fingerprint: path,
         });
     }
 
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -20,4 +20,5 @@
     servicesByInstance: new Map(),
     splitCreditsByRoute: new Map(),
     nextAttempt: 1,
+    brokenAttempts: new Map(),
 });
--- a/routing/dispatch/src/dispatch-effect.ts
+++ b/routing/dispatch/src/dispatch-effect.ts
@@ -18,6 +18,14 @@
         readonly address: string;
         readonly healthPath: string;
     }
+    | {
+        /** Checks on a new connection whether a server still runs, after a connection to it broke. */
+        readonly type: "verify-server";
+        readonly instanceId: string;
+        readonly askedAtMs: number;
+        readonly address: string;
+        readonly healthPath: string;
+    }
     | { readonly type: "cancel-attempt"; readonly attemptId: string; }
     | { readonly type: "relay-response"; readonly requestKey: string; readonly attemptId: string; }
     | { readonly type: "discard-response"; readonly attemptId: string; }
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -22,6 +22,8 @@
             /** When the headers were received; the body may have taken longer. */
             readonly receivedAtMs: number;
             readonly deadlineMs: number | undefined;
+            /** Equal for requests that are the same but for their id. */
+            readonly fingerprint: string;
         }
         | { readonly type: "caller-left"; readonly requestKey: string; }
         | {
@@ -54,6 +56,8 @@
             readonly attemptId: string;
             readonly failure: "unsent" | "lost";
             readonly reason: string;
+            /** Whether the connection broke while the server had the request. */
+            readonly isConnectionBroken?: boolean | undefined;
             readonly directives?: ServerDirectives | undefined;
         }
         | {
@@ -113,6 +117,15 @@
             readonly load: LoadReport | undefined;
             readonly directives?: ServerDirectives | undefined;
         }
+        | {
+            /** Whether a server still runs, after a connection to it broke. */
+            readonly type: "server-verified";
+            readonly instanceId: string;
+            /** When the check was asked for. */
+            readonly askedAtMs: number;
+            /** `gone`: nothing listens at its address, or another server does. `unknown`: there was no answer. */
+            readonly result: "running" | "gone" | "unknown";
+        }
         | { readonly type: "probe-failed"; readonly instanceId: string; }
         | {
             readonly type: "idle-connections-changed";
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -106,6 +106,9 @@
     // An attempt that takes this multiple of the duration expected from its server's report is slow or lost: with the
     // deviation above, 1 in 250 other attempts takes as long.
     hungFactor: 2.2,
+    // For how long the end of a server explains a connection that broke before, and how many such attempts are kept.
+    brokenAttemptKeptMs: 10_000,
+    maxBrokenAttempts: 256,
     // Share of its part of the retry budget that a VM uses. The rest is left for VMs that restart without knowing how
     // much has been used.
     retryBudgetShare: 0.8,
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -1,4 +1,5 @@
 import type { EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BrokenAttempt } from "./broken-attempt.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { RequestState } from "./request-state.js";
 
@@ -21,4 +22,6 @@
     /** Round-robin credits of the destinations of each split route. */
     readonly splitCreditsByRoute: ReadonlyMap<string, readonly number[]>;
     readonly nextAttempt: number;
+    /** Attempts with a broken connection, by attempt id, until it is clear whether their servers have ended. */
+    readonly brokenAttempts: ReadonlyMap<string, BrokenAttempt>;
 }
--- a/routing/dispatch/src/on-attempt-failed.ts
+++ b/routing/dispatch/src/on-attempt-failed.ts
@@ -8,6 +8,7 @@
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
 import { selectAttempt } from "./select-attempt.js";
+import { trackBrokenAttempt } from "./track-broken-attempt.js";
 import { tryRetry } from "./try-retry.js";
 
 type AttemptFailed = Extract<DispatchEvent, { readonly type: "attempt-failed"; }>;
@@ -33,6 +34,9 @@
             attemptMs: Math.round(draft.atMs - attempt.startedAtMs),
         },
     });
+    if (event.isConnectionBroken === true) {
+        trackBrokenAttempt(draft, found.request, attempt);
+    }
     const ended = endAttempt(draft, found.request, attempt);
     const isUnsent = event.failure === "unsent";
     const request = isUnsent
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -63,6 +63,8 @@
     draft.setRequest({
         requestKey,
         requestId,
+        path: event.path,
+        fingerprint: event.fingerprint,
         route,
         service: name,
         arrivedAtMs: receivedAtMs,
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
+import { confirmCrashesByRegistration } from "./confirm-crashes-by-registration.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { ServerState } from "./server-state.js";
 
@@ -59,7 +60,9 @@
 export const onServersChanged = (draft: DispatchDraft, changes: readonly RegistrationChange[]): void => {
     // Servers that this VM finds when it starts are taken as in use; only those that join later are new capacity.
     const isFirstList = draft.state.servicesByInstance.size === 0;
-    for (const { instanceId, server } of changes) {
+    for (const change of changes) {
+        const { instanceId, server } = change;
+        confirmCrashesByRegistration(draft, change);
         if (server === undefined) {
             removeServer(draft, instanceId);
         }
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -18,6 +18,7 @@
 import { onResumed } from "./on-resumed.js";
 import { onServerChecked } from "./on-server-checked.js";
 import { onServerRecommended } from "./on-server-recommended.js";
+import { onServerVerified } from "./on-server-verified.js";
 import { onServersChanged } from "./on-servers-changed.js";
 import { onTick } from "./on-tick.js";
 import { recordFailure } from "./record-failure.js";
@@ -86,6 +87,9 @@
             }
             drainAllQueues(draft);
             return;
+        case "server-verified":
+            onServerVerified(draft, event);
+            return;
         case "probe-failed":
             recordFailure(draft, event.instanceId, { reason: "probe-failed", weight: PROBE_FAILURE_WEIGHT });
             draft.updateServer(event.instanceId, { probedAtMs: draft.atMs });
--- a/routing/dispatch/src/request-state.ts
+++ b/routing/dispatch/src/request-state.ts
@@ -6,6 +6,9 @@
     /** Unique in this daemon, unlike the id given by the caller. */
     readonly requestKey: string;
     readonly requestId: string;
+    readonly path: string;
+    /** Equal for requests that are the same but for their id. */
+    readonly fingerprint: string;
     readonly route: Route;
     readonly service: string;
     readonly arrivedAtMs: number;
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -120,6 +120,7 @@
             path: "/check/1",
             receivedAtMs: this.atMs,
             deadlineMs: 1_200,
+            fingerprint: `fingerprint-${requestKey}`,
             ...fields,
         });
         return requestKey;
