--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -232,10 +232,11 @@
     }
 
     /** Sends a request to a VM. Without a path, it differs from all others. */
-    arrive(vmId: string, opts: { readonly path?: string; } = {}): void {
+    arrive(vmId: string, opts: { readonly path?: string; readonly onKey?: (requestKey: string) => void; } = {}): void {
         this.requestCount += 1;
         const requestKey = String(this.requestCount);
         const path = opts.path ?? `${MODEL_ROUTE.pathPrefix}${requestKey}`;
+        opts.onKey?.(requestKey);
         this.dispatch(vmId, {
             type: "request-arrived",
             requestKey,
