fix(hubs): reach VMs again that were silent for seconds

Callers: after a cut or a pause of several VMs, these decide by partial knowledge for good, and what the fleet learns (limits of servers, requests that end servers) does not reach them.

Change: a hub sends a heartbeat with its VM list twice a second to two silent VMs, the one with the highest hub priority in its zone and the next of the others, for 10 minutes after they were last heard.

--- a/fleet/hubs/src/create-hub-state.ts
+++ b/fleet/hubs/src/create-hub-state.ts
@@ -13,6 +13,8 @@
     heartbeatSentAtMs: -Infinity,
     peersInformedAtMs: -Infinity,
     vmListSentAtMs: -Infinity,
+    reconnectTriedAtMs: -Infinity,
+    reconnectAttempts: 0,
     findingsSentAtMs: -Infinity,
     reportedFleetSize: 1,
     announced: undefined,
--- a/fleet/hubs/src/hub-limits.ts
+++ b/fleet/hubs/src/hub-limits.ts
@@ -22,6 +22,10 @@
     // at this interval.
     vmExpiryMs: 4_000,
     vmListIntervalMs: 1_500,
+    // A hub sends heartbeats to two of the VMs that it no longer counts as live, at this interval and for this time, so
+    // that both sides of a cut find each other when it ends.
+    reconnectIntervalMs: 500,
+    reconnectForMs: 600_000,
     // Additional delay, by rank, before a VM other than the first hub reads the store itself.
     hubReadDelayStepMs: 250,
     memberReadDelayMs: 700,
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -43,6 +43,9 @@
     /** When a hub last sent a heartbeat to the hubs of the other zones. */
     readonly peersInformedAtMs: number;
     readonly vmListSentAtMs: number;
+    readonly reconnectTriedAtMs: number;
+    /** Number of attempts to reach VMs that are not counted as live. Each attempt is for the next ones. */
+    readonly reconnectAttempts: number;
     readonly findingsSentAtMs: number;
     /** Number of live VMs in the fleet according to this VM's hub. */
     readonly reportedFleetSize: number;
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -14,6 +14,7 @@
 import { selectHubs } from "./select-hubs.js";
 import { selectLiveVms } from "./select-live-vms.js";
 import { selectMessageDelayMs } from "./select-message-delay-ms.js";
+import { selectReconnectTargets } from "./select-reconnect-targets.js";
 import type { StatusMessage } from "./status-message.js";
 import type { UpdatesMessage } from "./updates-message.js";
 import type { VmLiveness } from "./vm-liveness.js";
@@ -170,6 +171,18 @@
     return { ...state, peersInformedAtMs: atMs };
 };
 
+const reconnect = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
+    const { atMs } = opts;
+    if (!state.isHub || atMs - state.reconnectTriedAtMs < HUB_LIMITS.reconnectIntervalMs) {
+        return state;
+    }
+    const hosts = selectReconnectTargets(state, atMs);
+    if (hosts.length > 0) {
+        effects.push({ type: "send-message", hosts, message: createHeartbeat(state, { ...opts, includesVms: true }) });
+    }
+    return { ...state, reconnectTriedAtMs: atMs, reconnectAttempts: state.reconnectAttempts + 1 };
+};
+
 // Registration changes are repeated for a window of time and left out of the messages after that.
 const advanceRepeatWindow = (state: HubState, opts: TickHubOptions): HubState => {
     if (opts.atMs - state.repeatWindowStartedAtMs < HUB_LIMITS.changeRepeatWindowMs) {
@@ -193,6 +206,7 @@
     }
     const isListDue = isVmListDue(updated, atMs);
     const withUpdates = repeatFindings(sendUpdates(updated, opts, effects), opts, effects);
-    const sent = sendHeartbeat(sendHeartbeatToPeers(withUpdates, opts, effects), opts, effects);
+    const withHeartbeats = sendHeartbeat(sendHeartbeatToPeers(withUpdates, opts, effects), opts, effects);
+    const sent = reconnect(withHeartbeats, opts, effects);
     return { state: isListDue ? { ...sent, vmListSentAtMs: atMs } : sent, effects };
 };
