fix(dispatch): hold back a request under which servers end

Cause: an attempt whose connection broke was sent to the next server at once, and nobody remembered the request.

Change: the end of a server under a request (server-ended) makes the request a suspect, by its fingerprint. VMs tell each other through the findings. After three starts of servers ended, it is rejected at once with 503 and Retry-After, for 60 s after the last one, twice as long after each further one; before that, a request under which a server ended earlier gets no second server and no hedge. A server that runs it to its end clears it, and a request that ran to its end in the 10 s before is not to blame, so that a path which many callers use is not held back when servers end for other reasons. The table has at most 256 entries.

Ruled out: a broken connection as evidence (resets, cuts and leaving servers break connections); the id or the address of the caller (both change); a 4xx status: a wrong verdict would lose the request for good, while 503 is true, since this attempt was not run, and a repeat is rejected at the next VM without reaching a server.

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -16,6 +16,7 @@
 export type { ProbeBudget } from "./probe-budget.js";
 export type { Route } from "./route.js";
 export type { RoutingConfiguration } from "./routing-configuration.js";
+export type { ServerCrash } from "./server-crash.js";
 export type { ServerDirectives } from "./server-directives.js";
 export type { ServiceOptions } from "./service-options.js";
 export type { Targets } from "./targets.js";
--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -1,4 +1,4 @@
-import type { DispatchState } from "@marigoldstall/routing.dispatch";
+import { type DispatchState, selectHold } from "@marigoldstall/routing.dispatch";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
 
@@ -21,6 +21,9 @@
     return count;
 };
 
+const countHeldBack = ({ suspects }: DispatchState, nowMs: number): number =>
+    [...suspects.values()].filter(suspect => selectHold(suspect).untilMs > nowMs).length;
+
 /** Registers the gauges whose values are computed from the state on each scrape of `/metrics`. */
 export const addGauges = (metrics: EntryMetrics, opts: AddGaugesOptions): void => {
     const { state } = opts;
@@ -57,6 +60,11 @@
         "Backend servers that state a limit on their requests.",
         () => countLimitedServers(state().dispatch),
     );
+    metrics.addGauge(
+        "marigoldstall_requests_held_back",
+        "Requests that are sent to no server, because servers ended under them.",
+        () => countHeldBack(state().dispatch, opts.nowMs()),
+    );
     metrics.addGauge(
         "marigoldstall_backend_connections",
         "Connections to backend servers.",
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -1,5 +1,5 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
-import { selectLiveVms, type VmInfo } from "@marigoldstall/fleet.hubs";
+import { type Findings, selectLiveVms, type VmInfo } from "@marigoldstall/fleet.hubs";
 import { RpcClient, RpcServer } from "@marigoldstall/fleet.rpc";
 import { selectViewSnapshot, UNKNOWN_ERA, type ViewSnapshot } from "@marigoldstall/fleet.view";
 import * as Option from "effect/Option";
@@ -34,7 +34,23 @@
         perSecond: Schema.optional(Schema.Finite),
         ageMs: Schema.Finite,
     })),
+    suspects: Schema.Array(Schema.Struct({
+        fingerprint: Schema.String,
+        completionAgeMs: Schema.NullOr(Schema.Finite),
+        crashes: Schema.Array(Schema.Struct({
+            instanceId: Schema.String,
+            startedAtUnixMs: Schema.Finite,
+            ageMs: Schema.Finite,
+        })),
+    })),
+});
+
+const toFindings = ({ limits, suspects }: Schema.Schema.Type<typeof FindingsSchema>): Findings => ({
+    limits: limits.map(limit => ({ ...limit, perSecond: limit.perSecond })),
+    // JSON writes Infinity, the age of a completion that is not known, as null.
+    suspects: suspects.map(suspect => ({ ...suspect, completionAgeMs: suspect.completionAgeMs ?? Infinity })),
 });
+
 const decodeSnapshot = Schema.decodeUnknownOption(Schema.Struct({
     // VMs of earlier releases send neither the era and its start, nor withheld registrations and servers that have left,
     // nor findings.
@@ -142,11 +158,9 @@
             };
         if (snapshot !== undefined) {
             this.opts.dispatch({ type: "view-snapshot-received", snapshot });
-            const limits = decoded?.findings?.limits ?? [];
-            this.opts.dispatch({
-                type: "findings-received",
-                findings: { limits: limits.map(limit => ({ ...limit, perSecond: limit.perSecond })) },
-            });
+            if (decoded?.findings !== undefined) {
+                this.opts.dispatch({ type: "findings-received", findings: toFindings(decoded.findings) });
+            }
         }
         return snapshot !== undefined;
     }
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -180,6 +180,15 @@
         ...draft.eventContext,
         limits: findings.limits.map(({ ageMs, ...limit }) => ({ ...limit, statedAtMs: atMs - ageMs })),
     });
+    draft.applyDispatchEvent({
+        type: "suspects-learned",
+        ...draft.eventContext,
+        suspects: findings.suspects.map(({ fingerprint, completionAgeMs, crashes }) => ({
+            fingerprint,
+            completedAtMs: atMs - completionAgeMs,
+            crashes: crashes.map(({ ageMs, ...crash }) => ({ ...crash, atMs: atMs - ageMs })),
+        })),
+    });
 };
 
 const onPermitQuery = (
--- a/daemon/entry/test/deadly-request.test.ts
+++ b/daemon/entry/test/deadly-request.test.ts
@@ -84,4 +84,20 @@
         fleet.run(4_000, { deadlyEvery: 20 });
         expect(fleet.sendsAfterVerdict).to.be.at.most(ALLOWED_LATER_SENDS);
     }).timeout(120_000);
+
+    // A wrong verdict would reject a kind of request that nobody else could clear.
+    it("is not taken to be one of those that run while servers end for other reasons", () => {
+        const fleet = new DeadlyFleet({ vmCount: 13, zones: 3 });
+        const popularPath = CrashingServers.path("popular");
+        for (let round = 0; round < 30; round += 1) {
+            const first = (round * 5) % 24;
+            fleet.servers.crash([`i-${first}`, `i-${(first + 1) % 24}`, `i-${(first + 2) % 24}`]);
+            for (let count = 0; count < 6; count += 1) {
+                fleet.arrive(popularPath);
+                fleet.run(2 * INTERVAL_MS, { deadlyEvery: Infinity });
+            }
+        }
+        expect(fleet.servers.crashesMs.length).to.equal(0);
+        expect(fleet.rejectionsOf("servers-ended-under-it")).to.equal(0);
+    }).timeout(60_000);
 });
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -12,6 +12,7 @@
 import type { SentRequest } from "./sent-request.js";
 import type { ServerFailure } from "./server-failure.js";
 import type { StatusMessage } from "./status-message.js";
+import type { SuspectFinding } from "./suspect-finding.js";
 import type { UpdatesMessage } from "./updates-message.js";
 import type { VmInfo } from "./vm-info.js";
 import type { VmLiveness } from "./vm-liveness.js";
@@ -194,9 +195,30 @@
     };
 };
 
+const decodeSuspect = (value: unknown): SuspectFinding => {
+    const [fingerprint, completionAgeMs, crashes] = asRow(value);
+    return {
+        fingerprint: asString(fingerprint),
+        completionAgeMs: asAgeMs(completionAgeMs),
+        crashes: asRow(crashes).map(crash => {
+            const [instanceId, startedAtUnixMs, ageMs] = asRow(crash);
+            return {
+                instanceId: asString(instanceId),
+                startedAtUnixMs: asNumber(startedAtUnixMs),
+                ageMs: asAgeMs(ageMs),
+            };
+        }),
+    };
+};
+
 const decodeFindings = (row: Row): FindingsMessage => {
-    const [vmId, limits] = row;
-    return { type: "findings", vmId: asString(vmId), limits: asRow(limits).map(decodeLimit) };
+    const [vmId, limits, suspects] = row;
+    return {
+        type: "findings",
+        vmId: asString(vmId),
+        limits: asRow(limits).map(decodeLimit),
+        suspects: asRow(suspects).map(decodeSuspect),
+    };
 };
 
 const decodePermitQuery = (row: Row): PermitQuery => {
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -95,6 +95,11 @@
         perSecond ?? -1,
         encodeAgeMs(ageMs),
     ]),
+    message.suspects.map(({ fingerprint, completionAgeMs, crashes }) => [
+        fingerprint,
+        encodeAgeMs(completionAgeMs),
+        crashes.map(({ instanceId, startedAtUnixMs, ageMs }) => [instanceId, startedAtUnixMs, encodeAgeMs(ageMs)]),
+    ]),
 ];
 
 const encodeBody = (message: FleetMessage): readonly unknown[] => {
--- a/fleet/hubs/src/findings.ts
+++ b/fleet/hubs/src/findings.ts
@@ -1,6 +1,8 @@
 import type { LimitFinding } from "./limit-finding.js";
+import type { SuspectFinding } from "./suspect-finding.js";
 
 /** What VMs have learned from backend servers and every VM has to know. */
 export interface Findings {
     readonly limits: readonly LimitFinding[];
+    readonly suspects: readonly SuspectFinding[];
 }
--- a/fleet/hubs/src/hub-limits.ts
+++ b/fleet/hubs/src/hub-limits.ts
@@ -37,7 +37,8 @@
     // A hub repeats its findings at this interval, for VMs that have started, were paused or missed a datagram.
     findingsRepeatIntervalMs: 1_000,
     // Findings in one datagram, which keeps it within one packet.
-    findingsPerMessage: 24,
+    limitsPerMessage: 24,
+    suspectsPerMessage: 8,
     // A hub grants the share of a limit for the VMs that it heard within the first time, which covers two heartbeats of a
     // member, of those that it heard within the second one.
     permitLivenessMs: 1_200,
--- a/fleet/hubs/src/index.ts
+++ b/fleet/hubs/src/index.ts
@@ -27,5 +27,6 @@
 export { selectReadDelayMs } from "./select-read-delay-ms.js";
 export type { SentRequest } from "./sent-request.js";
 export type { StatusMessage } from "./status-message.js";
+export type { SuspectFinding } from "./suspect-finding.js";
 export type { UpdatesMessage } from "./updates-message.js";
 export type { VmInfo } from "./vm-info.js";
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -117,18 +117,17 @@
 
 const sendFindings = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
     const { atMs } = opts;
-    const { limits } = opts.listFindings();
+    const { limits, suspects } = opts.listFindings();
     const hosts = [...selectReceivers(state, atMs), ...state.isHub ? selectMembers(state, atMs) : []];
-    for (let index = 0; index < limits.length && hosts.length > 0; index += HUB_LIMITS.findingsPerMessage) {
-        effects.push({
-            type: "send-message",
-            hosts,
-            message: {
-                type: "findings",
-                vmId: state.self.vmId,
-                limits: limits.slice(index, index + HUB_LIMITS.findingsPerMessage),
-            },
-        });
+    const send = (findings: Findings): void => {
+        const message = { type: "findings" as const, vmId: state.self.vmId, ...findings };
+        effects.push({ type: "send-message", hosts, message });
+    };
+    for (let index = 0; index < limits.length && hosts.length > 0; index += HUB_LIMITS.limitsPerMessage) {
+        send({ limits: limits.slice(index, index + HUB_LIMITS.limitsPerMessage), suspects: [] });
+    }
+    for (let index = 0; index < suspects.length && hosts.length > 0; index += HUB_LIMITS.suspectsPerMessage) {
+        send({ limits: [], suspects: suspects.slice(index, index + HUB_LIMITS.suspectsPerMessage) });
     }
     return { ...state, findingsSentAtMs: atMs };
 };
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -21,4 +21,6 @@
     splitCreditsByRoute: new Map(),
     nextAttempt: 1,
     brokenAttempts: new Map(),
+    suspects: new Map(),
+    completions: new Map(),
 });
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -2,6 +2,7 @@
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
 import type { LoadSelection } from "./load-selection.js";
 import type { ProbeDueAge } from "./probe-due-age.js";
+import type { SuspectRequest } from "./suspect-request.js";
 
 interface Timed {
     readonly atMs: number;
@@ -88,6 +89,11 @@
                 readonly statedAtMs: number;
             }[];
         }
+        | {
+            /** Another VM tells of requests under which servers ended. */
+            readonly type: "suspects-learned";
+            readonly suspects: readonly SuspectRequest[];
+        }
         | {
             /** A VM asks this one, which grants the permits for a limited server, for a permit. */
             readonly type: "permit-requested";
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -109,6 +109,21 @@
     // For how long the end of a server explains a connection that broke before, and how many such attempts are kept.
     brokenAttemptKeptMs: 10_000,
     maxBrokenAttempts: 256,
+    // A request under which this many servers have ended is held back for this time after the last one, and twice as long
+    // after each further one, up to the second time.
+    crashesBeforeHold: 3,
+    requestHoldMs: 60_000,
+    maxRequestHoldMs: 900_000,
+    // A request that ran to its end within this time before a server ended under it is not to blame: it is one of many
+    // equal ones, which a server that ends for another reason often has at that moment.
+    recentCompletionMs: 10_000,
+    // Requests kept by their fingerprint. Callers choose the paths, so both counts are bounded.
+    maxSuspects: 256,
+    maxCompletions: 128,
+    // Servers kept for each suspect request, and suspects that are told to other VMs, for how long after the last crash.
+    maxCrashesPerSuspect: 8,
+    maxSuspectFindings: 32,
+    suspectToldForMs: 20_000,
     // Share of its part of the retry budget that a VM uses. The rest is left for VMs that restart without knowing how
     // much has been used.
     retryBudgetShare: 0.8,
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -2,6 +2,7 @@
 import type { BrokenAttempt } from "./broken-attempt.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { RequestState } from "./request-state.js";
+import type { SuspectRequest } from "./suspect-request.js";
 
 /** State of the dispatch reducer. */
 export interface DispatchState {
@@ -24,4 +25,8 @@
     readonly nextAttempt: number;
     /** Attempts with a broken connection, by attempt id, until it is clear whether their servers have ended. */
     readonly brokenAttempts: ReadonlyMap<string, BrokenAttempt>;
+    /** Requests under which servers have ended, by fingerprint. */
+    readonly suspects: ReadonlyMap<string, SuspectRequest>;
+    /** When requests last ran to their end, by fingerprint; the newest ones only. */
+    readonly completions: ReadonlyMap<string, number>;
 }
--- a/routing/dispatch/src/drain-queue.ts
+++ b/routing/dispatch/src/drain-queue.ts
@@ -5,6 +5,7 @@
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { estimateQueueWaitMs } from "./estimate-queue-wait-ms.js";
 import { isTooLate } from "./is-too-late.js";
+import { rejectHeldBack } from "./reject-held-back.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
 import { requestLoads } from "./request-loads.js";
@@ -37,6 +38,9 @@
             rejectRequest(draft, request, { reason: REJECT_REASONS.tooLate });
             continue;
         }
+        if (rejectHeldBack(draft, request)) {
+            continue;
+        }
         const estimates = estimateEligibleServers(draft, service, request);
         const estimate = chooseServerOrWait(draft, request, { service, estimates });
         if (estimates.length === 0) {
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -4,6 +4,7 @@
 import type { DispatchEvent } from "./dispatch-event.js";
 import { drainQueue } from "./drain-queue.js";
 import { endAttempt } from "./end-attempt.js";
+import { recordCompletion } from "./record-completion.js";
 import { recordFailure } from "./record-failure.js";
 import { recordLoad } from "./record-load.js";
 import { recordSuccess } from "./record-success.js";
@@ -65,6 +66,9 @@
     if (event.load !== undefined) {
         recordLoad(draft, attempt.instanceId, { load: event.load, measuredAtMs: draft.atMs });
     }
+    if (!event.notRun) {
+        recordCompletion(draft, request.fingerprint);
+    }
     if (event.notRun) {
         recordFailure(draft, attempt.instanceId, { reason: "shed", weight: SHED_FAILURE_WEIGHT });
     }
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -5,6 +5,7 @@
 import { drainQueue } from "./drain-queue.js";
 import { matchRoute } from "./match-route.js";
 import { pickDestination } from "./pick-destination.js";
+import { rejectHeldBack } from "./reject-held-back.js";
 import { requestLoads } from "./request-loads.js";
 
 type RequestArrived = Extract<DispatchEvent, { readonly type: "request-arrived"; }>;
@@ -83,6 +84,10 @@
         queue: [...service.queue, requestKey],
         requests: rollingCounts.add(service.requests, draft.atMs),
     });
+    const request = draft.request(requestKey);
+    if (request !== undefined && rejectHeldBack(draft, request)) {
+        return;
+    }
     if (draft.atMs - service.loadsAnsweredAtMs > DISPATCH_LIMITS.loadsFreshForMs) {
         requestLoads(draft, name, { route, minIntervalMs: DISPATCH_LIMITS.loadAnswerTimeoutMs });
     }
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -23,6 +23,7 @@
 import { onTick } from "./on-tick.js";
 import { recordFailure } from "./record-failure.js";
 import { recordLoad } from "./record-load.js";
+import { recordSuspect } from "./record-suspect.js";
 
 const PROBE_FAILURE_WEIGHT = 0.5;
 
@@ -58,6 +59,12 @@
         case "limits-learned":
             onLimitsLearned(draft, event);
             return;
+        case "suspects-learned":
+            for (const suspect of event.suspects) {
+                recordSuspect(draft, suspect, "peer");
+            }
+            drainAllQueues(draft);
+            return;
         case "permit-requested":
             onPermitRequested(draft, event);
             return;
--- a/routing/dispatch/src/reject-reasons.ts
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -1,5 +1,6 @@
 /** Reasons for responses that the daemon itself generates. */
 export const REJECT_REASONS = {
+    crashesServers: "servers-ended-under-it",
     noServer: "no-usable-server",
     tooLate: "deadline-unreachable",
     queueTooLong: "queue-longer-than-deadline",
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -1,3 +1,4 @@
+import type { DecisionRecord } from "./decision-record.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { endAttempt } from "./end-attempt.js";
@@ -15,7 +16,12 @@
 export const rejectRequest = (
     draft: DispatchDraft,
     request: RequestState,
-    opts: { readonly reason: string; readonly waitMs?: number; },
+    opts: {
+        readonly reason: string;
+        readonly waitMs?: number;
+        /** Further values for the log. */
+        readonly inputs?: DecisionRecord["inputs"];
+    },
 ): void => {
     const { atMs } = draft;
     for (const attempt of request.attempts) {
@@ -54,6 +60,7 @@
             sent: request.sentCount,
             waitedMs: Math.round(atMs - request.arrivedAtMs),
             retryAfterMs: Math.round(retryAfterMs ?? 0),
+            ...opts.inputs,
         },
     });
 };
--- a/routing/dispatch/src/resume-request.ts
+++ b/routing/dispatch/src/resume-request.ts
@@ -5,6 +5,7 @@
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { drainQueue } from "./drain-queue.js";
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
+import { rejectHeldBack } from "./reject-held-back.js";
 import type { RequestState } from "./request-state.js";
 import { sendAttempt } from "./send-attempt.js";
 import type { ServerEstimate } from "./server-estimate.js";
@@ -75,6 +76,10 @@
     const { instanceId, isHedge } = attempt;
     const { service: name } = request;
     draft.setRequest(request);
+    if (rejectHeldBack(draft, request)) {
+        drainQueue(draft, name);
+        return;
+    }
     const service = draft.service(name);
     const estimates = estimateEligibleServers(draft, service, request);
     const candidateCount = estimates.length;
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -6,6 +6,7 @@
 import { hasRetryBudget } from "./has-retry-budget.js";
 import { requestLoads } from "./request-loads.js";
 import type { RequestState } from "./request-state.js";
+import { selectRequestHold } from "./select-request-hold.js";
 import { startAttempt } from "./start-attempt.js";
 
 /**
@@ -26,6 +27,9 @@
     if (!seemsSlow && !seemsHung) {
         return;
     }
+    if ((selectRequestHold(draft, request)?.crashCount ?? 0) > 0) {
+        return;
+    }
     const service = draft.service(request.service);
     const { loadQueryIntervalMs } = draft.state;
     if (loadQueryIntervalMs !== undefined) {
--- a/routing/dispatch/src/try-retry.ts
+++ b/routing/dispatch/src/try-retry.ts
@@ -4,6 +4,7 @@
 import { hasRetryBudget } from "./has-retry-budget.js";
 import { isTooLate } from "./is-too-late.js";
 import type { RequestState } from "./request-state.js";
+import { selectRequestHold } from "./select-request-hold.js";
 import { startAttempt } from "./start-attempt.js";
 
 /** Retries a request without attempts in progress on another server, if retry budget, deadline and servers allow it. */
@@ -13,6 +14,11 @@
     if (request.callerLeft || request.sentCount >= request.route.maxAttempts) {
         return false;
     }
+    // A request under which a server has ended before gets no second server, as it may end that one as well.
+    const hold = selectRequestHold(draft, request);
+    if (hold !== undefined && (hold.remainingMs > 0 || (isResend && hold.crashCount > 0))) {
+        return false;
+    }
     if (isResend && !hasRetryBudget(draft, service)) {
         return false;
     }
