fix(entry): promise nothing for a refusal that may be a copy of an earlier one

Callers saw, as reported by operators of similar systems: 'not run, try again' for a request that a server was running (REFUSED), or the request ran at a second server (TWICE). It can happen here, shown with a raw server: a refusal without an id was taken as the response to the current request on any connection, and a request refused before has the same id when it is sent again.

Change: a refusal without an id counts only on a connection that carried nothing before; otherwise the attempt is lost, which promises nothing, and the connection closes. A request that was refused on a connection is sent again on another one, and one without an id on a new connection. Ruled out: closing the connection after each refusal, as servers refuse many requests under load and new connections cost them 1 ms each.

--- a/daemon/connections/src/backend-connection.ts
+++ b/daemon/connections/src/backend-connection.ts
@@ -4,6 +4,7 @@
 
 // A connection can break without either side noticing. Bytes received within this time show that it still works.
 const FRESHNESS_WINDOW_MS = 2_000;
+const MAX_REFUSED_REQUEST_IDS = 64;
 
 /** Connection to a backend server that carries one request at a time. */
 export class BackendConnection {
@@ -13,6 +14,9 @@
     keepAliveMs: number | undefined;
     private readonly socket: Socket;
     private readonly clock: Clock;
+    private reservations = 0;
+    /** Ids of requests that the server refused on this connection. */
+    private readonly refusedRequestIds = new Set<string>();
     private state: "idle" | "busy" | "closed" = "idle";
     /** Whether the response to the current request is complete. Any byte after that is unexpected. */
     private isResponseComplete: () => boolean = () => true;
@@ -65,12 +69,32 @@
     /** Reserves the connection for one request. */
     reserve(): void {
         this.state = "busy";
+        this.reservations += 1;
+    }
+
+    /** Whether nothing was sent before the current request, so that no response can belong to an earlier one. */
+    get isFirstExchange(): boolean {
+        return this.reservations <= 1;
+    }
+
+    /** Remembers a refused request. A late copy of that response would look like one to the same request sent again. */
+    addRefusal(requestId: string): void {
+        this.refusedRequestIds.add(requestId);
+        const [oldest] = this.refusedRequestIds;
+        if (this.refusedRequestIds.size > MAX_REFUSED_REQUEST_IDS && oldest !== undefined) {
+            this.refusedRequestIds.delete(oldest);
+        }
+    }
+
+    hasRefused(requestId: string): boolean {
+        return this.refusedRequestIds.has(requestId);
     }
 
     /** Makes a reserved connection idle again. Only valid before a byte was sent on it. */
     cancelReservation(): void {
         if (this.state === "busy") {
             this.state = "idle";
+            this.reservations -= 1;
         }
     }
 
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -57,8 +57,13 @@
     }
 
     start(): void {
+        // The response to a request without an id can only be told by its connection.
+        this.acquire(this.opts.request.requestId === "" ? "new" : "any");
+    }
+
+    private acquire(mode: "any" | "new"): void {
         this.cancelAcquire = this.opts.pool.acquire({
-            mode: "any",
+            mode,
             onFailed: () => {
                 this.fail("unsent", "connect-failed");
             },
@@ -89,6 +94,11 @@
             this.fail("unsent", "deadline-passed");
             return;
         }
+        if (connection.hasRefused(request.requestId)) {
+            connection.destroy();
+            this.acquire("new");
+            return;
+        }
         this.connection = connection;
         connection.expectResponse(() => this.response?.complete === true);
         const { message, body } = request;
@@ -123,10 +133,11 @@
         if (head.requestId === requestId) {
             this.directives = head.directives;
         }
-        // A late or duplicate response may belong to another request. A response without a request id does not come
-        // from the backend server, unless it reports that the request did not run: a server that cannot parse a request
-        // cannot echo its id.
-        if (head.requestId !== requestId && !(head.requestId === undefined && head.notRun)) {
+        // A late or duplicate response may belong to another request. A server that cannot parse a request refuses it
+        // without its id; on a connection that was used before, that may be a copy of an earlier refusal.
+        const isRefusalWithoutId = head.requestId === undefined && head.notRun
+            && this.connection?.isFirstExchange === true;
+        if (head.requestId !== requestId && !isRefusalWithoutId) {
             this.failAsLost("response-of-another-request");
             return;
         }
@@ -137,6 +148,9 @@
         if (this.connection !== undefined && head.keepAliveMs !== undefined) {
             this.connection.keepAliveMs = Math.max(0, head.keepAliveMs - ENTRY_TIMINGS.keepAliveMarginMs);
         }
+        if (head.notRun) {
+            this.connection?.addRefusal(requestId);
+        }
         const chunks: Buffer[] = [];
         let bodyBytes = 0;
         response.on("data", (chunk: Buffer) => {
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -160,6 +160,39 @@
         expect((await run()).result).to.equal("not-run");
     });
 
+    describe("with a copy of an earlier refusal on a kept connection", () => {
+        const REFUSAL = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n";
+        const refusalOf = (id: string): string => `${REFUSAL}X-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
+        const success = `HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 2\r\n\r\nok`;
+
+        // The caller was told that a request was not run while the server ran it, or a second server ran it as well.
+        it("promises nothing for a refusal without an id", async () => {
+            onRequest = (socket, count) => {
+                socket.write(count === 1 ? success : `${REFUSAL}Content-Length: 0\r\n\r\n${success}`);
+            };
+            expect((await run()).result).to.equal("answered");
+            expect((await run()).result).to.equal("lost: response-of-another-request");
+        });
+
+        it("takes a refusal without an id as its own on a new connection", async () => {
+            onRequest = socket => socket.write(`${REFUSAL}Content-Length: 0\r\n\r\n`);
+            expect((await run()).result).to.equal("not-run");
+        });
+
+        // The copy has the id of the request that is sent again.
+        it("sends a request that was refused on a connection again on another one", async () => {
+            onRequest = (socket, count) => {
+                socket.write(count === 1 ? refusalOf("abc") : `${refusalOf("abc")}${success}`);
+            };
+            expect((await run()).result).to.equal("not-run");
+            onRequest = (socket, count) => {
+                socket.write(count === 1 ? success : `${refusalOf("abc")}${success}`);
+            };
+            expect((await run()).result).to.equal("answered");
+            expect(connections).to.equal(2);
+        });
+    });
+
     it("reuses a connection, but not one that received an extra response", async () => {
         const responseText = `HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 2\r\n\r\nok`;
         onRequest = (socket, count) => {
