test(entry): show that no cut response head passes as a response

Reported by operators of similar systems: a server stopped in the middle of its response's head, and callers got a 200 with an empty or short body. Not possible here: a head cut after each of its bytes, with the connection closed or reset, fails the attempt in all cases. No change of the code.

--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -193,6 +193,27 @@
         });
     });
 
+    // A response must not look complete when its head was cut.
+    for (const ending of ["end", "reset"] as const) {
+        it(`takes no cut head as a response when the connection is ${ending === "end" ? "closed" : "reset"}`, async () => {
+            const head = `HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 11\r\n\r\n`;
+            for (let length = 1; length <= head.length; length += 1) {
+                onRequest = socket => {
+                    socket.write(head.slice(0, length));
+                    setImmediate(() => {
+                        if (ending === "end") {
+                            socket.end();
+                        }
+                        else {
+                            socket.resetAndDestroy();
+                        }
+                    });
+                };
+                expect((await run()).result, `after ${length} bytes`).to.match(/^lost: /);
+            }
+        });
+    }
+
     it("reuses a connection, but not one that received an extra response", async () => {
         const responseText = `HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 2\r\n\r\nok`;
         onRequest = (socket, count) => {
