fix(dispatch): reject requests that may not end before the process stops

Callers saw, as reported by operators of similar systems: requests on kept connections that came late in the grace period were passed on, and cut without an answer when the process ended (LOST), among them some that may not be repeated. It can happen here: by reading and by the new tests, a stopping VM passed on what its 6 s of grace did not leave time for, with the caller's full deadline.

Change: once the process is asked to stop, a request is sent only if its deadline, or six times its work, passes before the end, and is rejected at once otherwise, so that its caller goes to another VM; waiting requests as well. Servers get a deadline that passes 100 ms before the end, so their response still leaves the process. Three of the five new tests fail before. Open: a request that was sent before SIGTERM and runs to the end of the grace period is still cut.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -200,6 +200,7 @@
         this.stopRequestedAtMs = stopRequestedAtMs;
         this.log.write("stopping", { unfinished: this.callerListener.unfinishedCount });
         const endAtMs = stopRequestedAtMs + this.settings.stopGraceMs - ENTRY_TIMINGS.stopMarginMs;
+        this.dispatch({ type: "process-stopping", endsAtMs: endAtMs });
         let isAccepting = true;
         for (;;) {
             const nowMs = this.clock.atMs();
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -53,5 +53,6 @@
         | "probe-failed"
         | "server-verified"
         | "idle-connections-changed"
+        | "process-stopping"
         | "process-ending"
     >;
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -268,6 +268,7 @@
         case "probe-failed":
         case "server-verified":
         case "idle-connections-changed":
+        case "process-stopping":
         case "process-ending":
             draft.applyDispatchEvent({ ...event, ...draft.eventContext });
             return;
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -20,6 +20,7 @@
     servicesByInstance: new Map(),
     splitCreditsByRoute: new Map(),
     nextAttempt: 1,
+    processEndsAtMs: Infinity,
     brokenAttempts: new Map(),
     suspects: new Map(),
     completions: new Map(),
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -113,6 +113,8 @@
         }
         | ({ readonly type: "loads-answered"; } & LoadSelection)
         | { readonly type: "resumed"; readonly uncountedMs: number; }
+        /** The process was asked to stop. What it sends from now on has to be answered before it ends. */
+        | { readonly type: "process-stopping"; readonly endsAtMs: number; }
         /** The process ends. It sends no further request. */
         | { readonly type: "process-ending"; }
         | { readonly type: "load-source-changed"; readonly loadQueryIntervalMs: number | undefined; }
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -127,6 +127,11 @@
     // Share of its part of the retry budget that a VM uses. The rest is left for VMs that restart without knowing how
     // much has been used.
     retryBudgetShare: 0.8,
+    // A stopping process sends a request only if this multiple of its work is left until the process ends: a VM is up to
+    // five times slower than usual, and the last free slot costs time as well.
+    stopWorkFactor: 6,
+    // Time reserved before the end of the process for the response.
+    processEndMarginMs: 100,
     // Attempts of one request that may fail before a byte is sent. More of them mean that no server can be reached.
     maxUnsentAttempts: 4,
     // Retry-After of rejected requests is spread over this range, so that callers do not return at the same time.
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -23,6 +23,8 @@
     /** Round-robin credits of the destinations of each split route. */
     readonly splitCreditsByRoute: ReadonlyMap<string, readonly number[]>;
     readonly nextAttempt: number;
+    /** When the process ends. Infinity until it is asked to stop. */
+    readonly processEndsAtMs: number;
     /** Attempts with a broken connection, by attempt id, until it is clear whether their servers have ended. */
     readonly brokenAttempts: ReadonlyMap<string, BrokenAttempt>;
     /** Requests under which servers have ended, by fingerprint. */
--- a/routing/dispatch/src/drain-queue.ts
+++ b/routing/dispatch/src/drain-queue.ts
@@ -8,6 +8,7 @@
 import { rejectHeldBack } from "./reject-held-back.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
+import { rejectTooLateForStop } from "./reject-too-late-for-stop.js";
 import { requestLoads } from "./request-loads.js";
 import type { RequestState } from "./request-state.js";
 import { selectRemainingMs } from "./select-remaining-ms.js";
@@ -38,7 +39,7 @@
             rejectRequest(draft, request, { reason: REJECT_REASONS.tooLate });
             continue;
         }
-        if (rejectHeldBack(draft, request)) {
+        if (rejectHeldBack(draft, request) || rejectTooLateForStop(draft, request)) {
             continue;
         }
         const estimates = estimateEligibleServers(draft, service, request);
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -6,6 +6,7 @@
 import { matchRoute } from "./match-route.js";
 import { pickDestination } from "./pick-destination.js";
 import { rejectHeldBack } from "./reject-held-back.js";
+import { rejectTooLateForStop } from "./reject-too-late-for-stop.js";
 import { requestLoads } from "./request-loads.js";
 
 type RequestArrived = Extract<DispatchEvent, { readonly type: "request-arrived"; }>;
@@ -85,7 +86,7 @@
         requests: rollingCounts.add(service.requests, draft.atMs),
     });
     const request = draft.request(requestKey);
-    if (request !== undefined && rejectHeldBack(draft, request)) {
+    if (request !== undefined && (rejectHeldBack(draft, request) || rejectTooLateForStop(draft, request))) {
         return;
     }
     if (draft.atMs - service.loadsAnsweredAtMs > DISPATCH_LIMITS.loadsFreshForMs) {
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -80,6 +80,9 @@
         case "resumed":
             onResumed(draft, event.uncountedMs);
             return;
+        case "process-stopping":
+            draft.update({ processEndsAtMs: event.endsAtMs });
+            return;
         case "process-ending":
             onProcessEnding(draft);
             return;
--- a/routing/dispatch/src/reject-reasons.ts
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -10,5 +10,6 @@
     cutsOthers: "response-would-cut-later-requests",
     deadline: "deadline-passed",
     suspended: "vm-suspended",
+    processStopping: "process-stopping",
     processEnding: "process-ending",
 } as const;
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -63,7 +63,11 @@
         requestKey: request.requestKey,
         instanceId,
         address: server.address,
-        deadlineAtMs: request.deadlineAtMs - DISPATCH_LIMITS.deadlineMarginMs,
+        // The server stops its work in time for its response to leave the process.
+        deadlineAtMs: Math.min(
+            request.deadlineAtMs - DISPATCH_LIMITS.deadlineMarginMs,
+            draft.state.processEndsAtMs - DISPATCH_LIMITS.processEndMarginMs,
+        ),
     });
     draft.log({
         kind: attempt.isHedge ? "hedge" : isResend ? "retry" : "send",
--- a/routing/dispatch/test/request-endings.test.ts
+++ b/routing/dispatch/test/request-endings.test.ts
@@ -100,6 +100,50 @@
         });
     });
 
+    // Requests on kept connections that came late in the grace period were sent to a server, and cut without an answer
+    // when the process ended.
+    describe("while the process stops", () => {
+        const GRACE_MS = 5_800;
+        const createStopping = (remainingMs: number): DispatchHarness => {
+            const harness = new DispatchHarness({ route: { isIdempotent: false } });
+            harness.send({ type: "process-stopping", endsAtMs: harness.atMs + remainingMs });
+            return harness;
+        };
+
+        it("sends a request that ends in time", () => {
+            const harness = createStopping(GRACE_MS);
+            expect(harness.attemptsOf(harness.arrive()).length).to.equal(1);
+        });
+
+        it("rejects a request at once that may not end in time, as not run", () => {
+            const harness = createStopping(700);
+            const requestKey = harness.arrive();
+            expect(harness.attemptsOf(requestKey).length).to.equal(0);
+            expect(harness.rejectionOf(requestKey)).to.include({ statusCode: 503, reason: "process-stopping" });
+        });
+
+        it("sends a request whose deadline passes before the end", () => {
+            const harness = createStopping(700);
+            expect(harness.attemptsOf(harness.arrive({ deadlineMs: 500 })).length).to.equal(1);
+        });
+
+        it("rejects a request that waited for a server until it may not end in time", () => {
+            const harness = new DispatchHarness({ servers: 1, slots: 1 });
+            harness.arrive({ deadlineMs: 5_000 });
+            const requestKey = harness.arrive();
+            harness.send({ type: "process-stopping", endsAtMs: harness.atMs + 1_100 });
+            expect(harness.rejectionOf(requestKey)).to.equal(undefined);
+            harness.advance(200);
+            expect(harness.rejectionOf(requestKey)?.reason).to.equal("process-stopping");
+        });
+
+        it("lets the server stop its work in time for the response to leave the process", () => {
+            const harness = createStopping(1_200);
+            const requestKey = harness.arrive();
+            expect(harness.lastAttempt(requestKey).deadlineAtMs).to.equal(harness.atMs + 1_100);
+        });
+    });
+
     // A suspended VM's clock stands still. Without this, it would send a request after its caller's deadline, and by
     // load reports from before.
     describe("after the VM was suspended", () => {
