fix(dispatch): send no requests to a server that says that it is leaving

Cause: nothing read the header.

A server that says so in any response (to a request, a refusal, a failed attempt, a health check) gets none from then on, on each VM that hears of it, until it starts again under its id. The table of such starts is separate from the registrations, so that neither a removal, an older view of a peer nor a restored store brings the server back.

--- a/core/types/src/server-directives.ts
+++ b/core/types/src/server-directives.ts
@@ -2,4 +2,6 @@
 export interface ServerDirectives {
     /** Requests per second that the server takes from all VMs together. Undefined if it states no limit. */
     readonly requestLimitPerSecond: number | undefined;
+    /** Whether the server is about to end and wants no new requests. */
+    readonly isLeaving?: boolean;
 }
--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -1,4 +1,4 @@
-import { type DispatchState, selectHold } from "@marigoldstall/routing.dispatch";
+import { type DispatchState, selectHold, type ServerState } from "@marigoldstall/routing.dispatch";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
 
@@ -11,11 +11,11 @@
     readonly connectionCount: () => number;
 }
 
-const countLimitedServers = ({ services }: DispatchState): number => {
+const countServers = ({ services }: DispatchState, isCounted: (server: ServerState) => boolean): number => {
     let count = 0;
     for (const { servers } of services.values()) {
-        for (const { requestLimit } of servers.values()) {
-            count += requestLimit.perSecond === undefined ? 0 : 1;
+        for (const server of servers.values()) {
+            count += isCounted(server) ? 1 : 0;
         }
     }
     return count;
@@ -58,7 +58,12 @@
     metrics.addGauge(
         "marigoldstall_servers_limited",
         "Backend servers that state a limit on their requests.",
-        () => countLimitedServers(state().dispatch),
+        () => countServers(state().dispatch, ({ requestLimit }) => requestLimit.perSecond !== undefined),
+    );
+    metrics.addGauge(
+        "marigoldstall_servers_leaving",
+        "Registered backend servers that have said in a response that they are about to end.",
+        () => countServers(state().dispatch, ({ isLeaving }) => isLeaving),
     );
     metrics.addGauge(
         "marigoldstall_requests_held_back",
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -34,6 +34,7 @@
         perSecond: Schema.optional(Schema.Finite),
         ageMs: Schema.Finite,
     })),
+    leaving: Schema.Array(Schema.Struct({ instanceId: Schema.String, startedAtUnixMs: Schema.Finite })),
     suspects: Schema.Array(Schema.Struct({
         fingerprint: Schema.String,
         completionAgeMs: Schema.NullOr(Schema.Finite),
@@ -45,8 +46,9 @@
     })),
 });
 
-const toFindings = ({ limits, suspects }: Schema.Schema.Type<typeof FindingsSchema>): Findings => ({
+const toFindings = ({ limits, leaving, suspects }: Schema.Schema.Type<typeof FindingsSchema>): Findings => ({
     limits: limits.map(limit => ({ ...limit, perSecond: limit.perSecond })),
+    leaving,
     // JSON writes Infinity, the age of a completion that is not known, as null.
     suspects: suspects.map(suspect => ({ ...suspect, completionAgeMs: suspect.completionAgeMs ?? Infinity })),
 });
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -180,6 +180,7 @@
         ...draft.eventContext,
         limits: findings.limits.map(({ ageMs, ...limit }) => ({ ...limit, statedAtMs: atMs - ageMs })),
     });
+    draft.applyDispatchEvent({ type: "leaving-learned", ...draft.eventContext, servers: findings.leaving });
     draft.applyDispatchEvent({
         type: "suspects-learned",
         ...draft.eventContext,
--- a/daemon/entry/test/model-servers.ts
+++ b/daemon/entry/test/model-servers.ts
@@ -32,6 +32,8 @@
     readonly arrivals: Arrival[] = [];
     /** Periodic health checks and preflight checks. */
     readonly checks: Arrival[] = [];
+    /** Servers that say that they are leaving. */
+    readonly leaving = new Set<string>();
     private runs: Run[] = [];
     private readonly model: FleetModel;
     private readonly opts: ModelServersOptions;
@@ -77,7 +79,10 @@
                         bodyBytes: RESPONSE_BYTES,
                         cutsOtherRequests: false,
                         load: undefined,
-                        directives: { requestLimitPerSecond: this.limitOf(instanceId) },
+                        directives: {
+                            requestLimitPerSecond: this.limitOf(instanceId),
+                            isLeaving: this.leaving.has(instanceId),
+                        },
                     },
                 };
             }
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -212,12 +212,16 @@
 };
 
 const decodeFindings = (row: Row): FindingsMessage => {
-    const [vmId, limits, suspects] = row;
+    const [vmId, limits, suspects, leaving] = row;
     return {
         type: "findings",
         vmId: asString(vmId),
         limits: asRow(limits).map(decodeLimit),
         suspects: asRow(suspects).map(decodeSuspect),
+        leaving: asRow(leaving).map(server => {
+            const [instanceId, startedAtUnixMs] = asRow(server);
+            return { instanceId: asString(instanceId), startedAtUnixMs: asNumber(startedAtUnixMs) };
+        }),
     };
 };
 
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -100,6 +100,7 @@
         encodeAgeMs(completionAgeMs),
         crashes.map(({ instanceId, startedAtUnixMs, ageMs }) => [instanceId, startedAtUnixMs, encodeAgeMs(ageMs)]),
     ]),
+    message.leaving.map(({ instanceId, startedAtUnixMs }) => [instanceId, startedAtUnixMs]),
 ];
 
 const encodeBody = (message: FleetMessage): readonly unknown[] => {
--- a/fleet/hubs/src/index.ts
+++ b/fleet/hubs/src/index.ts
@@ -8,6 +8,7 @@
 export type { HubEvent } from "./hub-event.js";
 export { HUB_LIMITS } from "./hub-limits.js";
 export type { HubState } from "./hub-state.js";
+export type { LeavingFinding } from "./leaving-finding.js";
 export type { LimitFinding } from "./limit-finding.js";
 export type { LoadAnswer } from "./load-answer.js";
 export type { LoadQuery } from "./load-query.js";
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -115,20 +115,26 @@
     return hasChangedFindings ? sendFindings({ ...state, outbox }, opts, effects) : { ...state, outbox };
 };
 
+const NO_FINDINGS: Findings = { limits: [], leaving: [], suspects: [] };
+
+const splitIntoMessages = <Item>(items: readonly Item[], itemsPerMessage: number): readonly (readonly Item[])[] =>
+    [...Array(Math.ceil(items.length / itemsPerMessage)).keys()].map(index =>
+        items.slice(index * itemsPerMessage, (index + 1) * itemsPerMessage)
+    );
+
 const sendFindings = (state: HubState, opts: TickHubOptions, effects: HubEffect[]): HubState => {
     const { atMs } = opts;
-    const { limits, suspects } = opts.listFindings();
+    const { limits, leaving, suspects } = opts.listFindings();
     const hosts = [...selectReceivers(state, atMs), ...state.isHub ? selectMembers(state, atMs) : []];
-    const send = (findings: Findings): void => {
-        const message = { type: "findings" as const, vmId: state.self.vmId, ...findings };
-        effects.push({ type: "send-message", hosts, message });
+    const send = (findings: Partial<Findings>): void => {
+        if (hosts.length > 0) {
+            const message = { type: "findings" as const, vmId: state.self.vmId, ...NO_FINDINGS, ...findings };
+            effects.push({ type: "send-message", hosts, message });
+        }
     };
-    for (let index = 0; index < limits.length && hosts.length > 0; index += HUB_LIMITS.limitsPerMessage) {
-        send({ limits: limits.slice(index, index + HUB_LIMITS.limitsPerMessage), suspects: [] });
-    }
-    for (let index = 0; index < suspects.length && hosts.length > 0; index += HUB_LIMITS.suspectsPerMessage) {
-        send({ limits: [], suspects: suspects.slice(index, index + HUB_LIMITS.suspectsPerMessage) });
-    }
+    splitIntoMessages(limits, HUB_LIMITS.limitsPerMessage).forEach(part => send({ limits: part }));
+    splitIntoMessages(leaving, HUB_LIMITS.limitsPerMessage).forEach(part => send({ leaving: part }));
+    splitIntoMessages(suspects, HUB_LIMITS.suspectsPerMessage).forEach(part => send({ suspects: part }));
     return { ...state, findingsSentAtMs: atMs };
 };
 
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -79,6 +79,30 @@
     });
 
     // During a rolling upgrade, VMs of both releases belong to the same fleet.
+    it("decodes encoded findings, a permit query and its answer to equal ones", () => {
+        const messages: readonly FleetMessage[] = [
+            {
+                type: "findings",
+                vmId: "1",
+                limits: [
+                    { instanceId: "i-1", startedAtUnixMs: 1_770_000_000_000, perSecond: 1.3, ageMs: 20 },
+                    { instanceId: "i-2", startedAtUnixMs: 1, perSecond: undefined, ageMs: Infinity },
+                ],
+                leaving: [{ instanceId: "i-3", startedAtUnixMs: 1 }],
+                suspects: [{
+                    fingerprint: "abc",
+                    completionAgeMs: Infinity,
+                    crashes: [{ instanceId: "i-4", startedAtUnixMs: 2, ageMs: 30 }],
+                }],
+            },
+            { type: "permit-query", attemptId: "7", instanceId: "i-1" },
+            { type: "permit-answer", attemptId: "7", instanceId: "i-1", isGranted: false, retryAfterMs: 400 },
+        ];
+        for (const message of messages) {
+            expect(decodeFleetMessage(encodeFleetMessage(message))).to.deep.equal(message);
+        }
+    });
+
     it("decodes a status of a release that sends no era as one of an unknown era", () => {
         const message: FleetMessage = {
             type: "status",
--- a/fleet/hubs/test/hubs.test.ts
+++ b/fleet/hubs/test/hubs.test.ts
@@ -15,7 +15,7 @@
 
 const TICK_MS = 5;
 
-const NO_FINDINGS = { limits: [], suspects: [] };
+const NO_FINDINGS = { limits: [], leaving: [], suspects: [] };
 
 /** Simulates VMs that exchange messages without delay. The VMs in `silent` neither send nor receive. */
 class FleetSimulation {
--- a/routing/dispatch/src/apply-directives.ts
+++ b/routing/dispatch/src/apply-directives.ts
@@ -1,5 +1,6 @@
 import type { ServerDirectives } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
+import { recordLeaving } from "./record-leaving.js";
 import { recordRequestLimit } from "./record-request-limit.js";
 
 /**
@@ -11,6 +12,10 @@
     readonly isHealthCheck: boolean;
 }): void => {
     const { directives, isHealthCheck } = opts;
+    const startedAtUnixMs = draft.server(instanceId)?.server.startedAtUnixMs;
+    if (directives?.isLeaving === true && startedAtUnixMs !== undefined) {
+        recordLeaving(draft, { instanceId, startedAtUnixMs, source: "response" });
+    }
     const perSecond = directives?.requestLimitPerSecond;
     if (directives !== undefined && (perSecond !== undefined || !isHealthCheck)) {
         const requestLimit = { perSecond, statedAtMs: draft.atMs };
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -18,6 +18,7 @@
     requests: new Map(),
     requestKeysByAttempt: new Map(),
     servicesByInstance: new Map(),
+    leavingStarts: new Map(),
     splitCreditsByRoute: new Map(),
     nextAttempt: 1,
     processEndsAtMs: Infinity,
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -89,6 +89,11 @@
                 readonly statedAtMs: number;
             }[];
         }
+        | {
+            /** Another VM tells of servers that have said that they are about to end. */
+            readonly type: "leaving-learned";
+            readonly servers: readonly { readonly instanceId: string; readonly startedAtUnixMs: number; }[];
+        }
         | {
             /** Another VM tells of requests under which servers ended. */
             readonly type: "suspects-learned";
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -20,6 +20,11 @@
     /** Attempts in progress only. */
     readonly requestKeysByAttempt: ReadonlyMap<string, string>;
     readonly servicesByInstance: ReadonlyMap<string, string>;
+    /**
+     * Starts of servers that have said that they are about to end, by instance id. They count whatever the registrations
+     * say, until the server starts again.
+     */
+    readonly leavingStarts: ReadonlyMap<string, number>;
     /** Round-robin credits of the destinations of each split route. */
     readonly splitCreditsByRoute: ReadonlyMap<string, readonly number[]>;
     readonly nextAttempt: number;
--- a/routing/dispatch/src/estimate-queue-wait-ms.ts
+++ b/routing/dispatch/src/estimate-queue-wait-ms.ts
@@ -18,7 +18,7 @@
 ): number => {
     const workMs = selectWorkMs(service, opts.request.route) * service.slowness;
     const slots = [...service.servers.values()]
-        .filter(({ server }) => !server.isDraining)
+        .filter(({ server, isLeaving }) => !server.isDraining && !isLeaving)
         .reduce((sum, server) => sum + countUsableSlots(server, workMs), 0);
     return slots === 0 ? Infinity : (opts.aheadCount + 0.5) * draft.state.vmCount * workMs / slots;
 };
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -6,7 +6,12 @@
 
 const createServer = (
     server: BackendServer,
-    opts: { readonly atMs: number; readonly preference: number; readonly isUsed: boolean; },
+    opts: {
+        readonly atMs: number;
+        readonly preference: number;
+        readonly isUsed: boolean;
+        readonly isLeaving: boolean;
+    },
 ): ServerState => ({
     server,
     load: undefined,
@@ -25,6 +30,7 @@
     coldUntilMs: opts.atMs + server.warmUpMs,
     probedAtMs: undefined,
     requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
+    isLeaving: opts.isLeaving,
     heldBackUntilMs: -Infinity,
     permitBucket: undefined,
 });
@@ -51,7 +57,12 @@
     }
     const next = known !== undefined && isSameProcess
         ? { ...known, server }
-        : createServer(server, { atMs: draft.atMs, preference: draft.nextRandom(), isUsed });
+        : createServer(server, {
+            atMs: draft.atMs,
+            preference: draft.nextRandom(),
+            isUsed,
+            isLeaving: (draft.state.leavingStarts.get(instanceId) ?? -Infinity) >= server.startedAtUnixMs,
+        });
     draft.setServer(server.service, next);
     draft.setServiceOfServer(instanceId, server.service);
 };
--- /dev/null
+++ b/routing/dispatch/src/record-leaving.ts
@@ -0,0 +1,28 @@
+import type { DispatchDraft } from "./dispatch-draft.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+
+/** Records that a server has said that it is about to end. It gets no requests until it starts again. */
+export const recordLeaving = (draft: DispatchDraft, leaving: {
+    readonly instanceId: string;
+    readonly startedAtUnixMs: number;
+    readonly source: "response" | "peer";
+}): void => {
+    const { instanceId, startedAtUnixMs, source } = leaving;
+    if ((draft.state.leavingStarts.get(instanceId) ?? -Infinity) >= startedAtUnixMs) {
+        return;
+    }
+    const leavingStarts = new Map(draft.state.leavingStarts);
+    leavingStarts.delete(instanceId);
+    leavingStarts.set(instanceId, startedAtUnixMs);
+    const oldest = leavingStarts.keys().next().value;
+    if (leavingStarts.size > DISPATCH_LIMITS.maxLeavingServers && oldest !== undefined) {
+        leavingStarts.delete(oldest);
+    }
+    draft.update({ leavingStarts });
+    draft.emit({ type: "findings-changed", source });
+    const server = draft.server(instanceId)?.server;
+    if (server !== undefined && server.startedAtUnixMs <= startedAtUnixMs) {
+        draft.updateServer(instanceId, { isLeaving: true });
+    }
+    draft.log({ kind: "server-leaving", service: server?.service, instanceId, inputs: { source, startedAtUnixMs } });
+};
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -22,6 +22,7 @@
 import { onServersChanged } from "./on-servers-changed.js";
 import { onTick } from "./on-tick.js";
 import { recordFailure } from "./record-failure.js";
+import { recordLeaving } from "./record-leaving.js";
 import { recordLoad } from "./record-load.js";
 import { recordSuspect } from "./record-suspect.js";
 
@@ -59,6 +60,11 @@
         case "limits-learned":
             onLimitsLearned(draft, event);
             return;
+        case "leaving-learned":
+            for (const server of event.servers) {
+                recordLeaving(draft, { ...server, source: "peer" });
+            }
+            return;
         case "suspects-learned":
             for (const suspect of event.suspects) {
                 recordSuspect(draft, suspect, "peer");
--- a/routing/dispatch/src/request-loads.ts
+++ b/routing/dispatch/src/request-loads.ts
@@ -7,8 +7,11 @@
 
 const selectConnected = (service: DispatchService): readonly string[] => {
     const instanceIds: string[] = [];
-    for (const { server, idleConnections } of service.servers.values()) {
-        if (idleConnections > 0 && !server.isDraining && instanceIds.length < DISPATCH_LIMITS.maxConnectedServers) {
+    for (const { server, idleConnections, isLeaving } of service.servers.values()) {
+        if (
+            idleConnections > 0 && !server.isDraining && !isLeaving
+            && instanceIds.length < DISPATCH_LIMITS.maxConnectedServers
+        ) {
             instanceIds.push(server.instanceId);
         }
     }
--- a/routing/dispatch/src/select-eligible-servers.ts
+++ b/routing/dispatch/src/select-eligible-servers.ts
@@ -8,8 +8,8 @@
     opts: { readonly atMs: number; readonly triedInstanceIds?: readonly string[]; },
 ): readonly ServerState[] => {
     const { atMs, triedInstanceIds = [] } = opts;
-    const candidates = [...service.servers.values()].filter(({ server }) =>
-        !server.isDraining && !triedInstanceIds.includes(server.instanceId)
+    const candidates = [...service.servers.values()].filter(({ server, isLeaving }) =>
+        !server.isDraining && !isLeaving && !triedInstanceIds.includes(server.instanceId)
     );
     const notEjected = candidates.filter(server => server.ejectedUntilMs <= atMs);
     return notEjected.length >= candidates.length * (1 - DISPATCH_LIMITS.maxEjectedShare) ? notEjected : candidates;
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -26,6 +26,8 @@
     /** When the latest probe was sent or failed; undefined after it was answered. */
     readonly probedAtMs: number | undefined;
     readonly requestLimit: RequestLimit;
+    /** Whether it has said in a response that it is about to end. */
+    readonly isLeaving: boolean;
     /** Until when this VM sends it no request, because its limit leaves no room. */
     readonly heldBackUntilMs: number;
     /** Permits that this VM can grant for its limited requests; undefined until the first one was asked for. */
--- a/routing/dispatch/src/track-broken-attempt.ts
+++ b/routing/dispatch/src/track-broken-attempt.ts
@@ -10,13 +10,14 @@
  * connections too; only a server that has ended may have ended by the request. A server that leaves ends anyway.
  */
 export const trackBrokenAttempt = (draft: DispatchDraft, request: RequestState, attempt: AttemptState): void => {
-    const { atMs, state } = draft;
+    const { atMs } = draft;
     const { attemptId, instanceId } = attempt;
-    const server = draft.server(instanceId)?.server;
-    if (server === undefined || server.isDraining) {
+    const state = draft.server(instanceId);
+    if (state === undefined || state.server.isDraining || state.isLeaving) {
         return;
     }
-    const kept = [...state.brokenAttempts.values()].filter(({ brokeAtMs }) =>
+    const { server } = state;
+    const kept = [...draft.state.brokenAttempts.values()].filter(({ brokeAtMs }) =>
         atMs - brokeAtMs <= DISPATCH_LIMITS.brokenAttemptKeptMs
     );
     const { fingerprint, requestId, path, service } = request;
