fix(dispatch): leave a server alone for the time that it asks for in a rejection

Cause: the header of a server's rejection was not read.

If all servers of a service ask for time, what they will not take before its deadline is rejected at once, with a Retry-After that fits and is spread; what can wait waits. No use is made of the two requests that the rule leaves room for. Other VMs are not told, as the server answered this one.

--- a/core/types/src/server-directives.ts
+++ b/core/types/src/server-directives.ts
@@ -4,4 +4,6 @@
     readonly requestLimitPerSecond: number | undefined;
     /** Whether the server is about to end and wants no new requests. */
     readonly isLeaving?: boolean;
+    /** For how long the server, which rejected the request, wants nothing from this VM. */
+    readonly retryAfterMs?: number;
 }
--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -65,6 +65,11 @@
         "Registered backend servers that have said in a response that they are about to end.",
         () => countServers(state().dispatch, ({ isLeaving }) => isLeaving),
     );
+    metrics.addGauge(
+        "marigoldstall_servers_left_alone",
+        "Backend servers that want nothing from this VM for some time.",
+        () => countServers(state().dispatch, ({ leftAloneUntilMs }) => leftAloneUntilMs > opts.nowMs()),
+    );
     metrics.addGauge(
         "marigoldstall_requests_held_back",
         "Requests that are sent to no server, because servers ended under them.",
--- a/routing/dispatch/src/apply-directives.ts
+++ b/routing/dispatch/src/apply-directives.ts
@@ -1,5 +1,6 @@
 import type { ServerDirectives } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
+import { leaveAlone } from "./leave-alone.js";
 import { recordLeaving } from "./record-leaving.js";
 import { recordRequestLimit } from "./record-request-limit.js";
 
@@ -16,6 +17,9 @@
     if (directives?.isLeaving === true && startedAtUnixMs !== undefined) {
         recordLeaving(draft, { instanceId, startedAtUnixMs, source: "response" });
     }
+    if (directives?.retryAfterMs !== undefined && directives.retryAfterMs > 0) {
+        leaveAlone(draft, instanceId, directives.retryAfterMs);
+    }
     const perSecond = directives?.requestLimitPerSecond;
     if (directives !== undefined && (perSecond !== undefined || !isHealthCheck)) {
         const requestLimit = { perSecond, statedAtMs: draft.atMs };
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -31,6 +31,7 @@
     probedAtMs: undefined,
     requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
     isLeaving: opts.isLeaving,
+    leftAloneUntilMs: -Infinity,
     heldBackUntilMs: -Infinity,
     permitBucket: undefined,
 });
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -36,10 +36,9 @@
         : isOverdue
         ? STATUS_GATEWAY_TIMEOUT
         : STATUS_BAD_GATEWAY;
-    const spreadMs = DISPATCH_LIMITS.minRetryAfterMs + draft.nextRandom() * DISPATCH_LIMITS.retryAfterJitterMs;
-    const retryAfterMs = mayHaveRun
-        ? undefined
-        : Math.min(DISPATCH_LIMITS.maxRetryAfterMs, Math.max(spreadMs, opts.waitMs ?? 0));
+    const minMs = Math.max(DISPATCH_LIMITS.minRetryAfterMs, opts.waitMs ?? 0);
+    const spreadMs = minMs + draft.nextRandom() * DISPATCH_LIMITS.retryAfterJitterMs;
+    const retryAfterMs = mayHaveRun ? undefined : Math.min(DISPATCH_LIMITS.maxRetryAfterMs, spreadMs);
     if (!request.callerLeft) {
         draft.emit({
             type: "reject-request",
