test(soak): let servers ask for less, and one request end servers

From what the servers see it checks the users' bounds; VMs that were stopped, killed or paused since and servers whose connections had faults are left out. The other faults of a seed stay the same.

--- a/soak/src/check-invariants.ts
+++ b/soak/src/check-invariants.ts
@@ -9,6 +9,8 @@
     readonly runsAfterDrain: readonly string[];
     /** Requests that a planned stop of a VM cut off although the VM had read them. */
     readonly requestsCutByStop: readonly string[];
+    /** What servers asked of their callers and VMs did not follow. */
+    readonly ignoredDirectives: readonly string[];
     /** Live servers that a VM does not use after all faults have ended. */
     readonly unusedServers: readonly string[];
     /** VMs that used a configuration older than one that had to be in force. */
@@ -56,5 +58,11 @@
     for (const requestId of record.requestsCutByStop) {
         violations.push(`${requestId} was cut off by a planned stop`);
     }
-    return [...violations, ...record.runsAfterDrain, ...record.unusedServers, ...record.olderConfigurations];
+    return [
+        ...violations,
+        ...record.runsAfterDrain,
+        ...record.ignoredDirectives,
+        ...record.unusedServers,
+        ...record.olderConfigurations,
+    ];
 };
--- a/soak/src/fault-proxy.ts
+++ b/soak/src/fault-proxy.ts
@@ -6,9 +6,12 @@
 
 /** TCP proxy in front of one backend server that injects network faults. */
 export class FaultProxy {
+    /** When the last fault ended; Infinity while there is one. */
+    faultEndedAtMs = -Infinity;
     private mode: ProxyMode = "pass";
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
+    private restartTimer: NodeJS.Timeout | undefined;
 
     constructor(opts: { readonly host: string; readonly targetPort: () => number; }) {
         this.server = createServer(caller => {
@@ -40,6 +43,7 @@
     /** Sets the mode of existing and new connections. Dropped data is not delivered later. */
     setMode(mode: ProxyMode): void {
         this.mode = mode;
+        this.faultEndedAtMs = mode === "pass" ? performance.now() : Infinity;
         if (mode === "reset") {
             for (const socket of this.sockets) {
                 socket.resetAndDestroy();
@@ -47,10 +51,24 @@
         }
     }
 
+    /** Resets all connections and refuses new ones for a time, like a server that ends and is started again. */
+    crash(downMs: number): void {
+        const { port, address } = this.server.address() as AddressInfo;
+        this.close();
+        this.restartTimer = setTimeout(() => {
+            this.server.listen(port, address);
+        }, downMs);
+    }
+
+    get isDown(): boolean {
+        return !this.server.listening;
+    }
+
     close(): void {
+        clearTimeout(this.restartTimer);
         this.server.close();
         for (const socket of this.sockets) {
-            socket.destroy();
+            socket.resetAndDestroy();
         }
     }
 
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -11,6 +11,7 @@
     readonly seconds: string;
     readonly vms: string;
     readonly restores: boolean;
+    readonly directives: boolean;
     readonly verbose?: boolean;
 }
 
@@ -25,6 +26,7 @@
             durationMs: Number(flags.seconds) * 1_000,
             vmCount: Number(flags.vms),
             hasRestores: flags.restores,
+            hasDirectives: flags.directives,
             ...flags.verbose === true ? { log: (line: string) => console.log(line) } : {},
         });
         failed += result.violations.length === 0 ? 0 : 1;
@@ -47,6 +49,7 @@
     .option("--seconds <count>", "duration of the faults for each seed", "10")
     .option("--vms <count>", "number of entry daemons", "4")
     .option("--no-restores", "do not restore the store from older copies")
+    .option("--no-directives", "no limits, leaving servers, rejections with Retry-After and requests that end servers")
     .option("--verbose", "print each fault")
     .action(run)
     .parseAsync();
--- a/soak/src/regression-seeds.ts
+++ b/soak/src/regression-seeds.ts
@@ -3,6 +3,8 @@
     readonly cause: string;
     /** Whether the store is restored from older copies. */
     readonly hasRestores: boolean;
+    /** Whether servers ask for less and a request ends servers. Default: false. */
+    readonly hasDirectives?: boolean;
 }
 
 /** Seeds that failed in the past, with the cause of the failure. */
--- a/soak/src/run-soak.ts
+++ b/soak/src/run-soak.ts
@@ -3,9 +3,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { checkInvariants } from "./check-invariants.js";
 import { ConfigurationWatch } from "./configuration-watch.js";
+import { findIgnoredDirectives } from "./find-ignored-directives.js";
 import { findRequestsCutByStop } from "./find-requests-cut-by-stop.js";
 import { findUnusedServers } from "./find-unused-servers.js";
 import { injectFaults } from "./inject-faults.js";
+import { injectServerDirectives } from "./inject-server-directives.js";
 import { injectStoreRestores } from "./inject-store-restores.js";
 import { SoakSite } from "./soak-site.js";
 
@@ -15,6 +17,8 @@
     readonly vmCount?: number;
     /** Whether the store is restored from older copies. Default: true. */
     readonly hasRestores?: boolean;
+    /** Whether servers state limits, leave or ask for time, and a request ends servers. Default: true. */
+    readonly hasDirectives?: boolean;
     readonly log?: (line: string) => void;
 }
 
@@ -56,6 +60,7 @@
     const callers = new Map<string, PlatformCaller>();
     const watch = new ConfigurationWatch(site);
     let unusedServers: readonly string[] = [];
+    let ignoredDirectives: readonly string[] = [];
     let requestCount = 0;
     const nextRequestId = (vmId: string): string => {
         const requestId = `${opts.seed}-${requestCount}`;
@@ -63,6 +68,17 @@
         site.vmIdByRequest.set(requestId, vmId);
         return requestId;
     };
+    const directiveRandom = new RandomSource({ seed: opts.seed + 3 });
+    const deadlyIds = new Set<string>();
+    const sendDeadly = (): void => {
+        const vmId = site.vmIds[Math.floor(directiveRandom.uniform() * site.vmIds.length)] ?? "";
+        const requestId = nextRequestId(vmId);
+        deadlyIds.add(requestId);
+        pending.push(
+            callers.get(vmId)?.send(requestId, { isIdempotent: true, path: "/read/1?crash" }).then(onOutcome)
+                ?? Promise.resolve(),
+        );
+    };
     const onOutcome = (outcome: Outcome): void => {
         outcomes.push(outcome);
     };
@@ -85,7 +101,15 @@
         site.publishConfiguration();
         await sleep(PRELUDE_MS);
         const restoresDurationMs = opts.hasRestores === false ? 0 : opts.durationMs;
-        await Promise.all([
+        const [periods] = await Promise.all([
+            opts.hasDirectives === false
+                ? []
+                : injectServerDirectives(site, {
+                    random: directiveRandom,
+                    durationMs: opts.durationMs,
+                    log,
+                    sendDeadly,
+                }),
             injectFaults(site, { random, durationMs: opts.durationMs, log }),
             injectStoreRestores(site, { random: restoreRandom, durationMs: restoresDurationMs, log }),
         ]);
@@ -96,6 +120,7 @@
         await sleep(CALM_MS);
         clearInterval(traffic);
         await Promise.all(pending);
+        ignoredDirectives = findIgnoredDirectives(site, { periods, deadlyIds });
         unusedServers = await findUnusedServers(site, { callers, nextRequestId, onOutcome });
     }
     finally {
@@ -111,6 +136,7 @@
         runs: site.runs,
         runsAfterDrain: site.runsAfterDrain,
         requestsCutByStop,
+        ignoredDirectives,
         unusedServers,
         olderConfigurations: [...watch.violations],
         vmFaults: site.vmFaults,
--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -15,6 +15,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ChangeTracker } from "./change-tracker.js";
 import { FaultProxy } from "./fault-proxy.js";
+import type { SoakArrival } from "./soak-arrival.js";
+import type { SoakServerEntry } from "./soak-server-entry.js";
 import { StoreCopies } from "./store-copies.js";
 import type { VmFault } from "./vm-fault.js";
 
@@ -38,13 +40,7 @@
 const SEED_COUNT = 2;
 const SERVICE = "soak";
 
-interface SoakServerEntry {
-    readonly server: PlatformServer;
-    readonly proxy: FaultProxy;
-    readonly proxyPort: number;
-    readonly zone: string;
-    readonly startedAtUnixMs: number;
-}
+const CRASH_DOWN_MS = 2_500;
 
 interface SoakSiteOptions {
     readonly vmCount: number;
@@ -64,6 +60,9 @@
     readonly instanceIdsByRequest = new Map<string, string[]>();
     readonly vmIdByRequest = new Map<string, string>();
     readonly vmFaults: VmFault[] = [];
+    readonly arrivals: SoakArrival[] = [];
+    /** When servers ended under the request that ends each server that runs it. */
+    readonly crashesMs: number[] = [];
     readonly directory = mkdtempSync(join(tmpdir(), "marigoldstall-soak-"));
     /** Time of the latest store fault or pause of a VM, during which a VM may not learn that a server drains. */
     lastStoreFaultAtMs = -Infinity;
@@ -111,7 +110,9 @@
 
     /** The servers that are not leaving. */
     get liveServers(): readonly PlatformServer[] {
-        return this.servers.map(entry => entry.server).filter(({ instanceId }) => !this.leavingSinceMs.has(instanceId));
+        return this.servers.map(entry => entry.server).filter(({ instanceId, directives }) =>
+            !this.leavingSinceMs.has(instanceId) && directives.isLeaving !== true
+        );
     }
 
     process(vmId: string): ManagedProcess | undefined {
@@ -182,6 +183,18 @@
             onRun: requestId => {
                 this.recordRun(instanceId, requestId);
             },
+            onArrival: requestId => {
+                const vmId = this.vmIdByRequest.get(requestId) ?? "";
+                const vmSteadySinceMs = Math.max(
+                    this.vmStartedAtMs.get(vmId) ?? Infinity,
+                    this.vmDisturbedAtMs.get(vmId) ?? -Infinity,
+                );
+                this.arrivals.push({ requestId, vmId, instanceId, atMs: performance.now(), vmSteadySinceMs });
+            },
+            onCrash: () => {
+                this.crashesMs.push(performance.now());
+                proxy.crash(CRASH_DOWN_MS);
+            },
         });
         await server.listen(SERVER_HOST);
         const proxy = new FaultProxy({ host: SERVER_HOST, targetPort: () => server.port });
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -21,6 +21,7 @@
         const noFindings = {
             runsAfterDrain: [],
             requestsCutByStop: [],
+            ignoredDirectives: [],
             unusedServers: [],
             olderConfigurations: [],
             vmFaults: [],
@@ -56,11 +57,19 @@
     });
 
     describe("runSoak", () => {
-        const ciSeed = { seed: 20_261_204, cause: "the default seed of CI", hasRestores: false };
-        for (const { seed, cause, hasRestores } of [ciSeed, ...REGRESSION_SEEDS]) {
+        const ciSeeds = [
+            { seed: 20_261_204, cause: "a seed of CI", hasRestores: false, hasDirectives: false },
+            {
+                seed: 20_261_205,
+                cause: "a seed of CI with servers that ask for less",
+                hasRestores: true,
+                hasDirectives: true,
+            },
+        ];
+        for (const { seed, cause, hasRestores, hasDirectives = false } of [...ciSeeds, ...REGRESSION_SEEDS]) {
             it(`violates no guarantee with seed ${seed} (${cause})`, async () => {
                 const durationMs = (hasRestores ? SECONDS_WITH_RESTORES : SECONDS) * 1_000;
-                const result = await runSoak({ seed, durationMs, hasRestores });
+                const result = await runSoak({ seed, durationMs, hasRestores, hasDirectives });
                 expect(result.violations, result.directory).to.deep.equal([]);
                 expect(result.requestCount).to.be.greaterThan(50);
             }).timeout(LIMIT_MS);
--- a/stand-ins/platform/src/index.ts
+++ b/stand-ins/platform/src/index.ts
@@ -3,6 +3,7 @@
 export type { NewestPage } from "./newest-page.js";
 export type { Outcome } from "./outcome.js";
 export { PlatformCaller } from "./platform-caller.js";
+export type { PlatformServerDirectives } from "./platform-server-directives.js";
 export { PlatformServer } from "./platform-server.js";
 export { READY_PATH } from "./ready-path.js";
 export { SETTINGS_VARIABLE } from "./settings-variable.js";
--- a/stand-ins/platform/src/platform-caller.ts
+++ b/stand-ins/platform/src/platform-caller.ts
@@ -18,7 +18,7 @@
         this.host = opts.host;
     }
 
-    send(requestId: string, opts: { readonly isIdempotent: boolean; }): Promise<Outcome> {
+    send(requestId: string, opts: { readonly isIdempotent: boolean; readonly path?: string; }): Promise<Outcome> {
         const { isIdempotent } = opts;
         const sentAtMs = performance.now();
         const [host = "", port = ""] = this.address.split(":");
@@ -33,7 +33,7 @@
                 host,
                 port,
                 method: isIdempotent ? "GET" : "POST",
-                path: isIdempotent ? "/read/1" : "/write/1",
+                path: opts.path ?? (isIdempotent ? "/read/1" : "/write/1"),
                 headers: { "Host": this.host, "X-Request-Id": requestId, "X-Deadline-Ms": DEADLINE_MS },
             });
             const timer = setTimeout(() => {
--- a/stand-ins/platform/src/platform-server.ts
+++ b/stand-ins/platform/src/platform-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { PlatformServerDirectives } from "./platform-server-directives.js";
 
 interface PlatformServerOptions {
     readonly instanceId: string;
@@ -8,6 +9,10 @@
     readonly onRun: (requestId: string) => void;
     /** Whether the next response has a length. Otherwise the end of the connection delimits it. Default: always. */
     readonly isFramed?: () => boolean;
+    /** Called for each request that arrives, before it runs or is refused. */
+    readonly onArrival?: (requestId: string) => void;
+    /** Called when a request with the query parameter `crash` begins to run. */
+    readonly onCrash?: () => void;
 }
 
 const SLOTS = 2;
@@ -23,6 +28,8 @@
     readonly slots = SLOTS;
     private readonly opts: PlatformServerOptions;
     private readonly server: Server;
+    /** What the server asks of its callers in its responses to requests. */
+    directives: PlatformServerDirectives = {};
     private inFlight = 0;
     private readonly queue: (() => void)[] = [];
 
@@ -60,14 +67,24 @@
             return;
         }
         const requestId = String(request.headers["x-request-id"]);
-        const reject = (status: number): void => {
-            response.writeHead(status, { "X-Request-Id": requestId, "X-Not-Executed": "1", "X-Backend-Load": load })
-                .end();
+        this.opts.onArrival?.(requestId);
+        const { limitPerSecond, isLeaving, retryAfterS } = this.directives;
+        const directives = {
+            ...limitPerSecond === undefined ? {} : { "Server-Limit": String(limitPerSecond) },
+            ...isLeaving === true ? { "Server-Leaving": "1" } : {},
+        };
+        const reject = (status: number, headers: Readonly<Record<string, string>> = {}): void => {
+            const own = { "X-Request-Id": requestId, "X-Not-Executed": "1", "X-Backend-Load": load };
+            response.writeHead(status, { ...own, ...directives, ...headers }).end();
         };
         if (request.headers["x-expect-instance"] !== this.instanceId) {
             reject(421);
             return;
         }
+        if (retryAfterS !== undefined) {
+            reject(503, { "Retry-After": String(retryAfterS) });
+            return;
+        }
         if (this.inFlight >= SLOTS && this.queue.length >= MAX_QUEUED) {
             reject(503);
             return;
@@ -84,13 +101,18 @@
             }
             this.inFlight += 1;
             this.opts.onRun(requestId);
+            if (query.has("crash")) {
+                this.inFlight -= 1;
+                this.opts.onCrash?.();
+                return;
+            }
             setTimeout(() => {
                 this.inFlight -= 1;
                 if (this.opts.isFramed?.() === false) {
                     response.useChunkedEncodingByDefault = false;
                     response.shouldKeepAlive = false;
                 }
-                response.writeHead(200, { "X-Request-Id": requestId, "X-Server-Stamp": "s" });
+                response.writeHead(200, { "X-Request-Id": requestId, "X-Server-Stamp": "s", ...directives });
                 response.end(body);
                 this.startNext();
             }, workMs);
