fix(hubs): keep what a member has learned until it hears a hub

Found by reading: a member whose hub was being replaced sent its findings to nobody and did not repeat them, so that a limit, a leaving server or the end of a server that only this VM saw stayed unknown to the others. It keeps them queued now until there is a hub. The test fails without the change.

--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -112,7 +112,13 @@
         hasChangedFindings: false,
         queuedSinceMs: undefined,
     };
-    return hasChangedFindings ? sendFindings({ ...state, outbox }, opts, effects) : { ...state, outbox };
+    if (!hasChangedFindings) {
+        return { ...state, outbox };
+    }
+    // A member without a hub keeps what it learned until there is one. A hub repeats all findings anyway.
+    return hosts.length === 0 && !state.isHub
+        ? { ...state, outbox: { ...outbox, hasChangedFindings, queuedSinceMs: atMs } }
+        : sendFindings({ ...state, outbox }, opts, effects);
 };
 
 const NO_FINDINGS: Findings = { limits: [], leaving: [], suspects: [] };
--- a/fleet/hubs/test/hubs.test.ts
+++ b/fleet/hubs/test/hubs.test.ts
@@ -163,6 +163,50 @@
         });
     });
 
+    describe("telling findings", () => {
+        const LIMIT = { instanceId: "i-1", startedAtUnixMs: 1, perSecond: 1, ageMs: 10 };
+        const tick = (state: HubState, atMs: number) =>
+            reduceHub(state, {
+                type: "hub-tick",
+                atMs,
+                summarize: () => SUMMARY,
+                listFindings: () => ({ ...NO_FINDINGS, limits: [LIMIT] }),
+            });
+
+        // A member that learned something while its hub was being replaced told nobody.
+        it("keeps what a member has learned until it hears a hub", () => {
+            const hub = createVm("1", "a");
+            let state = createHubState(createVm("2", "a"), { atMs: 0 });
+            state = reduceHub(state, { type: "findings-changed", atMs: 10 }).state;
+            const alone = tick(state, 20);
+            expect(alone.effects).to.deep.equal([]);
+            const message = {
+                type: "status" as const,
+                sender: hub,
+                isHub: true,
+                summary: SUMMARY,
+                vms: [],
+                fleetSize: 2,
+            };
+            state = reduceHub(alone.state, { type: "status-received", atMs: 30, message }).state;
+            const told = tick(state, 40).effects.filter(effect =>
+                effect.type === "send-message" && effect.message.type === "findings"
+            );
+            expect(told.length).to.equal(1);
+        });
+
+        it("repeats the findings of a hub to its members and the other hubs", () => {
+            const fleet = createThreeZoneFleet();
+            fleet.run(1_000);
+            const hubId = fleet.hubs[0] ?? "";
+            const { effects } = tick(fleet.state(hubId), fleet.atMs + 1_000);
+            const told = effects.flatMap(effect =>
+                effect.type === "send-message" && effect.message.type === "findings" ? effect.hosts : []
+            );
+            expect(told.length).to.equal(3 + 2);
+        });
+    });
+
     describe("forwarding updates", () => {
         // A member that received every report would pay for VMs times servers; it asks for those that it needs.
         it("delivers the load reports of a member to every hub, and to no other member", () => {
