fix(dispatch): tell other VMs of leaving servers for 30 s only

Found by reading: leaving servers were repeated to all VMs once a second for as long as the processes run, up to 64 of them, about 1.6 KB/s for each member. A VM that starts later learns it from the first response of the server, as the rule asks.

--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -106,9 +106,11 @@
     // An attempt that takes this multiple of the duration expected from its server's report is slow or lost: with the
     // deviation above, 1 in 250 other attempts takes as long.
     hungFactor: 2.2,
-    // Leaving servers that are kept, and that are told to other VMs.
+    // Leaving servers that are kept, that are told to other VMs, and for how long. A VM that starts later learns it from
+    // the first response of the server.
     maxLeavingServers: 512,
     maxLeavingFindings: 64,
+    leavingToldForMs: 30_000,
     // For how long the end of a server explains a connection that broke before, and how many such attempts are kept.
     brokenAttemptKeptMs: 10_000,
     maxBrokenAttempts: 256,
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -1,6 +1,7 @@
 import type { EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
 import type { BrokenAttempt } from "./broken-attempt.js";
 import type { DispatchService } from "./dispatch-service.js";
+import type { LeavingStart } from "./leaving-start.js";
 import type { RequestState } from "./request-state.js";
 import type { SuspectRequest } from "./suspect-request.js";
 
@@ -24,7 +25,7 @@
      * Starts of servers that have said that they are about to end, by instance id. They count whatever the registrations
      * say, until the server starts again.
      */
-    readonly leavingStarts: ReadonlyMap<string, number>;
+    readonly leavingStarts: ReadonlyMap<string, LeavingStart>;
     /** Round-robin credits of the destinations of each split route. */
     readonly splitCreditsByRoute: ReadonlyMap<string, readonly number[]>;
     readonly nextAttempt: number;
--- a/routing/dispatch/src/list-leaving.ts
+++ b/routing/dispatch/src/list-leaving.ts
@@ -6,8 +6,9 @@
     readonly startedAtUnixMs: number;
 }
 
-/** The servers that have said that they are about to end, for other VMs: the latest ones. */
-export const listLeaving = (state: DispatchState): readonly LeavingServer[] =>
+/** The servers that have said lately that they are about to end, for other VMs. */
+export const listLeaving = (state: DispatchState, atMs: number): readonly LeavingServer[] =>
     [...state.leavingStarts]
+        .filter(([, { learnedAtMs }]) => atMs - learnedAtMs <= DISPATCH_LIMITS.leavingToldForMs)
         .slice(-DISPATCH_LIMITS.maxLeavingFindings)
-        .map(([instanceId, startedAtUnixMs]) => ({ instanceId, startedAtUnixMs }));
+        .map(([instanceId, { startedAtUnixMs }]) => ({ instanceId, startedAtUnixMs }));
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -62,7 +62,8 @@
             atMs: draft.atMs,
             preference: draft.nextRandom(),
             isUsed,
-            isLeaving: (draft.state.leavingStarts.get(instanceId) ?? -Infinity) >= server.startedAtUnixMs,
+            isLeaving:
+                (draft.state.leavingStarts.get(instanceId)?.startedAtUnixMs ?? -Infinity) >= server.startedAtUnixMs,
         });
     draft.setServer(server.service, next);
     draft.setServiceOfServer(instanceId, server.service);
--- a/routing/dispatch/src/record-leaving.ts
+++ b/routing/dispatch/src/record-leaving.ts
@@ -8,12 +8,12 @@
     readonly source: "response" | "peer";
 }): void => {
     const { instanceId, startedAtUnixMs, source } = leaving;
-    if ((draft.state.leavingStarts.get(instanceId) ?? -Infinity) >= startedAtUnixMs) {
+    if ((draft.state.leavingStarts.get(instanceId)?.startedAtUnixMs ?? -Infinity) >= startedAtUnixMs) {
         return;
     }
     const leavingStarts = new Map(draft.state.leavingStarts);
     leavingStarts.delete(instanceId);
-    leavingStarts.set(instanceId, startedAtUnixMs);
+    leavingStarts.set(instanceId, { startedAtUnixMs, learnedAtMs: draft.atMs });
     const oldest = leavingStarts.keys().next().value;
     if (leavingStarts.size > DISPATCH_LIMITS.maxLeavingServers && oldest !== undefined) {
         leavingStarts.delete(oldest);
--- a/routing/dispatch/test/leaving-servers.test.ts
+++ b/routing/dispatch/test/leaving-servers.test.ts
@@ -96,7 +96,11 @@
         const servers = [...Array(1_000).keys()].map(index => ({ instanceId: `i-${index}`, startedAtUnixMs: 1 }));
         harness.send({ type: "leaving-learned", servers });
         expect(harness.state.leavingStarts.size).to.equal(512);
-        expect(listLeaving(harness.state).length).to.equal(64);
-        expect(listLeaving(harness.state).at(-1)).to.deep.equal({ instanceId: "i-999", startedAtUnixMs: 1 });
+        expect(listLeaving(harness.state, harness.atMs).length).to.equal(64);
+        expect(listLeaving(harness.state, harness.atMs).at(-1)).to.deep.equal({
+            instanceId: "i-999",
+            startedAtUnixMs: 1,
+        });
+        expect(listLeaving(harness.state, harness.atMs + 60_000)).to.deep.equal([]);
     });
 });
