fix(dispatch): grant one permit in 10 s for a server that takes fewer requests

Callers: a server that has taken its limit back stays unused. Cause: only the response to a request shows that a limit has ended.

Change: at least one permit in 10 s, within the users' bound, which has 5 requests in 4 s to spare. Both new tests fail without it.

--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -43,6 +43,8 @@
     unreportedSendValidForMs: 400,
     // Permits that a limited server's bucket holds: one, and what the limit allows in this time.
     permitBurstMs: 250,
+    // Permits for a server that takes fewer requests, or none: only the response to a request shows that a limit has ended.
+    minPermitsPerSecond: 0.1,
     // A VM that gets no answer to a permit query within this time does not send the request. Round trips between zones of
     // a region take below 10 ms.
     permitTimeoutMs: 60,
--- a/routing/dispatch/src/on-permit-requested.ts
+++ b/routing/dispatch/src/on-permit-requested.ts
@@ -20,7 +20,7 @@
         draft.emit({ type: "answer-permit", attemptId, instanceId, replyHost, isGranted: false, retryAfterMs });
         return;
     }
-    const grantedPerSecond = perSecond * share;
+    const grantedPerSecond = Math.max(perSecond, DISPATCH_LIMITS.minPermitsPerSecond) * share;
     const capacity = 1 + grantedPerSecond * DISPATCH_LIMITS.permitBurstMs / MS_PER_SECOND;
     const { permits: previous, filledAtMs } = server.permitBucket ?? { permits: 0, filledAtMs: atMs };
     const permits = Math.min(capacity, previous + grantedPerSecond * (atMs - filledAtMs) / MS_PER_SECOND);
--- a/routing/dispatch/test/server-limits.test.ts
+++ b/routing/dispatch/test/server-limits.test.ts
@@ -239,6 +239,16 @@
             });
         }
 
+        // Found by soak seed 818091450: a server that had taken back a limit of 0.03 a second stayed unused for 39 s. After a
+        // limit of 0 no request could ever show its end.
+        for (const perSecond of [0, 0.03]) {
+            it(`grants one permit in 10 s for a server that takes ${perSecond} a second`, () => {
+                const harness = createLimited(perSecond);
+                ask(harness);
+                expect(countGranted(harness, 60_000)).to.be.within(5, 6);
+            });
+        }
+
         it("grants its share of the limit only", () => {
             const harness = createLimited(10);
             ask(harness, 0.25);
--- a/soak/src/inject-server-directives.ts
+++ b/soak/src/inject-server-directives.ts
@@ -14,6 +14,8 @@
 const MAX_INTERVAL_MS = 2_000;
 const MIN_PERIOD_MS = 4_500;
 const MAX_PERIOD_MS = 9_000;
+// The end of a smaller limit shows only with the next request that it lets through.
+const MIN_LIMIT_PER_S = 0.2;
 const MAX_LIMIT_PER_S = 1.5;
 const MAX_RETRY_AFTER_S = 2;
 const RETRY_AFTER_PERIOD_MS = 600;
@@ -42,7 +44,9 @@
     }
     const { server } = entry;
     const kind = (["limit", "limit", "retry-after", "leaving"] as const)[Math.floor(random.uniform() * 4)] ?? "limit";
-    const value = random.uniform() * (kind === "limit" ? MAX_LIMIT_PER_S : MAX_RETRY_AFTER_S);
+    const value = kind === "limit"
+        ? MIN_LIMIT_PER_S + random.uniform() * (MAX_LIMIT_PER_S - MIN_LIMIT_PER_S)
+        : random.uniform() * MAX_RETRY_AFTER_S;
     const startedAtMs = performance.now();
     opts.log(`${server.instanceId}: ${kind} ${value.toFixed(2)}`);
     switch (kind) {
--- a/soak/src/regression-seeds.ts
+++ b/soak/src/regression-seeds.ts
@@ -27,4 +27,10 @@
     { seed: 101, cause: "a restore of the store hid two servers and brought a removed one back", hasRestores: true },
     { seed: 104, cause: "a restore of the store hid a server and brought removed ones back", hasRestores: true },
     { seed: 105, cause: "a restore of the store hid a drain that was written after it", hasRestores: true },
+    {
+        seed: 818_091_450,
+        cause: "a server that had taken back a small limit stayed unused, as no request showed its end",
+        hasRestores: true,
+        hasDirectives: true,
+    },
 ];
