fix(dispatch): notice each further end of a server under a request

Found by reading: with eight ends kept, a further one changed nothing, so that neither the hold grew nor other VMs heard; and a VM that knew a later statement of a limit than another one did not tell it unless it was the hub. Both new tests fail before.

--- a/routing/dispatch/src/record-leaving.ts
+++ b/routing/dispatch/src/record-leaving.ts
@@ -1,5 +1,6 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { setNewest } from "./set-newest.js";
 
 /** Records that a server has said that it is about to end. It gets no requests until it starts again. */
 export const recordLeaving = (draft: DispatchDraft, leaving: {
@@ -11,14 +12,9 @@
     if ((draft.state.leavingStarts.get(instanceId)?.startedAtUnixMs ?? -Infinity) >= startedAtUnixMs) {
         return;
     }
-    const leavingStarts = new Map(draft.state.leavingStarts);
-    leavingStarts.delete(instanceId);
-    leavingStarts.set(instanceId, { startedAtUnixMs, learnedAtMs: draft.atMs });
-    const oldest = leavingStarts.keys().next().value;
-    if (leavingStarts.size > DISPATCH_LIMITS.maxLeavingServers && oldest !== undefined) {
-        leavingStarts.delete(oldest);
-    }
-    draft.update({ leavingStarts });
+    const entry = [instanceId, { startedAtUnixMs, learnedAtMs: draft.atMs }] as const;
+    const maxSize = DISPATCH_LIMITS.maxLeavingServers;
+    draft.update({ leavingStarts: setNewest(draft.state.leavingStarts, entry, { maxSize }) });
     draft.emit({ type: "findings-changed", source });
     const server = draft.server(instanceId)?.server;
     if (server !== undefined && server.startedAtUnixMs <= startedAtUnixMs) {
--- a/routing/dispatch/src/record-request-limit.ts
+++ b/routing/dispatch/src/record-request-limit.ts
@@ -23,8 +23,8 @@
     const previous = server.requestLimit;
     if (previous.statedAtMs > statedAtMs) {
         if (perSecond !== previous.perSecond) {
-            // The VM that tells of it has missed the later statement.
-            draft.emit({ type: "findings-changed", source });
+            // The VM that tells of it has missed the later statement, which this one knows.
+            draft.emit({ type: "findings-changed", source: "response" });
         }
         return;
     }
--- a/routing/dispatch/src/record-suspect.ts
+++ b/routing/dispatch/src/record-suspect.ts
@@ -9,6 +9,7 @@
 
 const isNews = (known: SuspectRequest | undefined, merged: SuspectRequest): boolean =>
     known === undefined || merged.crashes.length !== known.crashes.length
+    || merged.crashes.at(-1)?.atMs !== known.crashes.at(-1)?.atMs
     || merged.completedAtMs - known.completedAtMs > SAME_COMPLETION_MS;
 
 const selectLastAtMs = ({ crashes, completedAtMs }: SuspectRequest): number =>
--- a/routing/dispatch/test/held-back-requests.test.ts
+++ b/routing/dispatch/test/held-back-requests.test.ts
@@ -161,6 +161,21 @@
             expect([...harness.state.suspects.keys()]).to.deep.equal(["another"]);
         });
 
+        // The number of servers that are kept does not grow any more, their times do.
+        it("notices a further end when it keeps as many as it can", () => {
+            const harness = new DispatchHarness();
+            learn(harness, suspect([8, 7, 6, 5, 4, 3, 2, 1], harness.atMs));
+            harness.atMs += 5_000;
+            learn(harness, {
+                fingerprint: FINGERPRINT,
+                crashes: [{ instanceId: "i-0", startedAtUnixMs: 9, atMs: harness.atMs }],
+                completedAtMs: -Infinity,
+            });
+            const kept = harness.state.suspects.get(FINGERPRINT)?.crashes;
+            expect(kept?.length).to.equal(8);
+            expect(kept?.at(-1)?.instanceId).to.equal("i-0");
+        });
+
         it("bounds how long a request is held back", () => {
             const agesMs = [...Array(8).keys()].map(index => 8 - index);
             expect(selectHold(suspect(agesMs, 0)).untilMs).to.be.at.most(900_000);
--- a/routing/dispatch/test/server-limits.test.ts
+++ b/routing/dispatch/test/server-limits.test.ts
@@ -277,6 +277,21 @@
             expect(limitOf(harness, "i-0")).to.equal(2);
         });
 
+        it("tells again what it knows when another VM has missed it", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            learn(harness, 2, harness.atMs);
+            const told = harness.send({
+                type: "limits-learned",
+                limits: [{
+                    instanceId: "i-0",
+                    startedAtUnixMs: 1,
+                    perSecond: undefined,
+                    statedAtMs: harness.atMs - 50,
+                }],
+            });
+            expect(told).to.deep.equal([{ type: "findings-changed", source: "response" }]);
+        });
+
         it("ignores what was said of an earlier start of the server", () => {
             const harness = new DispatchHarness({ servers: 1 });
             harness.send({
