--- a/soak/src/regression-seeds.ts
+++ b/soak/src/regression-seeds.ts
@@ -33,4 +33,10 @@
         hasRestores: true,
         hasDirectives: true,
     },
+    {
+        seed: 1_071_118_416,
+        cause: "a Retry-After with a fraction of 16 digits was ignored as malformed",
+        hasRestores: true,
+        hasDirectives: true,
+    },
 ];
