refactor(dispatch): call the time that a server asks for a backoff

Two pairs of names were close: requests that are held back and servers held back for want of a permit, servers left alone and those. Now a server that asks for time is in backoff (server-backoff, marigoldstall_servers_in_backoff), and one whose limit leaves no room gets no permit until a time.

--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -66,9 +66,9 @@
         () => countServers(state().dispatch, ({ isLeaving }) => isLeaving),
     );
     metrics.addGauge(
-        "marigoldstall_servers_left_alone",
+        "marigoldstall_servers_in_backoff",
         "Backend servers that want nothing from this VM for some time.",
-        () => countServers(state().dispatch, ({ leftAloneUntilMs }) => leftAloneUntilMs > opts.nowMs()),
+        () => countServers(state().dispatch, ({ backoffUntilMs }) => backoffUntilMs > opts.nowMs()),
     );
     metrics.addGauge(
         "marigoldstall_requests_held_back",
--- a/routing/dispatch/src/apply-directives.ts
+++ b/routing/dispatch/src/apply-directives.ts
@@ -1,8 +1,8 @@
 import type { ServerDirectives } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
-import { leaveAlone } from "./leave-alone.js";
 import { recordLeaving } from "./record-leaving.js";
 import { recordRequestLimit } from "./record-request-limit.js";
+import { startBackoff } from "./start-backoff.js";
 
 /**
  * Applies what a server asks of its callers in a response. Only the response to a request shows that a limit has ended;
@@ -18,7 +18,7 @@
         recordLeaving(draft, { instanceId, startedAtUnixMs, source: "response" });
     }
     if (directives?.retryAfterMs !== undefined && directives.retryAfterMs > 0) {
-        leaveAlone(draft, instanceId, directives.retryAfterMs);
+        startBackoff(draft, instanceId, directives.retryAfterMs);
     }
     const perSecond = directives?.requestLimitPerSecond;
     if (directives !== undefined && (perSecond !== undefined || !isHealthCheck)) {
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -48,12 +48,12 @@
     // A VM that gets no answer to a permit query within this time does not send the request. Round trips between zones of
     // a region take below 10 ms.
     permitTimeoutMs: 60,
-    // How long a VM leaves a limited server alone after a permit was refused, at least, for each VM of the fleet, and at
+    // How long a VM asks for no permit for a server after one was refused, at least, for each VM of the fleet, and at
     // most. With the first value, all VMs together ask for 500 permits a second.
-    minHoldBackPerVmMs: 2,
-    maxHoldBackMs: 2_000,
-    // The hold-back is longer by up to this share, so that VMs do not all ask at the same moment.
-    holdBackJitterShare: 0.25,
+    minPermitRetryPerVmMs: 2,
+    maxPermitRetryMs: 2_000,
+    // The delay is longer by up to this share, so that VMs do not all ask at the same moment.
+    permitRetryJitterShare: 0.25,
     // Limits that are told to other VMs, and for how long it is told that one has ended.
     maxLimitFindings: 240,
     endedLimitToldForMs: 10_000,
--- a/routing/dispatch/src/estimate-queue-wait-ms.ts
+++ b/routing/dispatch/src/estimate-queue-wait-ms.ts
@@ -1,7 +1,7 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { RequestState } from "./request-state.js";
-import { selectLeftAloneMs } from "./select-left-alone-ms.js";
+import { selectBackoffMs } from "./select-backoff-ms.js";
 import { selectWorkMs } from "./select-work-ms.js";
 import type { ServerState } from "./server-state.js";
 
@@ -21,6 +21,6 @@
     const slots = [...service.servers.values()]
         .filter(({ server, isLeaving }) => !server.isDraining && !isLeaving)
         .reduce((sum, server) => sum + countUsableSlots(server, workMs), 0);
-    const leftAloneMs = selectLeftAloneMs(service, draft.atMs);
-    return slots === 0 ? Infinity : leftAloneMs + (opts.aheadCount + 0.5) * draft.state.vmCount * workMs / slots;
+    const backoffMs = selectBackoffMs(service, draft.atMs);
+    return slots === 0 ? Infinity : backoffMs + (opts.aheadCount + 0.5) * draft.state.vmCount * workMs / slots;
 };
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -12,7 +12,7 @@
 import { rejectRequest } from "./reject-request.js";
 import type { RequestState } from "./request-state.js";
 import { selectAttempt } from "./select-attempt.js";
-import { selectLeftAloneMs } from "./select-left-alone-ms.js";
+import { selectBackoffMs } from "./select-backoff-ms.js";
 import { tryRetry } from "./try-retry.js";
 import { updateWorkEstimates } from "./update-work-estimates.js";
 
@@ -130,7 +130,7 @@
         }
         else if (event.notRun) {
             draft.emit({ type: "discard-response", attemptId: event.attemptId });
-            const waitMs = selectLeftAloneMs(draft.service(updated.service), draft.atMs);
+            const waitMs = selectBackoffMs(draft.service(updated.service), draft.atMs);
             rejectRequest(draft, updated, { reason: REJECT_REASONS.shed, waitMs });
         }
         else {
--- a/routing/dispatch/src/on-permit-answered.ts
+++ b/routing/dispatch/src/on-permit-answered.ts
@@ -7,11 +7,11 @@
 import { resumeRequest } from "./resume-request.js";
 import { selectAttempt } from "./select-attempt.js";
 
-const holdBackServer = (draft: DispatchDraft, instanceId: string, retryAfterMs: number): void => {
-    const minMs = DISPATCH_LIMITS.minHoldBackPerVmMs * draft.state.vmCount;
-    const holdBackMs = Math.min(DISPATCH_LIMITS.maxHoldBackMs, Math.max(minMs, retryAfterMs));
-    const jitter = 1 + draft.nextRandom() * DISPATCH_LIMITS.holdBackJitterShare;
-    draft.updateServer(instanceId, { heldBackUntilMs: draft.atMs + holdBackMs * jitter });
+const delayPermitQueries = (draft: DispatchDraft, instanceId: string, retryAfterMs: number): void => {
+    const minMs = DISPATCH_LIMITS.minPermitRetryPerVmMs * draft.state.vmCount;
+    const delayMs = Math.min(DISPATCH_LIMITS.maxPermitRetryMs, Math.max(minMs, retryAfterMs));
+    const jitter = 1 + draft.nextRandom() * DISPATCH_LIMITS.permitRetryJitterShare;
+    draft.updateServer(instanceId, { noPermitUntilMs: draft.atMs + delayMs * jitter });
 };
 
 const logRefusal = (draft: DispatchDraft, request: RequestState, opts: {
@@ -53,7 +53,7 @@
     const request = endAttempt(draft, found.request, attempt);
     if (!hasPermit) {
         const { retryAfterMs } = event;
-        holdBackServer(draft, attempt.instanceId, retryAfterMs);
+        delayPermitQueries(draft, attempt.instanceId, retryAfterMs);
         logRefusal(draft, request, { attempt, reason: isInTime ? "limit" : "no-answer", retryAfterMs });
     }
     resumeRequest(draft, request, { attempt, hasPermit });
--- a/routing/dispatch/src/on-permit-requested.ts
+++ b/routing/dispatch/src/on-permit-requested.ts
@@ -28,6 +28,6 @@
     const left = isGranted ? permits - 1 : permits;
     draft.updateServer(instanceId, { permitBucket: { permits: left, filledAtMs: atMs } });
     const untilNextMs = grantedPerSecond > 0 ? (1 - left) / grantedPerSecond * MS_PER_SECOND : Infinity;
-    const retryAfterMs = Math.min(DISPATCH_LIMITS.maxHoldBackMs, Math.max(0, untilNextMs));
+    const retryAfterMs = Math.min(DISPATCH_LIMITS.maxPermitRetryMs, Math.max(0, untilNextMs));
     draft.emit({ type: "answer-permit", attemptId, instanceId, replyHost, isGranted, retryAfterMs });
 };
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -31,8 +31,8 @@
     probedAtMs: undefined,
     requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
     isLeaving: opts.isLeaving,
-    leftAloneUntilMs: -Infinity,
-    heldBackUntilMs: -Infinity,
+    backoffUntilMs: -Infinity,
+    noPermitUntilMs: -Infinity,
     permitBucket: undefined,
 });
 
--- a/routing/dispatch/src/on-tick.ts
+++ b/routing/dispatch/src/on-tick.ts
@@ -9,9 +9,9 @@
 import type { RequestState } from "./request-state.js";
 import { tryHedge } from "./try-hedge.js";
 
-// How long a limited server is left alone when the VM that counts its requests did not answer. Another one takes its
+// How long no permit is asked for when the VM that counts the requests of a server did not answer. Another one takes its
 // place in the meantime.
-const PERMIT_LOST_HOLD_BACK_MS = 500;
+const LOST_PERMIT_RETRY_MS = 500;
 
 const endLatePermitQueries = (draft: DispatchDraft, request: RequestState): void => {
     for (const { attemptId, instanceId, phase, startedAtMs } of request.attempts) {
@@ -20,7 +20,7 @@
                 attemptId,
                 instanceId,
                 isGranted: false,
-                retryAfterMs: PERMIT_LOST_HOLD_BACK_MS,
+                retryAfterMs: LOST_PERMIT_RETRY_MS,
             });
         }
     }
--- a/routing/dispatch/src/probe-servers.ts
+++ b/routing/dispatch/src/probe-servers.ts
@@ -21,13 +21,13 @@
             continue;
         }
         for (const [instanceId, serverState] of service.servers) {
-            const { server, probedAtMs, measuredAtMs, requestLimit, isLeaving, leftAloneUntilMs } = serverState;
+            const { server, probedAtMs, measuredAtMs, requestLimit, isLeaving, backoffUntilMs } = serverState;
             const dueAgeMs = probeDueAgeMs(server, requestLimit.perSecond);
             const maxPendingMs = requestLimit.perSecond === undefined
                 ? MAX_PENDING_PROBE_MS
                 : Math.max(MAX_PENDING_PROBE_MS, dueAgeMs);
             const isPending = probedAtMs !== undefined && atMs - probedAtMs < maxPendingMs;
-            const mayProbe = !server.isDraining && !isLeaving && leftAloneUntilMs <= atMs && !isPending;
+            const mayProbe = !server.isDraining && !isLeaving && backoffUntilMs <= atMs && !isPending;
             if (mayProbe && atMs - measuredAtMs >= dueAgeMs) {
                 draft.updateServer(instanceId, { probedAtMs: atMs });
                 draft.emit({ type: "probe-server", instanceId, address: server.address, healthPath });
--- a/routing/dispatch/src/select-left-alone-ms.ts
+++ b/routing/dispatch/src/select-backoff-ms.ts
@@ -1,11 +1,11 @@
 import type { DispatchService } from "./dispatch-service.js";
 
 /** For how much longer every server of a service wants nothing from this VM; 0 if one takes requests or there is none. */
-export const selectLeftAloneMs = (service: DispatchService, atMs: number): number => {
+export const selectBackoffMs = (service: DispatchService, atMs: number): number => {
     let soonestMs = Infinity;
-    for (const { server, isLeaving, leftAloneUntilMs } of service.servers.values()) {
+    for (const { server, isLeaving, backoffUntilMs } of service.servers.values()) {
         if (!server.isDraining && !isLeaving) {
-            soonestMs = Math.min(soonestMs, Math.max(0, leftAloneUntilMs - atMs));
+            soonestMs = Math.min(soonestMs, Math.max(0, backoffUntilMs - atMs));
         }
     }
     return Number.isFinite(soonestMs) ? soonestMs : 0;
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -29,9 +29,9 @@
     /** Whether it has said in a response that it is about to end. */
     readonly isLeaving: boolean;
     /** Until when it wants nothing from this VM, as it said when it rejected a request. */
-    readonly leftAloneUntilMs: number;
+    readonly backoffUntilMs: number;
     /** Until when this VM sends it no request, because its limit leaves no room. */
-    readonly heldBackUntilMs: number;
+    readonly noPermitUntilMs: number;
     /** Permits that this VM can grant for its limited requests; undefined until the first one was asked for. */
     readonly permitBucket: PermitBucket | undefined;
 }
