test(soak): start no server again once the run has ended

Suspected cause, from reading: a request that ends its server while the site stops closes the proxy a second time and schedules a restart, which keeps the process alive. A proxy that is down does not go down again now.

--- a/soak/src/fault-proxy.ts
+++ b/soak/src/fault-proxy.ts
@@ -53,6 +53,9 @@
 
     /** Resets all connections and refuses new ones for a time, like a server that ends and is started again. */
     crash(downMs: number): void {
+        if (this.isDown) {
+            return;
+        }
         const { port, address } = this.server.address() as AddressInfo;
         this.close();
         this.restartTimer = setTimeout(() => {
