test(soak): count a leaving server from the first response that a VM passed on

Soak reported vm-3 for one request to i-3, which said that it was leaving. The trace shows that the case is allowed: the first request, at 03:55.453, ended with ECONNRESET, so no response told the VM; the first one that it passed on is of 03:58.056, and no request followed it. The users' rule counts from the answer that the VM passed on, the check counted from the arrival of the first request. It counts from the response now, and the bound stays as it was. A crash of a server counts as a fault of its connections, as its responses are lost too.

--- a/soak/src/fault-proxy.ts
+++ b/soak/src/fault-proxy.ts
@@ -58,6 +58,7 @@
         }
         const { port, address } = this.server.address() as AddressInfo;
         this.close();
+        this.faultEndedAtMs = performance.now() + downMs;
         this.restartTimer = setTimeout(() => {
             this.server.listen(port, address);
         }, downMs);
--- a/soak/src/find-ignored-directives.ts
+++ b/soak/src/find-ignored-directives.ts
@@ -1,3 +1,4 @@
+import type { Outcome } from "@marigoldstall-private/platform";
 import type { DirectivePeriod } from "./directive-period.js";
 import type { SoakArrival } from "./soak-arrival.js";
 import type { SoakSite } from "./soak-site.js";
@@ -13,6 +14,7 @@
 const CRASHES_BEFORE_VERDICT = 3;
 // Delays of proxies and of a busy machine between a VM and a server.
 const SLACK_MS = 400;
+const STATUS_OK = 200;
 
 const countMostInWindow = (timesMs: readonly number[]): number =>
     Math.max(
@@ -20,7 +22,11 @@
         ...timesMs.map(endMs => timesMs.filter(atMs => atMs <= endMs && atMs > endMs - LIMIT_WINDOW_MS).length),
     );
 
-const checkPeriod = (period: DirectivePeriod, arrivals: readonly SoakArrival[]): readonly string[] => {
+const checkPeriod = (
+    period: DirectivePeriod,
+    opts: { readonly arrivals: readonly SoakArrival[]; readonly outcomes: readonly Outcome[]; },
+): readonly string[] => {
+    const { arrivals, outcomes } = opts;
     const { kind, value, startedAtMs, endedAtMs, entry: { server: { instanceId } } } = period;
     // A VM that was restarted or paused since is excused.
     const own = arrivals.filter(arrival =>
@@ -35,7 +41,12 @@
     }
     return [...new Set(own.map(({ vmId }) => vmId))].flatMap(vmId => {
         const times = own.filter(arrival => arrival.vmId === vmId).map(({ atMs }) => atMs);
-        const firstMs = times[0] ?? Infinity;
+        const requestIds = new Set(own.filter(arrival => arrival.vmId === vmId).map(({ requestId }) => requestId));
+        // A response that was lost on the way told the VM nothing (seed 1275806700).
+        const firstMs = Math.min(
+            ...outcomes.filter(({ requestId, statusCode }) => requestIds.has(requestId) && statusCode === STATUS_OK)
+                .map(({ endedAtMs }) => endedAtMs),
+        );
         if (kind === "leaving") {
             const late = times.filter(atMs => atMs > firstMs + DRAIN_MS + SLACK_MS).length;
             return late > 0 ? [`${vmId} sent ${late} requests to ${instanceId}, which said that it was leaving`] : [];
@@ -66,7 +77,10 @@
 export const findIgnoredDirectives = (site: SoakSite, opts: {
     readonly periods: readonly DirectivePeriod[];
     readonly deadlyIds: ReadonlySet<string>;
+    readonly outcomes: readonly Outcome[];
 }): readonly string[] => [
-    ...opts.periods.filter(({ hadProxyFault }) => !hadProxyFault).flatMap(period => checkPeriod(period, site.arrivals)),
+    ...opts.periods.filter(({ hadProxyFault }) => !hadProxyFault).flatMap(period =>
+        checkPeriod(period, { arrivals: site.arrivals, outcomes: opts.outcomes })
+    ),
     ...checkDeadly(site, opts.deadlyIds),
 ];
--- a/soak/src/run-soak.ts
+++ b/soak/src/run-soak.ts
@@ -120,7 +120,7 @@
         await sleep(CALM_MS);
         clearInterval(traffic);
         await Promise.all(pending);
-        ignoredDirectives = findIgnoredDirectives(site, { periods, deadlyIds });
+        ignoredDirectives = findIgnoredDirectives(site, { periods, deadlyIds, outcomes });
         unusedServers = await findUnusedServers(site, { callers, nextRequestId, onOutcome });
     }
     finally {
