--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -125,6 +125,12 @@
         this.topic("keyed.servers").put(id, JSON.stringify(entry));
     }
 
+    /** Whether the newest entry of a backend server is not one that the server has written. */
+    isForeign(id) {
+        const newest = this.topic("keyed.servers").listNewest().items.find(({ key }) => key === id);
+        return newest === undefined || !("version" in JSON.parse(Buffer.from(newest.value, "base64").toString()));
+    }
+
     #answer(url, body, response) {
         const topic = this.topic(url.searchParams.get("topic") ?? "");
         const json = (status, value) => {
