--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -84,9 +84,14 @@
                     return false;
                 }
                 garbledIds.add(id);
-                record(`i-arhiv-${index} spoils the status line of its answer to ${id}`);
+                const isHeaderSpoiled = garbledIds.size % 2 === 1;
+                const [what, statusLine, header] = isHeaderSpoiled
+                    ? ["a header", "HTTP/1.1 200 OK", "X-Cache : miss"]
+                    : ["the status line", "HTTP/1.1 000 OK", "X-Cache: miss"];
+                record(`i-arhiv-${index} spoils ${what} of its answer to ${id}`);
                 response.socket.write(
-                    `HTTP/1.1 000 OK\r\nX-Request-Id: ${id}\r\nX-Server-Stamp: stamp.${id}\r\nContent-Length: 0\r\n\r\n`,
+                    `${statusLine}\r\n${header}\r\nX-Request-Id: ${id}\r\nX-Server-Stamp: stamp.${id}\r\n`
+                        + "Content-Length: 0\r\n\r\n",
                 );
                 return true;
             },
