--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -14,7 +14,10 @@
 const REQUESTS_AHEAD = 3;
 const DURATION_MS = 60_000;
 const GRACE_MS = 500;
+// The dose of `garble` in the site file, several times.
 const GARBLED_SHARE = 0.03;
+const GARBLING_FOR_MS = 5_000;
+const GARBLING_PAUSE_MS = 2_500;
 const GARBLING_SERVERS = 4;
 const SERVERS = 7;
 const MIN_UNANSWERED = 8;
@@ -72,6 +75,10 @@
     store.publish(7, ROUTES, ["arhiv"]);
     const soundRuns = new Set();
     const garbledIds = new Set();
+    const startedAtMs = performance.now();
+    const isInTrouble = () =>
+        site.isTrouble
+        && (performance.now() - startedAtMs) % (GARBLING_FOR_MS + GARBLING_PAUSE_MS) < GARBLING_FOR_MS;
     for (let index = 0; index < SERVERS; index += 1) {
         await site.addBackend({
             id: `i-arhiv-${index}`,
@@ -79,7 +86,7 @@
             workMs: () => 300,
             answer: (request, response) => {
                 const id = request.headers["x-request-id"];
-                if (!site.isTrouble || index >= GARBLING_SERVERS || Math.random() >= GARBLED_SHARE) {
+                if (!isInTrouble() || index >= GARBLING_SERVERS || Math.random() >= GARBLED_SHARE) {
                     soundRuns.add(id);
                     return false;
                 }
@@ -89,9 +96,9 @@
                     ? ["a header", "HTTP/1.1 200 OK", "X-Cache : miss"]
                     : ["the status line", "HTTP/1.1 000 OK", "X-Cache: miss"];
                 record(`i-arhiv-${index} spoils ${what} of its answer to ${id}`);
-                response.socket.write(
+                response.socket.end(
                     `${statusLine}\r\n${header}\r\nX-Request-Id: ${id}\r\nX-Server-Stamp: stamp.${id}\r\n`
-                        + "Content-Length: 0\r\n\r\n",
+                        + "Connection: close\r\nContent-Length: 0\r\n\r\n",
                 );
                 return true;
             },
--- a/review/stand-ins/run-case.mjs
+++ b/review/stand-ins/run-case.mjs
@@ -10,7 +10,7 @@
 const EXIT_HELD = 0;
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
-const TIME_LIMIT_MS = 110_000;
+const TIME_LIMIT_MS = Number(process.env.LIMIT ?? 110_000);
 
 /**
  * Runs a case with a store on a part of the loopback network of its own. The case gets functions that start the parts, and
