--- a/review/stand-ins/entry.mjs
+++ b/review/stand-ins/entry.mjs
@@ -44,6 +44,10 @@
         this.record(`${this.name} started`);
     }
 
+    get fleetPort() {
+        return PORTS.fleet;
+    }
+
     get isRunning() {
         return this.process !== undefined && this.exit === undefined;
     }
