--- a/review/stand-ins/entry.mjs
+++ b/review/stand-ins/entry.mjs
@@ -4,7 +4,6 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 
-const PORTS = { front: 8641, ready: 8640, control: 8649, fleet: 7620 };
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 50;
 const STATUS_OK = 200;
@@ -13,12 +12,12 @@
 export class Entry {
     starts = 0;
 
-    constructor({ name, host, zone = "bezigrad", seeds, storeAddress, folder, record }) {
-        Object.assign(this, { name, host, zone, seeds, storeAddress, folder, record });
+    constructor({ name, host, ports, zone = "bezigrad", seeds, storeAddress, folder, record }) {
+        Object.assign(this, { name, host, ports, zone, seeds, storeAddress, folder, record });
     }
 
     get frontAddress() {
-        return { host: this.host, port: PORTS.front };
+        return { host: this.host, port: this.ports.front };
     }
 
     start() {
@@ -45,7 +44,7 @@
     }
 
     get fleetPort() {
-        return PORTS.fleet;
+        return this.ports.fleet;
     }
 
     get isRunning() {
@@ -65,10 +64,13 @@
 
     async isReady() {
         return await new Promise(resolve => {
-            const request = get({ host: this.host, port: PORTS.ready, path: "/api/ready", agent: false }, response => {
-                response.resume();
-                resolve(response.statusCode === STATUS_OK);
-            });
+            const request = get(
+                { host: this.host, port: this.ports.ready, path: "/api/ready", agent: false },
+                response => {
+                    response.resume();
+                    resolve(response.statusCode === STATUS_OK);
+                },
+            );
             request.setTimeout(1_000, () => request.destroy());
             request.on("error", () => resolve(false));
         });
@@ -102,12 +104,12 @@
             region: "osrednja",
             zones: { bezigrad: "osrednja", vic: "osrednja", moste: "osrednja" },
             listen: {
-                front: `${this.host}:${PORTS.front}`,
-                ready: `${this.host}:${PORTS.ready}`,
-                control: `${this.host}:${PORTS.control}`,
+                front: `${this.host}:${this.ports.front}`,
+                ready: `${this.host}:${this.ports.ready}`,
+                control: `${this.host}:${this.ports.control}`,
             },
-            internalPorts: [PORTS.fleet, PORTS.fleet + 15],
-            seeds: this.seeds.map(host => `${host}:${PORTS.control}`),
+            internalPorts: [this.ports.fleet, this.ports.fleet + 15],
+            seeds: this.seeds.map(host => `${host}:${this.ports.control}`),
             bootstrap: this.starts === 0,
             lossCounts: false,
             limits: { cpuShare: 0.54, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 },
--- a/review/stand-ins/run-case.mjs
+++ b/review/stand-ins/run-case.mjs
@@ -1,4 +1,5 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -10,7 +11,19 @@
 const EXIT_HELD = 0;
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
-const TIME_LIMIT_MS = Number(process.env.LIMIT ?? 110_000);
+const TIME_LIMIT_MS = 110_000;
+
+// Finds ports that are free at an address.
+const pickPorts = async (host, names) => {
+    const servers = await Promise.all(names.map(() =>
+        new Promise((resolve, reject) => {
+            const server = createServer().listen(0, host, () => resolve(server)).on("error", reject);
+        })
+    ));
+    const ports = Object.fromEntries(names.map((name, index) => [name, servers[index].address().port]));
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+};
 
 /**
  * Runs a case with a store on a part of the loopback network of its own. The case gets functions that start the parts, and
@@ -44,10 +57,20 @@
             store.register(backend.id, backend);
             return backend;
         },
-        startEntries: async count => {
+        startEntries: async (count, zones = [undefined]) => {
             const hosts = [...Array(count).keys()].map(index => `${subnet}.${10 + index}`);
+            const ports = await pickPorts(hosts[0], ["front", "ready", "control", "fleet"]);
             const entries = hosts.map((host, index) =>
-                new Entry({ name: `vm-${index}`, host, seeds: hosts, storeAddress: store.address, folder, record })
+                new Entry({
+                    name: `vm-${index}`,
+                    host,
+                    ports,
+                    zone: zones[index % zones.length],
+                    seeds: hosts.slice(0, 3),
+                    storeAddress: store.address,
+                    folder,
+                    record,
+                })
             );
             entries.forEach(entry => entry.start());
             site.entries = entries;
