--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,7 +11,7 @@
 const WORK_MS = { statusdesk: 160, arhiv: 640 };
 const VM_COUNT = 2;
 const CALLERS_PER_VM = 14;
-const DURATION_MS = 75_000;
+const DURATION_MS = 60_000;
 const TROUBLE_FROM_MS = 5_000;
 const ENDLESS_SHARE = 0.45;
 const RESTART_DELAY_MS = 1_000;
@@ -19,8 +19,8 @@
 const REFUSED_PAUSE_MS = 300;
 // The rule allows so many requests that were passed on and whose connection was closed without an answer.
 const MAX_LOST = 3;
-// Body in pieces of one byte, as a server sends that flushes after each character.
-const PIECES = Buffer.from("1\r\na\r\n".repeat(10_000));
+// Short lines, as a server sends them that flushes after each.
+const PIECES = Buffer.from("8\r\n{\"a\":1}\n\r\n".repeat(6_000));
 
 const sendEndless = (response, id) => {
     const { socket } = response;
