fix(http-body): bound the memory of bodies in tiny pieces

Cause: a body was kept as a list of its pieces and only the sum of their lengths was limited. Ruled out: the limit in bytes (held with pieces of 64 KB) and the deadline (too late).

The bodies of a kind share a limit, and the largest incomplete one is dropped when it is reached.

--- /dev/null
+++ b/core/http-body/src/body-limit.ts
@@ -0,0 +1,2 @@
+/** Limit that a body exceeded: its own one, or the one of all bodies together. */
+export type BodyLimit = "body-size" | "total-size";
--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -1,3 +1,4 @@
+import { BodyCollector, collectBody } from "@marigoldstall/core.http-body";
 import { request as httpRequest } from "node:http";
 import { connect, type Socket } from "node:net";
 import { BackendConnection } from "./backend-connection.js";
@@ -166,8 +167,12 @@
         opts: { readonly method: string; readonly path: string; readonly expectsInstanceId?: boolean; },
         finish: (result: ExchangeResult | undefined) => void,
     ): void {
-        const chunks: Buffer[] = [];
-        let bodyBytes = 0;
+        const collector = new BodyCollector({
+            maxBytes: MAX_EXCHANGE_BODY_BYTES,
+            onExceeded: () => {
+                connection.destroy();
+            },
+        });
         connection.expectResponse(() => false);
         const request = httpRequest({
             agent: connection.agent,
@@ -176,20 +181,14 @@
             headers: { "Host": this.address, "Content-Length": 0 },
         }, response => {
             connection.expectResponse(() => response.complete);
-            response.on("data", (chunk: Buffer) => {
-                bodyBytes += chunk.length;
-                chunks.push(chunk);
-                if (bodyBytes > MAX_EXCHANGE_BODY_BYTES) {
-                    connection.destroy();
-                }
-            });
+            collectBody(response, collector);
             response.on("error", () => {
                 finish(undefined);
             });
             response.on("end", () => {
                 let body: unknown;
                 try {
-                    body = JSON.parse(Buffer.concat(chunks).toString("utf8"));
+                    body = JSON.parse(collector.complete().toString("utf8"));
                 }
                 catch {
                     body = undefined;
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -1,3 +1,4 @@
+import { BodyBudget, BodyCollector, collectBody } from "@marigoldstall/core.http-body";
 import type { CallerLimits } from "@marigoldstall/core.types";
 import { endToEndHeaders } from "@marigoldstall/daemon.connections";
 import { listenOn } from "@marigoldstall/fleet.rpc";
@@ -13,11 +14,15 @@
 // so MAX_HEADER_BYTES also caps the configured header limit.
 const MAX_HEADER_BYTES = 65_536;
 const INITIAL_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+// The smallest VMs have 250 MB, of which the process needs about 60 MB without any request.
+const MAX_BODIES_BYTES = 64 * 1_024 * 1_024;
+const BODIES_TOO_LARGE_RETRY_AFTER_MS = 500;
 // The first round may have passed the sockets already. The kernel keeps 511 waiting connections.
 const QUIET_ACCEPT_ROUNDS = 2;
 const MAX_ACCEPT_ROUNDS = 600;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
+const STATUS_UNAVAILABLE = 503;
 
 const countHeaderBytes = (message: IncomingMessage): number =>
     message.rawHeaders.reduce((bytes, text) => bytes + text.length, message.url?.length ?? 0);
@@ -33,7 +38,10 @@
 export class CallerListener {
     private readonly opts: CallerListenerOptions;
     private readonly server: Server;
+    private readonly bodyBudget = new BodyBudget({ maxBytes: MAX_BODIES_BYTES });
     private readonly openRequests = new Map<string, OpenRequest>();
+    /** Bodies of the unfinished requests. */
+    private readonly bodies = new Map<string, BodyCollector>();
     private readonly connections = new Map<Socket, CallerConnection>();
     private maxHeaderBytes = MAX_HEADER_BYTES;
     private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
@@ -160,8 +168,6 @@
         const requestKey = String(this.nextRequestKey);
         this.nextRequestKey += 1;
         connection.addRequest(requestKey);
-        const chunks: Buffer[] = [];
-        let bodyBytes = 0;
         this.unfinishedRequests += 1;
         response.sendDate = false;
         response.on("error", () => undefined);
@@ -169,33 +175,40 @@
             this.finishRequest(connection, requestKey);
         });
         message.on("error", () => undefined);
-        const rejectWithStatus = (statusCode: number): void => {
-            message.removeAllListeners("data");
+        const rejectWithStatus = (statusCode: number, opts: { readonly retryAfterMs?: number; } = {}): void => {
             message.resume();
             response.shouldKeepAlive = false;
             connection.closeAfterResponse();
-            response.writeHead(statusCode, { "Content-Length": 0 });
+            const { requestId } = decodeCallerRequestHead(message.headers);
+            response.writeHead(statusCode, encodeRejectionHeaders({ requestId, retryAfterMs: opts.retryAfterMs }));
             response.end();
         };
         if (countHeaderBytes(message) > this.maxHeaderBytes) {
             rejectWithStatus(STATUS_HEADERS_TOO_LARGE);
             return;
         }
-        message.on("data", (chunk: Buffer) => {
-            chunks.push(chunk);
-            bodyBytes += chunk.length;
-            if (bodyBytes > this.maxBodyBytes && !response.headersSent) {
-                rejectWithStatus(STATUS_BODY_TOO_LARGE);
-            }
+        const collector = new BodyCollector({
+            maxBytes: this.maxBodyBytes,
+            budget: this.bodyBudget,
+            onExceeded: limit => {
+                if (limit === "body-size") {
+                    rejectWithStatus(STATUS_BODY_TOO_LARGE);
+                }
+                else {
+                    rejectWithStatus(STATUS_UNAVAILABLE, { retryAfterMs: BODIES_TOO_LARGE_RETRY_AFTER_MS });
+                }
+            },
         });
+        this.bodies.set(requestKey, collector);
+        collectBody(message, collector);
         message.on("end", () => {
             connection.onRequestRead();
             if (response.headersSent || response.destroyed) {
                 return;
             }
             const { requestId, deadlineMs } = decodeCallerRequestHead(message.headers);
-            const hasBody = bodyBytes > 0 || message.headers["content-length"] !== undefined;
-            const body = hasBody ? Buffer.concat(chunks) : undefined;
+            const hasBody = collector.byteCount > 0 || message.headers["content-length"] !== undefined;
+            const body = hasBody ? collector.complete() : undefined;
             const hasFollowers = (): boolean => !connection.isNewest(requestKey);
             const request = { requestKey, requestId, message, response, body, hasFollowers };
             this.openRequests.set(requestKey, request);
@@ -225,6 +238,8 @@
             return;
         }
         this.unfinishedRequests -= 1;
+        this.bodies.get(requestKey)?.release();
+        this.bodies.delete(requestKey);
         if (this.removeOpenRequest(requestKey) !== undefined) {
             this.opts.onCallerLeft(requestKey);
         }
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -1,3 +1,4 @@
+import { type BodyBudget, BodyCollector, collectBody } from "@marigoldstall/core.http-body";
 import type { LoadReport, ServerDirectives } from "@marigoldstall/core.types";
 import {
     type BackendConnection,
@@ -28,6 +29,8 @@
     readonly request: OpenRequest;
     readonly pool: BackendPool;
     readonly clock: Clock;
+    /** Limit on the bodies of all responses that are being received. */
+    readonly bodyBudget: BodyBudget;
     /** Called for each response head, also of a response that fails the attempt. */
     readonly onHead?: (head: ServerResponseHead) => void;
     readonly onResponse: (result: {
@@ -48,6 +51,7 @@
     private connection: BackendConnection | undefined;
     private cancelAcquire = (): void => undefined;
     private response: IncomingMessage | undefined;
+    private body: BodyCollector | undefined;
     /** What the server asked of its callers in the response to this request. */
     private directives: ServerDirectives | undefined;
     private isSettled = false;
@@ -79,6 +83,7 @@
             this.isSettled = true;
             this.cancelAcquire();
             this.connection?.destroy();
+            this.body?.release();
         }
     }
 
@@ -151,15 +156,15 @@
         if (head.notRun) {
             this.connection?.addRefusal(requestId);
         }
-        const chunks: Buffer[] = [];
-        let bodyBytes = 0;
-        response.on("data", (chunk: Buffer) => {
-            chunks.push(chunk);
-            bodyBytes += chunk.length;
-            if (bodyBytes > MAX_RESPONSE_BYTES) {
-                this.failAsLost("response-too-large");
-            }
+        const collector = new BodyCollector({
+            maxBytes: MAX_RESPONSE_BYTES,
+            budget: this.opts.bodyBudget,
+            onExceeded: limit => {
+                this.failAsLost(limit === "body-size" ? "response-too-large" : "responses-too-large");
+            },
         });
+        this.body = collector;
+        collectBody(response, collector);
         response.on("error", error => {
             this.failAsLost(`response: ${error.message}`, { isConnectionBroken: true });
         });
@@ -174,7 +179,8 @@
             }
             this.isSettled = true;
             const { rawHeaders, headers } = response;
-            const body = Buffer.concat(chunks);
+            const body = collector.complete();
+            collector.release();
             const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
             const bufferedResponse = { statusCode, rawHeaders, connectionHeader: headers.connection, body, isFramed };
             // Node.js frees the connection in a callback that it queued before this one.
@@ -201,6 +207,7 @@
     ): void {
         if (!this.isSettled) {
             this.isSettled = true;
+            this.body?.release();
             const { isConnectionBroken = false } = opts;
             this.opts.onFailed(failure, reason, { directives: this.directives, isConnectionBroken });
         }
--- a/daemon/entry/src/server-attempts.ts
+++ b/daemon/entry/src/server-attempts.ts
@@ -1,3 +1,4 @@
+import { BodyBudget } from "@marigoldstall/core.http-body";
 import type { Clock } from "@marigoldstall/daemon.connections";
 import type { BackendPools } from "./backend-pools.js";
 import type { BufferedResponse } from "./buffered-response.js";
@@ -9,6 +10,9 @@
 import { reportMalformedHeaders } from "./report-malformed-headers.js";
 import { ServerAttempt } from "./server-attempt.js";
 
+// The smallest VMs have 250 MB, of which the process needs about 60 MB without any request.
+const MAX_RESPONSES_BYTES = 64 * 1_024 * 1_024;
+
 interface ServerAttemptsOptions {
     readonly pools: BackendPools;
     readonly metrics: EntryMetrics;
@@ -20,6 +24,7 @@
 /** The attempts in progress, and the responses that the reducer has not decided about yet. */
 export class ServerAttempts {
     private readonly opts: ServerAttemptsOptions;
+    private readonly bodyBudget = new BodyBudget({ maxBytes: MAX_RESPONSES_BYTES });
     private readonly attempts = new Map<string, ServerAttempt>();
     private readonly responses = new Map<string, BufferedResponse>();
 
@@ -41,6 +46,7 @@
             request,
             pool: pools.get(instanceId, address),
             clock,
+            bodyBudget: this.bodyBudget,
             onHead: head => {
                 reportMalformedHeaders(head, { instanceId, log, metrics });
             },
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -1,12 +1,19 @@
+import { BodyBudget } from "@marigoldstall/core.http-body";
 import { BackendPool, createClock } from "@marigoldstall/daemon.connections";
 import { expect } from "chai";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createServer, type Server, type Socket } from "node:net";
 import { ServerAttempt } from "../src/server-attempt.js";
+import { measureHeapGrowth } from "./support/measure-heap-growth.js";
 
 const ADDRESS = "127.0.0.1:18742";
 const SIGNED = "X-Request-Id: abc\r\nX-Server-Stamp: s\r\n";
 
+// Half of the heap that the deploy file allows.
+const MAX_HEAP_GROWTH_BYTES = 80 * 1_024 * 1_024;
+// Longest deadline of the users' sites.
+const READING_TIME_MS = 8_000;
+
 interface Outcome {
     readonly result: string;
     readonly body?: string;
@@ -17,10 +24,12 @@
     let onRequest: (socket: Socket, count: number) => void;
     let connections: number;
     let pool: BackendPool;
+    let bodyBudget: BodyBudget;
     const clock = createClock({ seed: 1 });
 
     beforeEach(async () => {
         connections = 0;
+        bodyBudget = new BodyBudget({ maxBytes: 64 * 1_024 * 1_024 });
         server = createServer(socket => {
             connections += 1;
             let count = 0;
@@ -70,6 +79,7 @@
                 },
                 pool,
                 clock,
+                bodyBudget,
                 onResponse: ({ bufferedResponse, notRun }) => {
                     resolve({ result: notRun ? "not-run" : "answered", body: bufferedResponse.body.toString() });
                 },
@@ -146,6 +156,51 @@
         });
     }
 
+    // Each piece of a body was kept as an object of over 100 bytes, so that a body without end in chunks of 8 bytes
+    // filled the heap before it reached the limit on its bytes, and ended the process with all its requests.
+    it("does not fill the heap with a body without end in tiny chunks", async () => {
+        const chunks = Buffer.from("8\r\n{\"a\":1}\n\r\n".repeat(6_000));
+        onRequest = socket => {
+            const write = (): void => {
+                while (!socket.destroyed && socket.write(chunks)) {
+                    // The socket takes more.
+                }
+            };
+            socket.on("drain", write);
+            socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n`);
+            write();
+        };
+        const { result, growthBytes } = await measureHeapGrowth(() => {
+            setTimeout(() => {
+                pool.closeAll();
+            }, READING_TIME_MS);
+            return run(2 * READING_TIME_MS);
+        });
+        expect(result.result).to.match(/^lost: /);
+        expect(growthBytes).to.be.below(MAX_HEAP_GROWTH_BYTES);
+        expect(bodyBudget.usedBytes).to.equal(0);
+    });
+
+    // Each of many bodies without end stayed within its own limit, and together they took the memory of the VM.
+    it("drops the largest response when all responses together exceed their limit", async () => {
+        bodyBudget = new BodyBudget({ maxBytes: 1_024 * 1_024 });
+        onRequest = socket => {
+            socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 8000000\r\n\r\n${"a".repeat(600_000)}`);
+        };
+        const incomplete = run();
+        while (bodyBudget.usedBytes < 600_000) {
+            await new Promise(resolve => {
+                setTimeout(resolve, 5);
+            });
+        }
+        onRequest = socket => {
+            socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 500000\r\n\r\n${"a".repeat(500_000)}`);
+        };
+        expect((await run()).result).to.equal("answered");
+        expect((await incomplete).result).to.equal("lost: responses-too-large");
+        expect(bodyBudget.usedBytes).to.equal(0);
+    });
+
     it("rejects a response shorter than its Content-Length", async () => {
         onRequest = socket => {
             socket.end(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 10\r\n\r\npart`);
--- a/fleet/rpc/src/rpc-client.ts
+++ b/fleet/rpc/src/rpc-client.ts
@@ -1,4 +1,5 @@
 import { MarigoldstallError } from "@marigoldstall/core.error";
+import { BodyCollector, collectBody } from "@marigoldstall/core.http-body";
 import { createJSONRPCRequest, isJSONRPCResponse } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import { randomBytes } from "node:crypto";
@@ -88,22 +89,19 @@
         readonly resolve: (result: Result<unknown, MarigoldstallError>) => void;
         readonly fail: (code: string, message: string, hint?: string) => void;
     }): void {
-        const chunks: Buffer[] = [];
-        let bodyBytes = 0;
-        response.on("data", (chunk: Buffer) => {
-            bodyBytes += chunk.length;
-            if (bodyBytes > RPC.maxBodyBytes) {
+        const collector = new BodyCollector({
+            maxBytes: RPC.maxBodyBytes,
+            onExceeded: () => {
                 call.fail("RPC_OVERSIZED", `the response exceeds the limit of ${RPC.maxBodyBytes} bytes`);
                 response.destroy();
-                return;
-            }
-            chunks.push(chunk);
+            },
         });
+        collectBody(response, collector);
         response.on("error", error => {
             call.fail("RPC_UNREACHABLE", error.message);
         });
         response.on("end", () => {
-            const body = Buffer.concat(chunks);
+            const body = collector.complete();
             if (response.statusCode !== 200) {
                 call.fail(
                     "RPC_REFUSED",
--- a/fleet/rpc/src/rpc-server.ts
+++ b/fleet/rpc/src/rpc-server.ts
@@ -1,4 +1,5 @@
 import { MarigoldstallError } from "@marigoldstall/core.error";
+import { BodyBudget, BodyCollector, collectBody } from "@marigoldstall/core.http-body";
 import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { listenOn } from "./listen-on.js";
@@ -12,6 +13,8 @@
 // Allows thousands of calls per second; each peer sends a few.
 const NONCE_CAPACITY = 500_000;
 const BODY_TIMEOUT_MS = 10_000;
+// Calls of at least 32 peers at once. A caller is identified only once its body is complete.
+const MAX_BODIES_BYTES = 32 * RPC.maxBodyBytes;
 
 const STATUS_CODES: Readonly<Record<RpcRefusal, number>> = {
     "oversized": 413,
@@ -30,6 +33,7 @@
     private readonly nonces = new NonceCache({ windowMs: 2 * RPC.maxClockSkewMs + 1_000, capacity: NONCE_CAPACITY });
     private readonly now: () => number;
     private readonly monotonicNow: () => number;
+    private readonly bodyBudget = new BodyBudget({ maxBytes: MAX_BODIES_BYTES });
     private readonly server: Server;
     private address = "";
 
@@ -71,25 +75,25 @@
     }
 
     private readBody(request: IncomingMessage, response: ServerResponse): void {
-        const chunks: Buffer[] = [];
-        let bodyBytes = 0;
         if (Number(request.headers["content-length"] ?? 0) > RPC.maxBodyBytes) {
             this.refuse(response, "oversized");
             return;
         }
-        request.on("data", (chunk: Buffer) => {
-            bodyBytes += chunk.length;
-            if (bodyBytes > RPC.maxBodyBytes) {
-                request.removeAllListeners("data");
+        const collector = new BodyCollector({
+            maxBytes: RPC.maxBodyBytes,
+            budget: this.bodyBudget,
+            onExceeded: () => {
                 this.refuse(response, "oversized");
-                return;
-            }
-            chunks.push(chunk);
+            },
+        });
+        collectBody(request, collector);
+        response.on("close", () => {
+            collector.release();
         });
         request.on("error", () => undefined);
         request.on("end", () => {
             if (!response.writableEnded) {
-                this.handleCall(request, response, Buffer.concat(chunks));
+                this.handleCall(request, response, collector.complete());
             }
         });
     }
