fix(connections): close a connection after 16 interim responses

Cause: Node.js creates a message for each interim response, and nothing limited their number. The limit on the size of a head does not help, as each interim response has a head of its own.

Change: an attempt or a health check whose server sends more than 16 fails as lost, and its connection closes.

--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -5,6 +5,7 @@
 import type { BackendPoolOptions } from "./backend-pool-options.js";
 import type { Clock } from "./clock.js";
 import type { ExchangeResult } from "./exchange-result.js";
+import { limitInterimResponses } from "./limit-interim-responses.js";
 import { singleHeader } from "./single-header.js";
 
 // Node.js servers close idle connections after 5 s. A shorter limit avoids sending a request while the server closes.
@@ -206,6 +207,9 @@
                 });
             });
         });
+        limitInterimResponses(request, () => {
+            connection.destroy();
+        });
         request.on("error", () => {
             finish(undefined);
         });
--- a/daemon/connections/src/index.ts
+++ b/daemon/connections/src/index.ts
@@ -5,4 +5,5 @@
 export { createClock } from "./create-clock.js";
 export { endToEndHeaders } from "./end-to-end-headers.js";
 export type { ExchangeResult } from "./exchange-result.js";
+export { limitInterimResponses } from "./limit-interim-responses.js";
 export { singleHeader } from "./single-header.js";
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -5,6 +5,7 @@
     type BackendPool,
     type Clock,
     endToEndHeaders,
+    limitInterimResponses,
 } from "@marigoldstall/daemon.connections";
 import {
     decodeServerResponseHead,
@@ -123,6 +124,9 @@
         outgoing.on("response", response => {
             this.handleResponse(response);
         });
+        limitInterimResponses(outgoing, () => {
+            this.failAsLost("too-many-interim-responses");
+        });
         outgoing.on("error", error => {
             this.failAsLost(`connection: ${error.message}`, { isConnectionBroken: true });
         });
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -133,6 +133,7 @@
             `HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n`,
             `f4240\r\n${"a".repeat(1_000_000)}\r\n`,
         ],
+        ["interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n".repeat(40_000)],
         ["garbage", "", "\u0000\u0001".repeat(500)],
     ];
     for (const [description, head, chunk] of endlessResponses) {
