fix(entry): survive early signals, held ports and incomplete settings

Reproduced here: SIGHUP in the first 0.1 s ends the process; a port that another process holds for a moment, or port 9464 for good, ends it with status 2, again after each restart; so do settings that are empty, cut off or missing at that moment. Which of these the users met is not known.

Cause: handlers were set only once the daemon had been loaded, and each of these errors was final.

Change: the first file of the program only handles signals and loads the daemon. A missing file is an error with its name instead of a stack trace.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -18,6 +18,7 @@
 import { FleetSocket } from "./fleet-socket.js";
 import { HealthChecks } from "./health-checks.js";
 import { JsonLogger } from "./json-logger.js";
+import { openPort } from "./open-port.js";
 import { PauseDetector } from "./pause-detector.js";
 import { PeerRpc } from "./peer-rpc.js";
 import { ReadinessListener } from "./readiness-listener.js";
@@ -181,11 +182,15 @@
     async start(): Promise<void> {
         const { settings } = this;
         this.log.write("started", { address: settings.listen.caller, cores: settings.cores });
+        const { caller, ready, control } = settings.listen;
+        // The process that had the ports before may take as long to end.
+        const open = (name: string, address: string, listen: () => Promise<void>): Promise<void> =>
+            openPort(listen, { ...this.portOptions, name, address, timeoutMs: settings.stopGraceMs });
         await Promise.all([
-            this.readinessListener.listen(settings.listen.ready),
-            this.peerRpc.listen(),
-            this.fleetSocket.listen(),
-            this.callerListener.listen(settings.listen.caller),
+            open("ready", ready, () => this.readinessListener.listen(ready)),
+            open("control", control, () => this.peerRpc.listen()),
+            open("fleet", `${settings.host}:${settings.fleetPort}`, () => this.fleetSocket.listen()),
+            open("caller", caller, () => this.callerListener.listen(caller)),
         ]);
         this.isListening = true;
         this.joiner.join().catch((error: unknown) => {
@@ -200,10 +205,22 @@
                 nowMs: this.clock.atMs,
                 connectionCount: () => this.pools.connectionCount,
             });
-            await this.metrics.listen(`${settings.host}:${this.metricsPort}`);
+            this.openMetricsPort(`${settings.host}:${this.metricsPort}`);
         }
     }
 
+    // No caller needs the metrics, so the daemon serves without them while their port is in use.
+    private openMetricsPort(address: string): void {
+        const opts = { ...this.portOptions, name: "metrics", address, timeoutMs: Infinity };
+        openPort(() => this.metrics.listen(address), opts).catch((error: unknown) => {
+            this.log.write("metrics-unavailable", { address, problem: String(error) });
+        });
+    }
+
+    private get portOptions(): { readonly nowMs: () => number; readonly log: JsonLogger; } {
+        return { nowMs: this.clock.atMs, log: this.log };
+    }
+
     /** Shuts down gracefully. Further calls return the same promise. */
     stop(): Promise<void> {
         this.shutdownPromise ??= this.shutDown();
--- /dev/null
+++ b/daemon/entry/test/process-start.test.ts
@@ -0,0 +1,180 @@
+import {
+    buildVmSettings,
+    fetchStatus,
+    PlatformServer,
+    READY_PATH,
+    SETTINGS_VARIABLE,
+    StoreStandIn,
+} from "@marigoldstall-private/platform";
+import { ManagedProcess } from "@marigoldstall-private/sites";
+import { expect } from "chai";
+import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, type Server } from "node:net";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const PROGRAM = resolve("target/marigoldstall-entry.cjs");
+const PORTS = { caller: 28_841, ready: 28_840, control: 28_849, fleet: 27_820, metrics: 28_864 };
+const SERVICE = "one";
+const STATUS_OK = 200;
+const POLL_INTERVAL_MS = 20;
+const HOLD_MS = 700;
+const TEST_TIMEOUT_MS = 60_000;
+
+let hostCount = 0;
+
+// Test processes that run at the same time use different subnets of the loopback network.
+const nextHost = (): string => {
+    hostCount += 1;
+    return `127.${10 + process.pid % 20}.${Math.floor(process.pid / 20) % 250}.${hostCount}`;
+};
+
+// On the users' machines the system did not start, or its processes ended by themselves (rule FAULT).
+describe("The program of an entry VM", () => {
+    let directory: string;
+    let host: string;
+    let store: StoreStandIn;
+    let server: PlatformServer;
+    let settings: string;
+    let holder: Server | undefined;
+    let daemon: ManagedProcess | undefined;
+
+    beforeEach(async () => {
+        directory = mkdtempSync(join(tmpdir(), "marigoldstall-start-"));
+        host = nextHost();
+        store = new StoreStandIn();
+        const storeAddress = await store.listen(host);
+        server = new PlatformServer({ instanceId: "a", workMs: () => 0, onRun: () => undefined });
+        await server.listen(host);
+        store.publish({ version: 1, host: "start.example", service: SERVICE });
+        store.register({
+            instanceId: "a",
+            startedAtUnixMs: 1,
+            service: SERVICE,
+            address: `${host}:${server.port}`,
+            availabilityZone: "zone-0",
+            slots: 2,
+            isDraining: false,
+        });
+        settings = JSON.stringify(buildVmSettings({
+            vmId: "vm-0",
+            availabilityZone: "zone-0",
+            host,
+            ports: PORTS,
+            heartbeatMs: 1_500,
+            storeAddress,
+            seedAddresses: [],
+        }));
+        writeFileSync(join(directory, "settings.json"), settings);
+    });
+
+    afterEach(async () => {
+        if (daemon?.running === true) {
+            process.kill(daemon.pid, "SIGKILL");
+        }
+        daemon = undefined;
+        await new Promise<void>(done => {
+            if (holder === undefined) {
+                done();
+            }
+            else {
+                holder.close(() => {
+                    done();
+                });
+            }
+        });
+        holder = undefined;
+        server.close();
+        store.close();
+        rmSync(directory, { recursive: true, force: true });
+    });
+
+    const start = (program = PROGRAM): ManagedProcess => {
+        daemon = new ManagedProcess({
+            name: "vm-0",
+            command: [process.execPath, "--max-old-space-size=160", program, "--metrics-port", String(PORTS.metrics)],
+            logFile: join(directory, "vm-0.log"),
+            environment: { [SETTINGS_VARIABLE]: join(directory, "settings.json") },
+        });
+        return daemon;
+    };
+
+    const hold = async (port: number): Promise<void> => {
+        holder = createServer();
+        await new Promise<void>(done => {
+            holder?.listen(port, host, done);
+        });
+    };
+
+    const readLog = (): string => readFileSync(join(directory, "vm-0.log"), "utf8");
+
+    const waitUntilReady = async (): Promise<void> => {
+        while (await fetchStatus(`${host}:${PORTS.ready}`, { path: READY_PATH }) !== STATUS_OK) {
+            expect(daemon?.running, readLog()).to.equal(true);
+            await sleep(POLL_INTERVAL_MS);
+        }
+    };
+
+    // SIGHUP, which tells that the settings changed, ended a process in the first 0.1 s after its start.
+    it("handles SIGHUP and SIGTERM before it has loaded the daemon", async () => {
+        const program = join(directory, "marigoldstall-entry.cjs");
+        copyFileSync(PROGRAM, program);
+        writeFileSync(
+            join(directory, "marigoldstall-entry-program.cjs"),
+            "process.stdout.write('loading\\n');"
+                + "exports.runEntryProgram = () => new Promise(done => { setTimeout(done, 60000); });",
+        );
+        const loading = start(program);
+        while (!readLog().includes("loading")) {
+            await sleep(POLL_INTERVAL_MS);
+        }
+        process.kill(loading.pid, "SIGHUP");
+        await sleep(HOLD_MS);
+        expect(loading.running).to.equal(true);
+        process.kill(loading.pid, "SIGTERM");
+        expect(await loading.exited).to.equal(0);
+    }).timeout(TEST_TIMEOUT_MS);
+
+    for (const name of ["caller", "ready", "control"] as const) {
+        // A process that ended when it found a port in use was restarted and ended again.
+        it(`waits for the ${name} port while another process holds it`, async () => {
+            await hold(PORTS[name]);
+            const waiting = start();
+            while (!readLog().includes("port-unavailable")) {
+                expect(waiting.running, readLog()).to.equal(true);
+                await sleep(POLL_INTERVAL_MS);
+            }
+            await new Promise(done => {
+                holder?.close(done);
+            });
+            holder = undefined;
+            await waitUntilReady();
+        }).timeout(TEST_TIMEOUT_MS);
+    }
+
+    it("serves callers while another process holds the metrics port", async () => {
+        await hold(PORTS.metrics);
+        start();
+        await waitUntilReady();
+        while (!readLog().includes("\"name\":\"metrics\"")) {
+            await sleep(POLL_INTERVAL_MS);
+        }
+    }).timeout(TEST_TIMEOUT_MS);
+
+    for (const [description, text] of [["empty", ""], ["cut off", "{\"nodeName\":"]] as const) {
+        it(`waits for the rest of settings that are ${description} at the start`, async () => {
+            writeFileSync(join(directory, "settings.json"), text);
+            start();
+            await sleep(HOLD_MS);
+            writeFileSync(join(directory, "settings.json"), settings);
+            await waitUntilReady();
+        }).timeout(TEST_TIMEOUT_MS);
+    }
+
+    it("names the settings file in the error when it stays unreadable", async () => {
+        rmSync(join(directory, "settings.json"));
+        expect(await start().exited).to.equal(2);
+        expect(readLog()).to.contain("ERR_MARIGOLDSTALL_SETTINGS_UNREADABLE").and.to.contain("settings.json");
+    }).timeout(TEST_TIMEOUT_MS);
+});
