--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -231,7 +231,15 @@
         }
         const colon = this.address.lastIndexOf(":");
         const host = this.address.slice(0, colon).replace(/^\[|\]$/g, "");
-        const socket = connect({ host, port: Number(this.address.slice(colon + 1)), noDelay: true });
+        let socket: Socket;
+        try {
+            socket = connect({ host, port: Number(this.address.slice(colon + 1)), noDelay: true });
+        }
+        catch (error) {
+            // Node.js throws for a port out of range, which a VM of an earlier release may tell this one.
+            opts.onFailed((error as NodeJS.ErrnoException).code);
+            return () => undefined;
+        }
         this.connecting.add(socket);
         let isWaiting = true;
         let errorCode: string | undefined;
--- a/daemon/connections/test/backend-pool.test.ts
+++ b/daemon/connections/test/backend-pool.test.ts
@@ -53,6 +53,19 @@
             );
         });
 
+    // Node.js throws for such a port, and each health check of the server was a fault of the daemon.
+    it("reports a port out of range as a failed connection", () => {
+        const failures: (string | undefined)[] = [];
+        new BackendPool({ address: "127.0.0.1:99999", maxConnections: 1, clock: createClock({ seed: 1 }) }).acquire({
+            mode: "any",
+            onReady: () => undefined,
+            onFailed: errorCode => {
+                failures.push(errorCode);
+            },
+        });
+        expect(failures).to.deep.equal(["ERR_SOCKET_BAD_PORT"]);
+    });
+
     describe("health checks", () => {
         it("reuse a connection", async () => {
             onData = socket => socket.write(HEALTH);
--- a/stand-ins/platform/src/store-stand-in.ts
+++ b/stand-ins/platform/src/store-stand-in.ts
@@ -104,6 +104,11 @@
         }
     }
 
+    /** Writes the text of a registration as it is, as another writer does. */
+    putRegistration(instanceId: string, text: string): void {
+        this.topic(REGISTRATIONS_TOPIC).put(instanceId, text);
+    }
+
     /** Writes a configuration version to the configuration topic, as an operator does. */
     publish(published: PublishedService): void {
         const { host, service, version } = published;
