fix(hubs): refuse a datagram that announces more than it holds

Cause: the decoder allocates an array when it reads its head. Ruled out: a limit on the elements of one array, as nested arrays within it add up; an exception, as there is none.

Change: the message is walked over before it is decoded.

Conclusion: the memory that a datagram takes is bounded by its bytes.

--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -3,6 +3,7 @@
 import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
 import type { FleetMessage } from "./fleet-message.js";
+import { isBoundedMessage } from "./is-bounded-message.js";
 import type { LimitFinding } from "./limit-finding.js";
 import type { LoadAnswer } from "./load-answer.js";
 import type { LoadQuery } from "./load-query.js";
@@ -268,6 +269,9 @@
 
 /** Decodes a datagram. Returns undefined if it is malformed or has another version. */
 export const decodeFleetMessage = (bytes: Uint8Array): FleetMessage | undefined => {
+    if (!isBoundedMessage(bytes)) {
+        return undefined;
+    }
     try {
         return decodeMessage(decode(bytes));
     }
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -2,10 +2,14 @@
 import { UNKNOWN_ERA } from "@marigoldstall/fleet.view";
 import { decode, encode } from "@msgpack/msgpack";
 import { expect } from "chai";
+import fc from "fast-check";
+import { isBoundedMessage } from "../src/is-bounded-message.js";
 import { createVm } from "./create-vm.js";
 import { LOAD } from "./load.js";
 import { SUMMARY } from "./summary.js";
 
+const MAX_HEAP_GROWTH_BYTES = 8 * 1_024 * 1_024;
+
 describe("fleet.hubs, datagram encoding", () => {
     it("decodes an encoded message to an equal one", () => {
         const message: FleetMessage = {
@@ -121,6 +125,49 @@
         });
     });
 
+    // The decoder allocates an array when it reads its head, so 20 bytes ended the process (review/4).
+    const oversized: readonly (readonly [string, Uint8Array])[] = [
+        ["nested arrays with 30 million elements each", Buffer.from("dd01c9c380".repeat(4), "hex")],
+        ["nested arrays with 60,000 elements each", Buffer.from("dcea60".repeat(20_000), "hex")],
+        ["nested maps with millions of entries each", Buffer.from("df01c9c380".repeat(4), "hex")],
+        ["60,000 nested arrays", Buffer.concat([Buffer.alloc(60_000, 0x91), Buffer.from([0xc0])])],
+        ["a string longer than the datagram", Buffer.from("dbffffffff", "hex")],
+    ];
+    for (const [what, bytes] of oversized) {
+        it(`rejects ${what} without allocating them`, () => {
+            const startBytes = process.memoryUsage().heapUsed;
+            expect(decodeFleetMessage(bytes)).to.equal(undefined);
+            expect(process.memoryUsage().heapUsed - startBytes).to.be.below(MAX_HEAP_GROWTH_BYTES);
+        });
+    }
+
+    it("accepts every complete message of usual depth", () => {
+        const value = fc.oneof(
+            fc.integer(),
+            fc.double(),
+            fc.string(),
+            fc.boolean(),
+            fc.uint8Array(),
+            fc.bigInt(0n, 9n).map(Number),
+        );
+        const message = fc.array(
+            fc.oneof(
+                value,
+                fc.array(fc.oneof(value, fc.array(value, { maxLength: 40 }))),
+                fc.dictionary(fc.string(), value),
+            ),
+        );
+        fc.assert(
+            fc.property(message, row => {
+                const bytes = Buffer.from(encode(row));
+                expect(isBoundedMessage(bytes)).to.equal(true);
+                expect(isBoundedMessage(bytes.subarray(0, -1))).to.equal(false);
+                expect(isBoundedMessage(Buffer.concat([bytes, bytes]))).to.equal(false);
+            }),
+            { seed: 4, numRuns: 300 },
+        );
+    });
+
     it("rejects a truncated or malformed datagram and one of another version", () => {
         const bytes = encodeFleetMessage({
             type: "status",
