fix(dispatch): relay no status that denies a run that may have happened

Cause: a server's response without X-Not-Executed was relayed with its status, also with 408, 421, 429 or 503, for a request that must not run twice. Ruled out: a second attempt (none was sent) and the daemon's own refusals (a model test over two attempts with 20 ends each finds no promise among those).

Change: such a response becomes a 502 without the server's signature, logged with the server and its status.

--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -4,6 +4,7 @@
 import type { DispatchEvent } from "./dispatch-event.js";
 import { drainQueue } from "./drain-queue.js";
 import { endAttempt } from "./end-attempt.js";
+import { promisesNotRun } from "./promises-not-run.js";
 import { recordCompletion } from "./record-completion.js";
 import { recordFailure } from "./record-failure.js";
 import { recordLoad } from "./record-load.js";
@@ -21,12 +22,25 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 const SHED_FAILURE_WEIGHT = 0.3;
 
+// The server had the request, and only `notRun` says that it did not run it. A caller would send a request that must not run
+// twice again after a status that promises so, and the server may have run it.
+const hasFalsePromise = (request: RequestState, event: AttemptAnswered): boolean =>
+    !request.route.isIdempotent && !event.notRun && promisesNotRun(event.statusCode);
+
 const relayResponse = (
     draft: DispatchDraft,
     request: RequestState,
     opts: { readonly attempt: AttemptState; readonly event: AttemptAnswered; },
 ): void => {
     const { attempt, event } = opts;
+    if (hasFalsePromise(request, event)) {
+        draft.emit({ type: "discard-response", attemptId: attempt.attemptId });
+        rejectRequest(draft, { ...request, mayHaveRun: true }, {
+            reason: REJECT_REASONS.falsePromise,
+            inputs: { attempt: attempt.attemptId, instanceId: attempt.instanceId, serverStatusCode: event.statusCode },
+        });
+        return;
+    }
     for (const other of request.attempts) {
         endAttempt(draft, request, other);
         draft.emit({ type: "cancel-attempt", attemptId: other.attemptId });
--- a/routing/dispatch/src/reject-reasons.ts
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -8,6 +8,7 @@
     lost: "response-lost",
     unreachable: "servers-unreachable",
     cutsOthers: "response-would-cut-later-requests",
+    falsePromise: "server-status-is-no-promise",
     deadline: "deadline-passed",
     suspended: "vm-suspended",
     processStopping: "process-stopping",
--- a/routing/dispatch/test/request-endings.test.ts
+++ b/routing/dispatch/test/request-endings.test.ts
@@ -46,6 +46,79 @@
         });
     });
 
+    // Callers send a request again after these statuses. A server that had run it answered 503, and the order ran twice
+    // (review/2).
+    describe("a response whose status promises that the request has not run", () => {
+        for (const statusCode of [408, 421, 429, 503]) {
+            it(`becomes a 502 if the status is ${statusCode} and a non-idempotent request may have run`, () => {
+                const harness = new DispatchHarness({ route: { isIdempotent: false } });
+                const requestKey = harness.arrive();
+                harness.answer(harness.lastAttempt(requestKey).attemptId, { statusCode });
+                expect(harness.effectsOf("relay-response")).to.deep.equal([]);
+                expect(harness.effectsOf("discard-response").length).to.equal(1);
+                expect(harness.rejectionOf(requestKey)).to.include({ statusCode: 502, retryAfterMs: undefined });
+                expect(harness.state.requests.size).to.equal(0);
+            });
+        }
+
+        it("is relayed to the caller of an idempotent request", () => {
+            const harness = new DispatchHarness({ route: { maxAttempts: 1 } });
+            harness.answer(harness.lastAttempt(harness.arrive()).attemptId, { statusCode: 503 });
+            expect(harness.effectsOf("relay-response").length).to.equal(1);
+        });
+
+        // One function decides what a status may promise. All orders of two attempts and their ends are tried.
+        it("never leaves for a non-idempotent request that may have run", () => {
+            type End = readonly [string, (harness: DispatchHarness, attemptId: string) => boolean];
+            const answers = [200, 404, 408, 421, 429, 500, 502, 503, 504].flatMap((statusCode): readonly End[] => [
+                [`${statusCode}`, (harness, id) => {
+                    harness.answer(id, { statusCode });
+                    return true;
+                }],
+                [`${statusCode} not run`, (harness, id) => {
+                    harness.answer(id, { statusCode, notRun: true });
+                    return false;
+                }],
+            ]);
+            const ends: readonly End[] = [
+                ...answers,
+                ["unsent", (harness, id) => {
+                    harness.fail(id, "unsent");
+                    return false;
+                }],
+                ["lost", (harness, id) => {
+                    harness.fail(id, "lost");
+                    return true;
+                }],
+            ];
+            for (const [firstName, endFirst] of ends) {
+                for (const [secondName, endSecond] of ends) {
+                    const harness = new DispatchHarness({ route: { isIdempotent: false } });
+                    const requestKey = harness.arrive();
+                    const first = harness.lastAttempt(requestKey);
+                    let mayHaveRun = endFirst(harness, first.attemptId);
+                    const second = harness.lastAttempt(requestKey);
+                    const retry = second === first ? undefined : second;
+                    if (retry !== undefined) {
+                        mayHaveRun = endSecond(harness, retry.attemptId) || mayHaveRun;
+                    }
+                    harness.advance(5_000);
+                    const relayed = harness.effectsOf("relay-response").map(({ attemptId }) =>
+                        attemptId === first.attemptId ? firstName : secondName
+                    );
+                    const statuses = [
+                        ...relayed.map(name => parseInt(name, 10)),
+                        ...harness.effectsOf("reject-request").map(({ statusCode }) => statusCode),
+                    ];
+                    const label = `${firstName}, then ${secondName}`;
+                    expect(statuses.length, label).to.equal(1);
+                    const promises = statuses.some(statusCode => [408, 421, 429, 503].includes(statusCode));
+                    expect(promises && mayHaveRun, label).to.equal(false);
+                }
+            }
+        });
+    });
+
     // Only the end of the connection delimits a response without a length. Relayed, it took the answers of all later
     // requests of its connection with it, which had been sent to servers already.
     describe("a response that cuts later requests of its connection", () => {
