fix(entry): reject requests that cannot be forwarded at once

Callers: a request with whitespace in front of the colon of a header, a header without a name or a tab in its path waited while each attempt to send it failed, and then got 503, which invites it to come again.

Cause: Node.js reads such requests and refuses to write them. RFC 9112 (5.1) asks to reject the first kind with 400. Ruled out: all other bytes in names, values and paths, which Node.js either refuses to read or writes.

Change: 400 at once, and the connection closes.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -8,6 +8,7 @@
 import type { BufferedResponse } from "./buffered-response.js";
 import { CallerConnection } from "./caller-connection.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import { isForwardable } from "./is-forwardable.js";
 import type { OpenRequest } from "./open-request.js";
 
 // Limits that apply until a configuration is active. Node.js cannot change `maxHeaderSize` after the server is created,
@@ -20,6 +21,7 @@
 // The first round may have passed the sockets already. The kernel keeps 511 waiting connections.
 const QUIET_ACCEPT_ROUNDS = 2;
 const MAX_ACCEPT_ROUNDS = 600;
+const STATUS_BAD_REQUEST = 400;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STATUS_BAD_GATEWAY = 502;
@@ -218,6 +220,10 @@
             rejectWithStatus(STATUS_HEADERS_TOO_LARGE);
             return;
         }
+        if (!isForwardable(message)) {
+            rejectWithStatus(STATUS_BAD_REQUEST);
+            return;
+        }
         const collector = new BodyCollector({
             maxBytes: this.maxBodyBytes,
             budget: this.bodyBudget,
