feat(entry): log from when a process handles signals, and what SIGHUP changed

A process that SIGHUP had ended in its first milliseconds left the same logs as one that never ran: none.

"started" tells the time since the start of the process. SIGHUP is counted, also while the daemon loads, and names the settings that differ from those in use.

The new test of process-start fails before (no such line) and passes after.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -1,7 +1,9 @@
+import { formatError, type MarigoldstallError } from "@marigoldstall/core.error";
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
 import { selectLiveHub } from "@marigoldstall/fleet.hubs";
 import { StoreClient } from "@marigoldstall/platform.adapter";
+import type { Result } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
@@ -23,6 +25,7 @@
 import { PeerRpc } from "./peer-rpc.js";
 import { ReadinessListener } from "./readiness-listener.js";
 import { reduceEntry } from "./reduce-entry.js";
+import { selectChangedSettings } from "./select-changed-settings.js";
 import { selectTickDelayMs } from "./select-tick-delay-ms.js";
 import { ServerAttempts } from "./server-attempts.js";
 import { StoreReader } from "./store-reader.js";
@@ -181,7 +184,8 @@
     /** Opens the ports and joins the fleet. */
     async start(): Promise<void> {
         const { settings } = this;
-        this.log.write("started", { address: settings.listen.caller, cores: settings.cores });
+        const uptimeMs = Math.round(performance.now());
+        this.log.write("started", { address: settings.listen.caller, cores: settings.cores, uptimeMs });
         const { caller, ready, control } = settings.listen;
         // The process that had the ports before may take as long to end.
         const open = (name: string, address: string, listen: () => Promise<void>): Promise<void> =>
@@ -227,9 +231,23 @@
         return this.shutdownPromise;
     }
 
-    reload(): void {
-        // The settings hold addresses and machine limits, which cannot change while the process runs.
-        this.log.write("reload-ignored", { reason: "no setting changes without a restart" });
+    /** Counts signals of the platform, so that an end can be told from one that the platform asked for. */
+    countSignal(signal: "SIGHUP" | "SIGTERM", count = 1): void {
+        this.metrics.signals.inc({ signal }, count);
+    }
+
+    /** Logs which settings have changed. They hold addresses and machine limits, which take effect at the next start. */
+    async reload(read: () => Promise<Result<EntrySettings, MarigoldstallError>>): Promise<void> {
+        this.countSignal("SIGHUP");
+        (await read()).match(
+            settings => {
+                const changed = selectChangedSettings(this.settings, settings);
+                this.log.write("reload-ignored", { reason: "no setting changes without a restart", changed });
+            },
+            error => {
+                this.log.write("reload-failed", { problem: formatError(error) });
+            },
+        );
     }
 
     // Accepts connections until the platform's balancer has taken the VM out of rotation, then completes open requests.
--- a/daemon/entry/src/entry-metrics.ts
+++ b/daemon/entry/src/entry-metrics.ts
@@ -56,6 +56,12 @@
         labelNames: ["event"],
         registers: [this.registry],
     });
+    readonly signals = new Counter({
+        name: "marigoldstall_signals_total",
+        help: "Signals that the process received, also while it was loading.",
+        labelNames: ["signal"],
+        registers: [this.registry],
+    });
     readonly datagrams = new Counter({
         name: "marigoldstall_datagrams_total",
         help: "Datagrams of the fleet, by direction and type.",
--- a/daemon/entry/src/run-entry-program.ts
+++ b/daemon/entry/src/run-entry-program.ts
@@ -1,4 +1,5 @@
 import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
+import type { EntrySettings } from "@marigoldstall/core.types";
 import { decodeEntrySettings, SETTINGS_VARIABLE } from "@marigoldstall/platform.adapter";
 import { Command } from "commander";
 import { EntryDaemon } from "./entry-daemon.js";
@@ -11,8 +12,8 @@
 }
 
 interface RunEntryProgramOptions {
-    /** Called once the daemon handles signals itself. */
-    readonly onSignalsHandled: () => void;
+    /** Called once the daemon handles signals itself. Returns how often SIGHUP came before. */
+    readonly onSignalsHandled: () => { readonly earlyReloads: number; };
 }
 
 const fail = (error: MarigoldstallError): never => {
@@ -21,21 +22,25 @@
 };
 
 const run = async (flags: EntryFlags, opts: RunEntryProgramOptions): Promise<void> => {
-    const settings = await readSettings({ file: process.env[SETTINGS_VARIABLE] ?? "", decode: decodeEntrySettings });
+    const readCurrentSettings = (): ReturnType<typeof readSettings<EntrySettings>> =>
+        readSettings({ file: process.env[SETTINGS_VARIABLE] ?? "", decode: decodeEntrySettings });
+    const settings = await readCurrentSettings();
     if (settings.isErr()) {
         return fail(settings.error);
     }
     const metricsPort = flags.metricsPort === undefined ? undefined : Number(flags.metricsPort);
     const daemon = new EntryDaemon({ settings: settings.value, metricsPort });
     process.on("SIGTERM", () => {
+        daemon.countSignal("SIGTERM");
         void daemon.stop().then(() => {
             process.exit(0);
         });
     });
     process.on("SIGHUP", () => {
-        daemon.reload();
+        void daemon.reload(readCurrentSettings);
     });
-    opts.onSignalsHandled();
+    const { earlyReloads } = opts.onSignalsHandled();
+    daemon.countSignal("SIGHUP", earlyReloads);
     // A fault in the handling of one connection or message must not end the requests of all others.
     process.on("uncaughtException", error => {
         daemon.reportFault("uncaught-exception", error);
--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -109,6 +109,13 @@
 
     const readLog = (): string => readFileSync(join(directory, "vm-0.log"), "utf8");
 
+    const waitForLog = async (text: string): Promise<void> => {
+        while (!readLog().includes(text)) {
+            expect(daemon?.running, readLog()).to.equal(true);
+            await sleep(POLL_INTERVAL_MS);
+        }
+    };
+
     const waitUntilReady = async (): Promise<void> => {
         while (await fetchStatus(`${host}:${PORTS.ready}`, { path: READY_PATH }) !== STATUS_OK) {
             expect(daemon?.running, readLog()).to.equal(true);
@@ -136,15 +143,23 @@
         expect(await loading.exited).to.equal(0);
     }).timeout(TEST_TIMEOUT_MS);
 
+    // The logs of a process that SIGHUP had ended during its start did not differ from those of one that never ran.
+    it("logs that it handles signals, and which settings changed at SIGHUP", async () => {
+        const reloaded = start();
+        await waitForLog("\"kind\":\"started\"");
+        expect(readLog().split("\n")[0]).to.contain("\"kind\":\"loading\"");
+        writeFileSync(join(directory, "settings.json"), settings.replace("\"bootstrap\":false", "\"bootstrap\":true"));
+        reloaded.kill("SIGHUP");
+        await waitForLog("\"changed\":[\"isFirstStart\"]");
+        expect(reloaded.running).to.equal(true);
+    }).timeout(TEST_TIMEOUT_MS);
+
     for (const name of ["caller", "ready", "control"] as const) {
         // A process that ended when it found a port in use was restarted and ended again.
         it(`waits for the ${name} port while another process holds it`, async () => {
             await hold(PORTS[name]);
-            const waiting = start();
-            while (!readLog().includes("port-unavailable")) {
-                expect(waiting.running, readLog()).to.equal(true);
-                await sleep(POLL_INTERVAL_MS);
-            }
+            start();
+            await waitForLog("port-unavailable");
             await new Promise(done => {
                 holder?.close(done);
             });
@@ -157,9 +172,7 @@
         await hold(PORTS.metrics);
         start();
         await waitUntilReady();
-        while (!readLog().includes("\"name\":\"metrics\"")) {
-            await sleep(POLL_INTERVAL_MS);
-        }
+        await waitForLog("\"name\":\"metrics\"");
     }).timeout(TEST_TIMEOUT_MS);
 
     for (const [description, text] of [["empty", ""], ["cut off", "{\"nodeName\":"]] as const) {
