test(entry): show that SIGHUP ends a process that has just started

Cause: SIGHUP has its default action until Node.js runs the first file of the program; since that file handles it at once, so the rest of the time belongs to Node.js.

--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -143,6 +143,25 @@
         expect(await loading.exited).to.equal(0);
     }).timeout(TEST_TIMEOUT_MS);
 
+    // SIGHUP ended processes that were restarted while settings changed: its default action holds until Node.js runs the
+    // first file of the program.
+    it("goes on when SIGHUP comes at any moment of its first 200 ms", async () => {
+        const stepMs = 20;
+        const ended: string[] = [];
+        for (let delayMs = 0; delayMs <= 200; delayMs += stepMs) {
+            const starting = start();
+            await sleep(delayMs);
+            starting.kill("SIGHUP");
+            const end = await Promise.race([starting.exited, sleep(HOLD_MS)]);
+            if (end !== undefined) {
+                ended.push(`${end} after ${delayMs} ms`);
+            }
+            starting.kill("SIGKILL");
+            await starting.exited;
+        }
+        expect(ended).to.deep.equal([]);
+    }).timeout(TEST_TIMEOUT_MS);
+
     // The logs of a process that SIGHUP had ended during its start did not differ from those of one that never ran.
     it("logs that it handles signals, and which settings changed at SIGHUP", async () => {
         const reloaded = start();
