fix(daemon-cli): go on when SIGHUP is received

Change: SIGHUP is logged; settings take effect at the next start, as for the entry daemon. The new test fails before (ended by SIGHUP) and passes after.

--- a/daemon/cli/src/run-daemon.ts
+++ b/daemon/cli/src/run-daemon.ts
@@ -13,6 +13,9 @@
 
 /** Starts the daemon, which runs until SIGTERM or SIGINT. Errors at startup end the process with exit code 2. */
 export const runDaemon = async (flags: DaemonFlags): Promise<void> => {
+    process.on("SIGHUP", () => {
+        process.stderr.write("marigoldstalld: SIGHUP received, settings take effect at the next start\n");
+    });
     let text: string;
     try {
         text = readFileSync(flags.settings, "utf8");
--- a/daemon/cli/test/marigoldstalld.test.ts
+++ b/daemon/cli/test/marigoldstalld.test.ts
@@ -177,6 +177,27 @@
         await backend.close();
     });
 
+    // SIGHUP ended the daemon with all its requests, as it had its default action.
+    it("goes on when it receives SIGHUP", async () => {
+        const ports = await writeSettings();
+        const { child, exited, output } = spawnDaemon("--settings", file);
+        while (!output().includes("started")) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        child.kill("SIGHUP");
+        let isRunning = true;
+        void exited.then(() => {
+            isRunning = false;
+        });
+        while (!output().includes("SIGHUP received")) {
+            expect(isRunning, output()).to.equal(true);
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        expect((await fetch(`http://127.0.0.1:${ports[2]}/livez`)).status).to.equal(200);
+        child.kill("SIGTERM");
+        expect(await exited).to.equal(0);
+    });
+
     it("exits with 0 on SIGTERM, and a second SIGTERM has no effect", async () => {
         const ports = await writeSettings();
         const { child, exited, output } = spawnDaemon("--settings", file);
