fix(dispatch): keep a server's Retry-After when its registration lapses

Cause: the end of that time was a field of the server's state, which is dropped with its registration and created anew with the next one. A response that arrived after the lapse found no server at all and was dropped as well. The registration also goes when a list is read while an entry that cannot be decoded stands in its place.

Ruled out: keeping the state of every removed server (loads, unreported sends), which says nothing after a lapse; a copy of the map for each removal, as a store that lost all entries removes 2,200 servers in one event.

Change: what a removed server asked for is kept with its start, for 4,096 servers and 5 minutes, and holds for the same or an earlier start, also at another address, until it has passed. A later start begins anew.

--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -19,6 +19,7 @@
     requestKeysByAttempt: new Map(),
     servicesByInstance: new Map(),
     leavingStarts: new Map(),
+    formerServers: new Map(),
     splitCreditsByRoute: new Map(),
     nextAttempt: 1,
     processEndsAtMs: Infinity,
--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -2,8 +2,10 @@
 import { createService } from "./create-service.js";
 import type { DecisionRecord } from "./decision-record.js";
 import type { DispatchEffect } from "./dispatch-effect.js";
+import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { DispatchState } from "./dispatch-state.js";
+import type { FormerServer } from "./former-server.js";
 import { RandomSequence } from "./random-sequence.js";
 import type { RequestState } from "./request-state.js";
 import type { ServerState } from "./server-state.js";
@@ -102,6 +104,26 @@
         }
     }
 
+    /** Keeps what a server said beyond its registration, and drops what is too old or too much. */
+    setFormerServer(former: FormerServer): void {
+        const { maxFormerServers, formerServerKeptMs } = DISPATCH_LIMITS;
+        const formerServers = this.writable("formerServers");
+        formerServers.delete(former.instanceId);
+        formerServers.set(former.instanceId, former);
+        for (const [instanceId, { updatedAtMs }] of formerServers) {
+            if (formerServers.size <= maxFormerServers && this.atMs - updatedAtMs <= formerServerKeptMs) {
+                return;
+            }
+            formerServers.delete(instanceId);
+        }
+    }
+
+    removeFormerServer(instanceId: string): void {
+        if (this.current.formerServers.has(instanceId)) {
+            this.writable("formerServers").delete(instanceId);
+        }
+    }
+
     setSplitCredits(route: string, credits: readonly number[]): void {
         this.writable("splitCreditsByRoute").set(route, credits);
     }
@@ -132,7 +154,13 @@
     }
 
     private writable<
-        Field extends "services" | "requests" | "requestKeysByAttempt" | "servicesByInstance" | "splitCreditsByRoute",
+        Field extends
+            | "services"
+            | "requests"
+            | "requestKeysByAttempt"
+            | "servicesByInstance"
+            | "formerServers"
+            | "splitCreditsByRoute",
     >(field: Field): DispatchState[Field] extends ReadonlyMap<infer Key, infer Value> ? Map<Key, Value> : never {
         if (!this.copiedMaps.has(field)) {
             this.copiedMaps.add(field);
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -113,6 +113,10 @@
     maxLeavingServers: 512,
     maxLeavingFindings: 64,
     leavingToldForMs: 30_000,
+    // Servers whose registrations have lapsed, and for how long what they said is kept: Retry-After counts for 60 s at
+    // most, and registrations come back within seconds after the store does. The target size is 2,200 servers.
+    maxFormerServers: 4_096,
+    formerServerKeptMs: 300_000,
     // For how long the end of a server explains a connection that broke before, and how many such attempts are kept.
     brokenAttemptKeptMs: 10_000,
     maxBrokenAttempts: 256,
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -1,6 +1,7 @@
 import type { EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
 import type { BrokenAttempt } from "./broken-attempt.js";
 import type { DispatchService } from "./dispatch-service.js";
+import type { FormerServer } from "./former-server.js";
 import type { LeavingStart } from "./leaving-start.js";
 import type { RequestState } from "./request-state.js";
 import type { SuspectRequest } from "./suspect-request.js";
@@ -26,6 +27,8 @@
      * say, until the server starts again.
      */
     readonly leavingStarts: ReadonlyMap<string, LeavingStart>;
+    /** Servers whose registrations have lapsed, by instance id, the one that lapsed or spoke last at the end. */
+    readonly formerServers: ReadonlyMap<string, FormerServer>;
     /** Round-robin credits of the destinations of each split route. */
     readonly splitCreditsByRoute: ReadonlyMap<string, readonly number[]>;
     readonly nextAttempt: number;
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -2,6 +2,7 @@
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
 import { confirmCrashesByRegistration } from "./confirm-crashes-by-registration.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
+import type { FormerServer } from "./former-server.js";
 import type { ServerState } from "./server-state.js";
 
 const createServer = (
@@ -11,6 +12,8 @@
         readonly preference: number;
         readonly isUsed: boolean;
         readonly isLeaving: boolean;
+        /** What this start of the server said before its registration lapsed. */
+        readonly former: FormerServer | undefined;
     },
 ): ServerState => ({
     server,
@@ -31,7 +34,7 @@
     probedAtMs: undefined,
     requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
     isLeaving: opts.isLeaving,
-    backoffUntilMs: -Infinity,
+    backoffUntilMs: opts.former?.backoffUntilMs ?? -Infinity,
     noPermitUntilMs: -Infinity,
     permitBucket: undefined,
 });
@@ -45,6 +48,9 @@
     servers.delete(instanceId);
     draft.updateService(known.server.service, { servers });
     draft.setServiceOfServer(instanceId, undefined);
+    const { startedAtUnixMs, service } = known.server;
+    const { backoffUntilMs } = known;
+    draft.setFormerServer({ instanceId, startedAtUnixMs, service, updatedAtMs: draft.atMs, backoffUntilMs });
     draft.emit({ type: "close-connections", instanceId, address: known.server.address });
 };
 
@@ -56,6 +62,9 @@
     if (known !== undefined && !isSameProcess) {
         removeServer(draft, instanceId);
     }
+    const former = draft.state.formerServers.get(instanceId);
+    const isSameStart = former !== undefined && former.startedAtUnixMs >= server.startedAtUnixMs;
+    draft.removeFormerServer(instanceId);
     const next = known !== undefined && isSameProcess
         ? { ...known, server }
         : createServer(server, {
@@ -64,6 +73,7 @@
             isUsed,
             isLeaving:
                 (draft.state.leavingStarts.get(instanceId)?.startedAtUnixMs ?? -Infinity) >= server.startedAtUnixMs,
+            former: isSameStart ? former : undefined,
         });
     draft.setServer(server.service, next);
     draft.setServiceOfServer(instanceId, server.service);
--- a/routing/dispatch/test/server-backoff.test.ts
+++ b/routing/dispatch/test/server-backoff.test.ts
@@ -48,6 +48,84 @@
         expect(harness.attemptsOf(harness.arrive()).length).to.equal(0);
     });
 
+    describe("whose registration lapses in that time", () => {
+        const lapse = (harness: DispatchHarness, instanceId: string): void => {
+            harness.send({ type: "servers-changed", changes: [{ offset: 2, instanceId, server: undefined }] });
+        };
+        const refuse = (retryAfterMs: number): { readonly harness: DispatchHarness; readonly instanceId: string; } => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const { attemptId, instanceId } = harness.lastAttempt(harness.arrive());
+            harness.answer(attemptId, refusal(retryAfterMs));
+            return { harness, instanceId };
+        };
+
+        // The time went with the registration, so that 205 requests reached a server that had asked for time.
+        it("get nothing until its end when they are listed again with the same start", () => {
+            const { harness, instanceId } = refuse(5_000);
+            lapse(harness, instanceId);
+            harness.advance(500);
+            harness.register([DispatchHarness.server(instanceId)]);
+            const before = countSentTo(harness, instanceId);
+            harness.arrive();
+            harness.advance(1_000);
+            expect(countSentTo(harness, instanceId)).to.equal(before);
+            harness.advance(4_000);
+            harness.arrive();
+            expect(countSentTo(harness, instanceId)).to.be.greaterThan(before);
+        });
+
+        it("get nothing until its end after several lapses, and with another address", () => {
+            const { harness, instanceId } = refuse(5_000);
+            for (const address of ["a:80", "b:80", "a:80"]) {
+                lapse(harness, instanceId);
+                harness.advance(200);
+                harness.register([DispatchHarness.server(instanceId, { address })]);
+                harness.advance(200);
+            }
+            expect(harness.attemptsOf(harness.arrive()).length).to.equal(0);
+        });
+
+        // A listing of an earlier start comes from a store that was restored from a copy. It is no new start.
+        it("get nothing until its end when they are listed with an earlier start", () => {
+            const { harness, instanceId } = refuse(5_000);
+            lapse(harness, instanceId);
+            harness.register([DispatchHarness.server(instanceId, { startedAtUnixMs: 0 })]);
+            expect(harness.attemptsOf(harness.arrive()).length).to.equal(0);
+        });
+
+        // The attempt outlives the registration, and its response found no server to which the time belongs.
+        it("get nothing until its end when they ask after the lapse", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const { attemptId, instanceId } = harness.lastAttempt(harness.arrive());
+            lapse(harness, instanceId);
+            harness.answer(attemptId, refusal(5_000));
+            harness.register([DispatchHarness.server(instanceId)]);
+            expect(harness.attemptsOf(harness.arrive()).length).to.equal(0);
+        });
+
+        it("get requests at once when they have started again", () => {
+            const { harness, instanceId } = refuse(5_000);
+            lapse(harness, instanceId);
+            harness.register([DispatchHarness.server(instanceId, { startedAtUnixMs: 2 })]);
+            expect(harness.attemptsOf(harness.arrive()).length).to.equal(1);
+        });
+
+        it("are kept in a bounded table, for a bounded time", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const ids = [...Array(5_000).keys()].map(index => `other-${index}`);
+            harness.register(ids.map(instanceId => DispatchHarness.server(instanceId)));
+            harness.send({
+                type: "servers-changed",
+                changes: ids.map(instanceId => ({ offset: 2, instanceId, server: undefined })),
+            });
+            expect(harness.state.formerServers.size).to.equal(4_096);
+            expect(harness.state.formerServers.has("other-4999")).to.equal(true);
+            harness.atMs += 300_001;
+            lapse(harness, "i-0");
+            expect([...harness.state.formerServers.keys()]).to.deep.equal(["i-0"]);
+        });
+    });
+
     describe("when all of them ask", () => {
         const refuseAll = (retryAfterMs: number): DispatchHarness => {
             const harness = new DispatchHarness({ servers: 2, budgetExtra: 1_000 });
