fix(dispatch): believe Server-Leaving in a response that arrives after the registration lapsed

Servers: one that said that it is leaving while its registration was gone got requests again when it was listed once more (DRAIN), and no other VM heard of it.

Cause: the start of the server was taken from its registration, so without one the statement was dropped. Statements made before the lapse were kept already (leavingStarts).

Change: the start of a server that is no longer registered is known (formerServers).

A new test of leaving-servers fails before and passes after.

--- a/routing/dispatch/src/apply-directives.ts
+++ b/routing/dispatch/src/apply-directives.ts
@@ -13,7 +13,8 @@
     readonly isHealthCheck: boolean;
 }): void => {
     const { directives, isHealthCheck } = opts;
-    const startedAtUnixMs = draft.server(instanceId)?.server.startedAtUnixMs;
+    const startedAtUnixMs = draft.server(instanceId)?.server.startedAtUnixMs
+        ?? draft.state.formerServers.get(instanceId)?.startedAtUnixMs;
     if (directives?.isLeaving === true && startedAtUnixMs !== undefined) {
         recordLeaving(draft, { instanceId, startedAtUnixMs, source: "response" });
     }
--- a/routing/dispatch/test/leaving-servers.test.ts
+++ b/routing/dispatch/test/leaving-servers.test.ts
@@ -83,6 +83,17 @@
             expect(isUsed(harness, instanceId)).to.equal(true);
         });
 
+        // The response to a request that was under way when the registration lapsed found no server to which it belongs.
+        it("is believed after its registration was removed", () => {
+            const harness = new DispatchHarness({ servers: 2 });
+            const { attemptId, instanceId } = harness.lastAttempt(harness.arrive());
+            remove(harness, instanceId);
+            harness.answer(attemptId, { directives: LEAVING });
+            harness.register([DispatchHarness.server(instanceId)]);
+            expect(isUsed(harness, instanceId)).to.equal(false);
+            expect(listLeaving(harness.state, harness.atMs)).to.deep.equal([{ instanceId, startedAtUnixMs: 1 }]);
+        });
+
         it("is known before its registration is", () => {
             const harness = new DispatchHarness({ servers: 1 });
             harness.send({ type: "leaving-learned", servers: [{ instanceId: "i-9", startedAtUnixMs: 1 }] });
