fix(dispatch): keep a server's limit when its registration lapses

Servers: one that states Server-Limit got requests without permits from every VM after its registration had lapsed and come back with the same `born`, until each VM had passed on a response of it or heard of one (LIMIT). Hubs that restart or read the same store lose all registrations at the same time, so that no VM was left to tell the others.

Cause: the limit was a field of the state that is dropped with the registration, and a limit stated in a late response or told by another VM in that time was dropped as well.

Ruled out: telling limits of servers that are not registered to other VMs; each VM keeps its own knowledge. The bucket of permits begins empty after a lapse, which is the safe side.

Change: what is kept of a removed server includes its limit with the time of the statement. A later start begins anew.

--- a/routing/dispatch/src/on-limits-learned.ts
+++ b/routing/dispatch/src/on-limits-learned.ts
@@ -8,7 +8,9 @@
     event: Extract<DispatchEvent, { readonly type: "limits-learned"; }>,
 ): void => {
     for (const { instanceId, startedAtUnixMs, perSecond, statedAtMs } of event.limits) {
-        if (draft.server(instanceId)?.server.startedAtUnixMs === startedAtUnixMs) {
+        const knownStart = draft.server(instanceId)?.server.startedAtUnixMs
+            ?? draft.state.formerServers.get(instanceId)?.startedAtUnixMs;
+        if (knownStart === startedAtUnixMs) {
             recordRequestLimit(draft, instanceId, { requestLimit: { perSecond, statedAtMs }, source: "peer" });
         }
     }
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -32,7 +32,7 @@
     isUnhealthy: false,
     coldUntilMs: opts.atMs + server.warmUpMs,
     probedAtMs: undefined,
-    requestLimit: { perSecond: undefined, statedAtMs: -Infinity },
+    requestLimit: opts.former?.requestLimit ?? { perSecond: undefined, statedAtMs: -Infinity },
     isLeaving: opts.isLeaving,
     backoffUntilMs: opts.former?.backoffUntilMs ?? -Infinity,
     noPermitUntilMs: -Infinity,
@@ -49,8 +49,15 @@
     draft.updateService(known.server.service, { servers });
     draft.setServiceOfServer(instanceId, undefined);
     const { startedAtUnixMs, service } = known.server;
-    const { backoffUntilMs } = known;
-    draft.setFormerServer({ instanceId, startedAtUnixMs, service, updatedAtMs: draft.atMs, backoffUntilMs });
+    const { backoffUntilMs, requestLimit } = known;
+    draft.setFormerServer({
+        instanceId,
+        startedAtUnixMs,
+        service,
+        updatedAtMs: draft.atMs,
+        backoffUntilMs,
+        requestLimit,
+    });
     draft.emit({ type: "close-connections", instanceId, address: known.server.address });
 };
 
--- a/routing/dispatch/src/record-request-limit.ts
+++ b/routing/dispatch/src/record-request-limit.ts
@@ -15,12 +15,13 @@
     opts: RecordRequestLimitOptions,
 ): void => {
     const server = draft.server(instanceId);
+    const former = draft.state.formerServers.get(instanceId);
     const { requestLimit, source } = opts;
-    if (server === undefined) {
+    const { perSecond, statedAtMs } = requestLimit;
+    const previous = server?.requestLimit ?? former?.requestLimit;
+    if (previous === undefined) {
         return;
     }
-    const { perSecond, statedAtMs } = requestLimit;
-    const previous = server.requestLimit;
     if (previous.statedAtMs > statedAtMs) {
         if (perSecond !== previous.perSecond) {
             // The VM that tells of it has missed the later statement, which this one knows.
@@ -28,14 +29,19 @@
         }
         return;
     }
-    draft.updateServer(instanceId, { requestLimit });
+    if (server !== undefined) {
+        draft.updateServer(instanceId, { requestLimit });
+    }
+    else if (former !== undefined) {
+        draft.setFormerServer({ ...former, updatedAtMs: draft.atMs, requestLimit });
+    }
     if (perSecond === previous.perSecond) {
         return;
     }
     draft.emit({ type: "findings-changed", source });
     draft.log({
         kind: "server-limit",
-        service: server.server.service,
+        service: server?.server.service ?? former?.service,
         instanceId,
         reason: perSecond === undefined ? "ended" : previous.perSecond === undefined ? "stated" : "changed",
         inputs: {
--- a/routing/dispatch/test/server-limits.test.ts
+++ b/routing/dispatch/test/server-limits.test.ts
@@ -59,6 +59,30 @@
             expect(limitOf(harness, instanceId)).to.equal(1.3);
         });
 
+        // After a lapse of all registrations, every VM sent requests as if no server had a limit, until one answered.
+        it("keeps a limit when the registration lapses and comes back with the same start", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const instanceId = answerNext(harness, LIMIT);
+            const lapse = { offset: 2, instanceId, server: undefined };
+            harness.send({ type: "servers-changed", changes: [lapse] });
+            harness.advance(2_000);
+            harness.register([DispatchHarness.server(instanceId)]);
+            expect(limitOf(harness, instanceId)).to.equal(1.3);
+            expect(listLimits(harness.state, harness.atMs)[0]?.ageMs).to.equal(2_000);
+            harness.send({ type: "servers-changed", changes: [lapse] });
+            harness.register([DispatchHarness.server(instanceId, { startedAtUnixMs: 2 })]);
+            expect(limitOf(harness, instanceId)).to.equal(undefined);
+        });
+
+        it("takes a limit from a response that arrives after the registration lapsed", () => {
+            const harness = new DispatchHarness({ servers: 1 });
+            const { attemptId, instanceId } = harness.lastAttempt(harness.arrive());
+            harness.send({ type: "servers-changed", changes: [{ offset: 2, instanceId, server: undefined }] });
+            harness.answer(attemptId, { directives: LIMIT });
+            harness.register([DispatchHarness.server(instanceId)]);
+            expect(limitOf(harness, instanceId)).to.equal(1.3);
+        });
+
         // A server that starts again under its id holds and knows nothing of before.
         it("forgets a limit when the server starts again", () => {
             const harness = new DispatchHarness({ servers: 1 });
