fix(dispatch): keep the ejection of a server when its registration lapses

Callers: a server that had failed three times in a row got requests at once when its registration had lapsed and come back with the same `born`, and as one that "joined and got no request yet" it was taken first among equals.

Cause: failures, ejections and whether a server is in use were dropped with its registration.

Ruled out: `isUnhealthy`, which the next health check tells, and loads, which are old after a lapse.

Change: they are part of what is kept of a removed server. A later start begins anew and counts as new capacity.

One new test of server-backoff fails before and passes after, one guards what a later start resets; those of the package pass (148).

--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -20,15 +20,15 @@
     load: undefined,
     measuredAtMs: -Infinity,
     unreportedSends: [],
-    isUsed: opts.isUsed,
+    isUsed: opts.former?.isUsed ?? opts.isUsed,
     preference: opts.preference,
     ownInFlight: 0,
     idleConnections: 0,
-    failures: 0,
-    failuresAtMs: opts.atMs,
-    failuresInRow: 0,
-    ejections: 0,
-    ejectedUntilMs: -Infinity,
+    failures: opts.former?.failures ?? 0,
+    failuresAtMs: opts.former?.failuresAtMs ?? opts.atMs,
+    failuresInRow: opts.former?.failuresInRow ?? 0,
+    ejections: opts.former?.ejections ?? 0,
+    ejectedUntilMs: opts.former?.ejectedUntilMs ?? -Infinity,
     isUnhealthy: false,
     coldUntilMs: opts.atMs + server.warmUpMs,
     probedAtMs: undefined,
@@ -49,14 +49,21 @@
     draft.updateService(known.server.service, { servers });
     draft.setServiceOfServer(instanceId, undefined);
     const { startedAtUnixMs, service } = known.server;
-    const { backoffUntilMs, requestLimit } = known;
+    const { isUsed, failures, failuresAtMs, failuresInRow, ejections, ejectedUntilMs } = known;
+    const { requestLimit, backoffUntilMs } = known;
     draft.setFormerServer({
         instanceId,
         startedAtUnixMs,
         service,
         updatedAtMs: draft.atMs,
-        backoffUntilMs,
+        isUsed,
+        failures,
+        failuresAtMs,
+        failuresInRow,
+        ejections,
+        ejectedUntilMs,
         requestLimit,
+        backoffUntilMs,
     });
     draft.emit({ type: "close-connections", instanceId, address: known.server.address });
 };
--- a/routing/dispatch/test/server-backoff.test.ts
+++ b/routing/dispatch/test/server-backoff.test.ts
@@ -158,3 +158,36 @@
         });
     });
 });
+
+describe("routing.dispatch, servers that fail and whose registrations lapse", () => {
+    const failAll = (): DispatchHarness => {
+        const harness = new DispatchHarness({ servers: 4, budgetExtra: 1_000 });
+        for (let count = 0; count < 3; count += 1) {
+            harness.send({ type: "probe-failed", instanceId: "i-0" });
+        }
+        return harness;
+    };
+    const returnWith = (harness: DispatchHarness, startedAtUnixMs: number): void => {
+        harness.send({ type: "servers-changed", changes: [{ offset: 2, instanceId: "i-0", server: undefined }] });
+        harness.register([DispatchHarness.server("i-0", { startedAtUnixMs })]);
+    };
+    const stateOf = (harness: DispatchHarness) => harness.state.services.get("one")?.servers.get("i-0");
+
+    // An ejected server that was listed again was taken as new capacity, which goes first among equals.
+    it("stay ejected and in use when they are listed again with the same start", () => {
+        const harness = failAll();
+        const ejectedUntilMs = stateOf(harness)?.ejectedUntilMs ?? -Infinity;
+        expect(ejectedUntilMs).to.be.greaterThan(harness.atMs);
+        returnWith(harness, 1);
+        expect(stateOf(harness)).to.include({ ejectedUntilMs, ejections: 1, failuresInRow: 3, isUsed: true });
+        expect([...Array(12)].some(() => harness.attemptsOf(harness.arrive())[0]?.instanceId === "i-0")).to.equal(
+            false,
+        );
+    });
+
+    it("begin anew when they have started again", () => {
+        const harness = failAll();
+        returnWith(harness, 2);
+        expect(stateOf(harness)).to.include({ ejectedUntilMs: -Infinity, failures: 0, ejections: 0, isUsed: false });
+    });
+});
