feat(entry): count refused inputs by kind and log them at a bounded rate with the peer

Operators: each malformed datagram, refused call, odd registration or configuration wrote a log line, up to the 2,000 lines a second that a process may write; a stranger's datagrams displaced all other lines. Nothing counted them, and a refused call did not name its peer.

Change: `marigoldstall_refused_inputs_total` counts them by kind; five lines a second of each kind are logged, the next one tells how many had none (`unloggedCount`). Datagrams have a kind of their own, `datagram-malformed`, apart from send errors. The RPC server tells the address of the caller.

Ruled out: a limit for each peer, as addresses of datagrams can be forged, so a table of them would need a bound of its own.

What EMSGSIZE logs (`datagram-problem`) is unchanged.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -25,6 +25,7 @@
 import { PeerRpc } from "./peer-rpc.js";
 import { ReadinessListener } from "./readiness-listener.js";
 import { reduceEntry } from "./reduce-entry.js";
+import { RefusedInputs } from "./refused-inputs.js";
 import { selectChangedSettings } from "./select-changed-settings.js";
 import { selectTickDelayMs } from "./select-tick-delay-ms.js";
 import { ServerAttempts } from "./server-attempts.js";
@@ -49,6 +50,7 @@
     private readonly clock: Clock;
     private readonly log: JsonLogger;
     private readonly metrics = new EntryMetrics();
+    private readonly refusedInputs: RefusedInputs;
     private readonly store: StoreClient;
     private readonly storeReader: StoreReader;
     private readonly peerRpc: PeerRpc;
@@ -84,13 +86,16 @@
         };
         this.log = new JsonLogger({ vmId: settings.vmId });
         const { log } = this;
+        this.refusedInputs = new RefusedInputs({ metrics: this.metrics, log, nowMs: clock.atMs });
+        const { refusedInputs } = this;
         this.state = createEntryState(settings, { atMs: clock.atMs(), incarnation: createIncarnation(clock) });
         this.store = new StoreClient({ address: settings.storeAddress });
-        this.storeReader = new StoreReader({ store: this.store, log, nowMs: clock.atMs, dispatch });
+        this.storeReader = new StoreReader({ store: this.store, log, refusedInputs, nowMs: clock.atMs, dispatch });
         this.peerRpc = new PeerRpc({
             settings,
             nowMs: clock.atMs,
             log,
+            refusedInputs,
             state: () => this.state,
             parseConfiguration: text => this.storeReader.parseConfiguration(text),
             dispatch,
@@ -122,6 +127,9 @@
                 }
                 dispatch(toEntryEvent(message, { host, peerAddress: this.controlAddressOf(host) }));
             },
+            onRefused: peer => {
+                this.refusedInputs.record("datagram-malformed", { peer });
+            },
             onError: (problem, peer) => {
                 log.write("datagram-problem", { problem, peer });
             },
--- a/daemon/entry/src/entry-metrics.ts
+++ b/daemon/entry/src/entry-metrics.ts
@@ -39,6 +39,12 @@
         help: "Headers of backend servers' responses that could not be parsed.",
         registers: [this.registry],
     });
+    readonly refusedInputs = new Counter({
+        name: "marigoldstall_refused_inputs_total",
+        help: "Datagrams, calls, registrations and configurations that were refused, by kind.",
+        labelNames: ["kind"],
+        registers: [this.registry],
+    });
     readonly connectionsOpened = new Counter({
         name: "marigoldstall_backend_connections_opened_total",
         help: "Connections opened to backend servers.",
--- a/daemon/entry/src/fleet-socket.ts
+++ b/daemon/entry/src/fleet-socket.ts
@@ -5,6 +5,8 @@
     readonly host: string;
     readonly port: number;
     readonly onMessage: (message: FleetMessage, host: string) => void;
+    /** Called for a datagram that is no message of this fleet. */
+    readonly onRefused: (peer: string) => void;
     readonly onError: (problem: string, peer: string) => void;
 }
 
@@ -19,7 +21,7 @@
         this.socket.on("message", (bytes, { address }) => {
             const message = decodeFleetMessage(bytes);
             if (message === undefined) {
-                opts.onError("datagram-malformed", address);
+                opts.onRefused(address);
             }
             else {
                 opts.onMessage(message, address);
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -8,6 +8,7 @@
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import type { JsonLogger } from "./json-logger.js";
+import type { RefusedInputs } from "./refused-inputs.js";
 import { selectFindings } from "./select-findings.js";
 import { VmSchema } from "./vm-schema.js";
 
@@ -85,6 +86,7 @@
     readonly settings: EntrySettings;
     readonly nowMs: () => number;
     readonly log: JsonLogger;
+    readonly refusedInputs: RefusedInputs;
     readonly state: () => EntryState;
     readonly parseConfiguration: (
         text: string,
@@ -125,8 +127,8 @@
                     return { text: configuration?.text ?? "", ageMs, confirmation };
                 },
             },
-            onRefused: reason => {
-                opts.log.write("peer-call-refused", { reason });
+            onRefused: (reason, peer) => {
+                opts.refusedInputs.record("peer-call-refused", { reason, peer });
             },
         });
     }
--- a/daemon/entry/src/store-reader.ts
+++ b/daemon/entry/src/store-reader.ts
@@ -9,10 +9,12 @@
 } from "@marigoldstall/platform.adapter";
 import type { EntryEvent } from "./entry-event.js";
 import type { JsonLogger } from "./json-logger.js";
+import type { RefusedInputs } from "./refused-inputs.js";
 
 interface StoreReaderOptions {
     readonly store: StoreClient;
     readonly log: JsonLogger;
+    readonly refusedInputs: RefusedInputs;
     readonly nowMs: () => number;
     readonly dispatch: (event: EntryEvent) => void;
 }
@@ -81,7 +83,7 @@
     parseConfiguration(text: string): Extract<EntryEvent, { readonly type: "configuration-read"; }>["configuration"] {
         const decoded = decodeConfiguration(text);
         if (decoded.isErr()) {
-            this.opts.log.write("configuration-malformed", { problem: decoded.error.message });
+            this.opts.refusedInputs.record("configuration-malformed", { problem: decoded.error.message });
             return undefined;
         }
         return { text, configuration: decoded.value };
@@ -94,7 +96,8 @@
             }
             const decoded = decodeRegistration(instanceId, value);
             if (decoded.isErr()) {
-                this.opts.log.write("registration-malformed", { instanceId, problem: decoded.error.message });
+                const problem = decoded.error.message;
+                this.opts.refusedInputs.record("registration-malformed", { instanceId, problem });
                 return [];
             }
             return [{ offset, instanceId, server: decoded.value }];
--- a/daemon/entry/test/fleet-socket.test.ts
+++ b/daemon/entry/test/fleet-socket.test.ts
@@ -25,6 +25,7 @@
             host: HOST,
             port: other.address().port,
             onMessage: () => undefined,
+            onRefused: () => undefined,
             onError: message => {
                 errors.push(message);
             },
--- a/fleet/rpc/src/rpc-server-options.ts
+++ b/fleet/rpc/src/rpc-server-options.ts
@@ -9,5 +9,6 @@
     readonly now?: () => number;
     /** Monotonic clock in milliseconds, for the expiry of nonces. */
     readonly monotonicNow?: () => number;
-    readonly onRefused?: (refusal: RpcRefusal) => void;
+    /** The peer is the address of the caller's socket, if it is still connected. */
+    readonly onRefused?: (refusal: RpcRefusal, peer: string | undefined) => void;
 }
--- a/fleet/rpc/src/rpc-server.ts
+++ b/fleet/rpc/src/rpc-server.ts
@@ -156,7 +156,7 @@
     }
 
     private refuse(response: ServerResponse, refusal: RpcRefusal): void {
-        this.opts.onRefused?.(refusal);
+        this.opts.onRefused?.(refusal, response.socket?.remoteAddress);
         response.writeHead(STATUS_CODES[refusal], { "Connection": "close", "Content-Type": "text/plain" });
         response.end(`ERR_MARIGOLDSTALL_RPC_REFUSED ${refusal}\n`);
     }
--- a/fleet/rpc/test/rpc.test.ts
+++ b/fleet/rpc/test/rpc.test.ts
@@ -50,17 +50,22 @@
 
 describe("fleet.rpc", () => {
     const refusals: RpcRefusal[] = [];
+    const peers: (string | undefined)[] = [];
     let runs = 0;
     let server: RpcServer;
     let address: string;
 
     beforeEach(async () => {
         refusals.length = 0;
+        peers.length = 0;
         runs = 0;
         server = new RpcServer({
             key: KEY,
             now: () => WALL_MS,
-            onRefused: refusal => refusals.push(refusal),
+            onRefused: (refusal, peer) => {
+                refusals.push(refusal);
+                peers.push(peer);
+            },
             methods: {
                 "echo": params => {
                     runs += 1;
@@ -92,6 +97,7 @@
             it(`refuses ${name}, reports the reason and runs no method`, async () => {
                 expect(await sendRaw(address, call)).to.equal(statusCode);
                 expect(refusals).to.deep.equal([refusal]);
+                expect(peers).to.deep.equal(["127.0.0.1"]);
                 expect(runs).to.equal(0);
             });
         }
