--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -20,6 +20,10 @@
 
 type Row = readonly unknown[];
 
+// Registrations with longer names are refused, and ids and addresses are shorter. What is accepted is told to other VMs
+// in datagrams of at most 64 KB.
+const MAX_STRING_CHARACTERS = 255;
+
 // Columns of a load report, which the other columns of an answer follow.
 const LOAD_COLUMNS = 6;
 
@@ -28,7 +32,8 @@
 };
 
 const asRow = (value: unknown): Row => Array.isArray(value) ? value as Row : rejectValue("an array");
-const asString = (value: unknown): string => typeof value === "string" ? value : rejectValue("a string");
+const asString = (value: unknown): string =>
+    typeof value === "string" && value.length <= MAX_STRING_CHARACTERS ? value : rejectValue("a short string");
 const asNumber = (value: unknown): number => typeof value === "number" ? value : rejectValue("a number");
 const asBoolean = (value: unknown): boolean => typeof value === "boolean" ? value : rejectValue("a boolean");
 
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -141,6 +141,26 @@
         });
     }
 
+    // This VM would tell the others of such a server, in heartbeats that no longer fit into a datagram.
+    it("rejects a message with a string of more than 255 characters", () => {
+        const createStatus = (service: string): FleetMessage => {
+            const server = {
+                instanceId: "i-1",
+                startedAtUnixMs: 1,
+                service,
+                address: "127.0.0.1:1",
+                availabilityZone: "a",
+                slots: 2,
+                isDraining: false,
+                warmUpMs: 0,
+            };
+            const summary = { ...SUMMARY, changes: [{ offset: 1, instanceId: "i-1", server }] };
+            return { type: "status", sender: createVm("1", "a"), isHub: true, summary, vms: [], fleetSize: 3 };
+        };
+        expect(decodeFleetMessage(encodeFleetMessage(createStatus("a".repeat(255))))).not.to.equal(undefined);
+        expect(decodeFleetMessage(encodeFleetMessage(createStatus("a".repeat(256))))).to.equal(undefined);
+    });
+
     it("accepts every complete message of usual depth", () => {
         const value = fc.oneof(
             fc.integer(),
