--- a/stand-ins/platform/src/build-vm-settings.ts
+++ b/stand-ins/platform/src/build-vm-settings.ts
@@ -15,7 +15,7 @@
         },
         internalPorts: [ports.fleet, ports.fleet + 10],
         seeds: opts.seedAddresses,
-        bootstrap: false,
+        bootstrap: opts.isFirstStart ?? false,
         limits: { cpuShare: 1, cores: 1, linkMbps: 100 },
         heartbeat: `${opts.heartbeatMs}ms`,
         bounds: {
--- a/stand-ins/platform/src/platform-caller.ts
+++ b/stand-ins/platform/src/platform-caller.ts
@@ -18,8 +18,13 @@
         this.host = opts.host;
     }
 
-    send(requestId: string, opts: { readonly isIdempotent: boolean; readonly path?: string; }): Promise<Outcome> {
-        const { isIdempotent } = opts;
+    send(requestId: string, opts: {
+        readonly isIdempotent: boolean;
+        readonly path?: string;
+        /** Time after which the caller closes the connection. Default: later than the deadline. */
+        readonly leaveAfterMs?: number;
+    }): Promise<Outcome> {
+        const { isIdempotent, leaveAfterMs = RESPONSE_TIMEOUT_MS } = opts;
         const sentAtMs = performance.now();
         const [host = "", port = ""] = this.address.split(":");
         return new Promise(resolve => {
@@ -38,7 +43,7 @@
             });
             const timer = setTimeout(() => {
                 request.destroy();
-            }, RESPONSE_TIMEOUT_MS);
+            }, leaveAfterMs);
             request.on("error", () => {
                 settle(undefined, "");
             });
@@ -58,6 +63,15 @@
         });
     }
 
+    /** Resets the chosen ones of the open connections, used or not. */
+    resetConnections(isChosen: () => boolean): void {
+        for (const socket of [...Object.values(this.agent.sockets), ...Object.values(this.agent.freeSockets)].flat()) {
+            if (isChosen()) {
+                socket?.resetAndDestroy();
+            }
+        }
+    }
+
     close(): void {
         this.agent.destroy();
     }
--- a/stand-ins/platform/src/store-fault.ts
+++ b/stand-ins/platform/src/store-fault.ts
@@ -1,6 +1,6 @@
 /** Fault to inject into the store. */
 export interface StoreFault {
-    readonly kind: "none" | "busy" | "silent" | "reset" | "slow" | "late-answers" | "answers-lost";
+    readonly kind: "none" | "busy" | "throttled" | "silent" | "reset" | "slow" | "late-answers" | "answers-lost";
     /** IP addresses of the affected callers; all callers are affected when omitted. */
     readonly callers?: readonly string[];
     /** Delay before each call is processed, for `slow`, and between processing and answer, for `late-answers`. */
--- a/stand-ins/platform/src/store-stand-in.ts
+++ b/stand-ins/platform/src/store-stand-in.ts
@@ -18,6 +18,7 @@
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_GONE = 410;
+const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_UNAVAILABLE = 503;
 
 /** Answer to a call, with the era in which the call was processed. */
@@ -208,6 +209,9 @@
             case "busy":
                 send(response, this.answer(STATUS_UNAVAILABLE, "{}"));
                 return;
+            case "throttled":
+                send(response, this.answer(STATUS_TOO_MANY_REQUESTS, "{}"));
+                return;
             case "reset":
                 request.socket.resetAndDestroy();
                 return;
--- a/stand-ins/platform/src/vm-settings-options.ts
+++ b/stand-ins/platform/src/vm-settings-options.ts
@@ -13,4 +13,6 @@
     readonly storeAddress: string;
     /** Control addresses of VMs that a starting VM asks for the others. */
     readonly seedAddresses: readonly string[];
+    /** Whether the whole system starts for the first time. Default: false. */
+    readonly isFirstStart?: boolean;
 }
