--- a/soak/src/fault-proxy.ts
+++ b/soak/src/fault-proxy.ts
@@ -45,7 +45,21 @@
         this.mode = mode;
         this.faultEndedAtMs = mode === "pass" ? performance.now() : Infinity;
         if (mode === "reset") {
-            for (const socket of this.sockets) {
+            this.resetConnections(() => true);
+        }
+    }
+
+    /** Resets the chosen ones of the open connections. */
+    resetConnections(isChosen: () => boolean): void {
+        for (const socket of this.sockets) {
+            if (!isChosen()) {
+                continue;
+            }
+            // Node.js 20.19 never closes the handle of a socket that is reset while it shuts down.
+            if (socket.writableEnded) {
+                socket.destroy();
+            }
+            else {
                 socket.resetAndDestroy();
             }
         }
@@ -71,9 +85,7 @@
     close(): void {
         clearTimeout(this.restartTimer);
         this.server.close();
-        for (const socket of this.sockets) {
-            socket.resetAndDestroy();
-        }
+        this.resetConnections(() => true);
     }
 
     private pipe(from: Socket, to: Socket, isDropping: () => boolean): void {
--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -39,13 +39,17 @@
 const VM_START_MS = 2_000;
 const SEED_COUNT = 2;
 const SERVICE = "soak";
-
+const DEFAULT_ZONES = ["zone-0", "zone-1"];
 const CRASH_DOWN_MS = 2_500;
 
 interface SoakSiteOptions {
     readonly vmCount: number;
     readonly serverCount: number;
     readonly workMs: () => number;
+    /** Zones over which VMs and servers are spread in turn. Default: two zones. */
+    readonly zones?: readonly string[];
+    /** Called for each process that is started. */
+    readonly onVmStarted?: (vmId: string, started: ManagedProcess) => void;
 }
 
 /** Entry daemons as processes, a store and backend servers behind fault proxies. Records which requests ran. */
@@ -142,18 +146,26 @@
     }
 
     startVm(vmId: string): void {
-        const file = join(this.directory, `${vmId}.json`);
-        writeFileSync(file, JSON.stringify(this.settings(vmId)));
+        this.writeSettings(vmId);
         this.vmStartedAtMs.set(vmId, performance.now());
-        this.processes.set(
-            vmId,
-            new ManagedProcess({
-                name: vmId,
-                command: [process.execPath, "--max-old-space-size=160", PROGRAM],
-                logFile: join(this.directory, `${vmId}.log`),
-                environment: { [SETTINGS_VARIABLE]: file },
-            }),
-        );
+        const started = new ManagedProcess({
+            name: vmId,
+            command: [process.execPath, "--max-old-space-size=160", PROGRAM],
+            logFile: this.logFile(vmId),
+            environment: { [SETTINGS_VARIABLE]: this.settingsFile(vmId) },
+        });
+        this.processes.set(vmId, started);
+        this.opts.onVmStarted?.(vmId, started);
+    }
+
+    /** Writes a VM's settings in place, or only a share of the text from its start. */
+    writeSettings(vmId: string, opts: { readonly isFirstStart?: boolean; readonly share?: number; } = {}): void {
+        const text = JSON.stringify(this.settings(vmId, opts.isFirstStart ?? false));
+        writeFileSync(this.settingsFile(vmId), text.slice(0, Math.floor(text.length * (opts.share ?? 1))));
+    }
+
+    logFile(vmId: string): string {
+        return join(this.directory, `${vmId}.log`);
     }
 
     async waitUntilReady(vmIds: readonly string[]): Promise<void> {
@@ -175,7 +187,7 @@
 
     async addServer(): Promise<void> {
         const instanceId = `i-${this.nextServer}`;
-        const zone = `zone-${this.nextServer % 2}`;
+        const zone = this.zoneAt(this.nextServer);
         this.nextServer += 1;
         const server = new PlatformServer({
             instanceId,
@@ -364,15 +376,25 @@
         });
     }
 
-    private settings(vmId: string): unknown {
+    private settingsFile(vmId: string): string {
+        return join(this.directory, `${vmId}.json`);
+    }
+
+    private zoneAt(index: number): string {
+        const { zones = DEFAULT_ZONES } = this.opts;
+        return zones[index % zones.length] ?? "";
+    }
+
+    private settings(vmId: string, isFirstStart: boolean): unknown {
         return buildVmSettings({
             vmId,
-            availabilityZone: `zone-${Number(vmId.slice(3)) % 2}`,
+            availabilityZone: this.zoneAt(Number(vmId.slice(3))),
             host: this.hostOf(vmId),
             ports: PORTS,
             heartbeatMs: HEARTBEAT_MS,
             storeAddress: this.storeAddress,
             seedAddresses: this.vmIds.slice(0, SEED_COUNT).map(seedId => `${this.hostOf(seedId)}:${PORTS.control}`),
+            isFirstStart,
         });
     }
 }
