fix(entry): refuse longer names than 255 characters in the answers of peers and the entries of VMs

Other VMs: a server or VM with a longer name, which no registration can have, could still come from a peer's view, its list of VMs, or an entry of a VM in the store, and was then told in datagrams that others refuse or that are too large to be sent.

Change: one schema for names in all three. An answer that does not fit is treated as any that cannot be read: another seed or the store is asked. It is not counted, as is the case for other malformed answers of peers.

--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -8,6 +8,7 @@
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import type { JsonLogger } from "./json-logger.js";
+import { NameSchema } from "./name-schema.js";
 import type { RefusedInputs } from "./refused-inputs.js";
 import { selectFindings } from "./select-findings.js";
 import { VmSchema } from "./vm-schema.js";
@@ -15,13 +16,13 @@
 const ConfirmationSchema = Schema.Struct({ readerId: Schema.String, number: Schema.Int });
 const registrationFields = {
     offset: Schema.Int,
-    instanceId: Schema.String,
+    instanceId: NameSchema,
     server: Schema.Struct({
-        instanceId: Schema.String,
+        instanceId: NameSchema,
         startedAtUnixMs: Schema.Finite,
-        service: Schema.String,
-        address: Schema.String,
-        availabilityZone: Schema.String,
+        service: NameSchema,
+        address: NameSchema,
+        availabilityZone: NameSchema,
         slots: Schema.Int,
         isDraining: Schema.Boolean,
         warmUpMs: Schema.Finite,
--- a/daemon/entry/src/vm-schema.ts
+++ b/daemon/entry/src/vm-schema.ts
@@ -1,10 +1,11 @@
 import * as Schema from "effect/Schema";
+import { NameSchema } from "./name-schema.js";
 
 /** Schema of a VM's description in the store and in RPC results. */
 export const VmSchema = Schema.Struct({
-    vmId: Schema.String,
-    availabilityZone: Schema.String,
-    host: Schema.String,
+    vmId: NameSchema,
+    availabilityZone: NameSchema,
+    host: NameSchema,
     cores: Schema.Finite,
     linkMbps: Schema.Finite,
 });
