fix(entry): bound the log lines about malformed headers of servers

Change: the lines go through the bound for refused inputs, five a second; each header is still counted, in its own metric and as the kind `server-header-malformed` of the refused inputs.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -143,8 +143,14 @@
                 this.metrics.connectionsOpened.inc();
             },
         });
-        this.serverAttempts = new ServerAttempts({ pools: this.pools, metrics: this.metrics, log, clock, dispatch });
-        this.healthChecks = new HealthChecks({ pools: this.pools, metrics: this.metrics, log, dispatch });
+        this.serverAttempts = new ServerAttempts({
+            pools: this.pools,
+            metrics: this.metrics,
+            refusedInputs,
+            clock,
+            dispatch,
+        });
+        this.healthChecks = new HealthChecks({ pools: this.pools, metrics: this.metrics, refusedInputs, dispatch });
         this.callerListener = new CallerListener({
             nowMs: clock.atMs,
             isStopping: () => this.stopRequestedAtMs !== undefined,
--- a/daemon/entry/src/health-checks.ts
+++ b/daemon/entry/src/health-checks.ts
@@ -5,7 +5,7 @@
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryMetrics } from "./entry-metrics.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
-import type { JsonLogger } from "./json-logger.js";
+import type { RefusedInputs } from "./refused-inputs.js";
 import { reportMalformedHeaders } from "./report-malformed-headers.js";
 
 const STATUS_OK = 200;
@@ -20,7 +20,7 @@
 interface HealthChecksOptions {
     readonly pools: BackendPools;
     readonly metrics: EntryMetrics;
-    readonly log: JsonLogger;
+    readonly refusedInputs: RefusedInputs;
     readonly dispatch: (event: EntryEvent) => void;
 }
 
@@ -79,7 +79,7 @@
         callback: (health: ServerHealth | undefined) => void,
     ): void {
         const { instanceId, address, healthPath } = server;
-        const { pools, metrics, log } = this.opts;
+        const { pools, metrics, refusedInputs } = this.opts;
         pools.get(instanceId, address).exchange({
             method: "GET",
             path: healthPath,
@@ -95,7 +95,7 @@
                 return;
             }
             const head = decodeServerResponseHead(result.statusCode, result.headers);
-            reportMalformedHeaders(head, { instanceId, log, metrics });
+            reportMalformedHeaders(head, { instanceId, refusedInputs, metrics });
             callback({ isHealthy: result.statusCode === STATUS_OK, load: head.load, directives: head.directives });
         });
     }
--- a/daemon/entry/src/server-attempts.ts
+++ b/daemon/entry/src/server-attempts.ts
@@ -5,8 +5,8 @@
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryMetrics } from "./entry-metrics.js";
-import type { JsonLogger } from "./json-logger.js";
 import type { OpenRequest } from "./open-request.js";
+import type { RefusedInputs } from "./refused-inputs.js";
 import { reportMalformedHeaders } from "./report-malformed-headers.js";
 import { ServerAttempt } from "./server-attempt.js";
 
@@ -16,7 +16,7 @@
 interface ServerAttemptsOptions {
     readonly pools: BackendPools;
     readonly metrics: EntryMetrics;
-    readonly log: JsonLogger;
+    readonly refusedInputs: RefusedInputs;
     readonly clock: Clock;
     readonly dispatch: (event: EntryEvent) => void;
 }
@@ -37,7 +37,7 @@
         request: OpenRequest | undefined,
     ): void {
         const { attemptId, instanceId, address } = effect;
-        const { pools, metrics, log, clock, dispatch } = this.opts;
+        const { pools, metrics, refusedInputs, clock, dispatch } = this.opts;
         if (request === undefined) {
             return;
         }
@@ -48,7 +48,7 @@
             clock,
             bodyBudget: this.bodyBudget,
             onHead: head => {
-                reportMalformedHeaders(head, { instanceId, log, metrics });
+                reportMalformedHeaders(head, { instanceId, refusedInputs, metrics });
             },
             onResponse: ({ bufferedResponse, notRun, load, directives }) => {
                 this.attempts.delete(attemptId);
--- a/daemon/entry/test/refused-inputs.test.ts
+++ b/daemon/entry/test/refused-inputs.test.ts
@@ -1,6 +1,8 @@
+import { decodeServerResponseHead } from "@marigoldstall/platform.adapter";
 import { expect } from "chai";
 import { EntryMetrics } from "../src/entry-metrics.js";
 import { RefusedInputs } from "../src/refused-inputs.js";
+import { reportMalformedHeaders } from "../src/report-malformed-headers.js";
 
 describe("RefusedInputs", () => {
     let atMs: number;
@@ -52,4 +54,19 @@
             ["datagram-refused", { peer: "127.0.0.9" }],
         ]);
     });
+
+    // A server states its headers in each response, so a malformed one wrote a line for each request.
+    it("bounds the lines about malformed headers of servers, and counts all of them", async () => {
+        const malformedHeaders = ["Retry-After: tomorrow"];
+        const head = { ...decodeServerResponseHead(503, {}), malformedHeaders };
+        for (let count = 0; count < 100; count += 1) {
+            reportMalformedHeaders(head, { instanceId: "i-0", refusedInputs: inputs, metrics });
+        }
+        expect(lines.length).to.equal(5);
+        expect(lines[0]).to.deep.equal(["server-header-malformed", {
+            instanceId: "i-0",
+            problem: "Retry-After: tomorrow",
+        }]);
+        expect((await metrics.malformedHeaders.get()).values[0]?.value).to.equal(100);
+    });
 });
