feat(soak): rewrite the settings also when a process has just loaded

The first form of the mode sent SIGHUP to new processes without touching their settings, so that a process that still reads its settings met a complete file. Each SIGHUP now comes with settings rewritten in place, half of the times cut off for 50 ms.

--- a/soak/src/inject-process-faults.ts
+++ b/soak/src/inject-process-faults.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from "@marigoldstall-private/random";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ProcessWatch } from "./process-watch.js";
+import { reloadVm } from "./reload-vm.js";
 import type { SoakSite } from "./soak-site.js";
 
 interface InjectProcessFaultsOptions {
@@ -18,7 +19,6 @@
 // Shares and intervals as zilina-kociky has them, shorter where a run of some seconds would play a fault only once.
 const RELOAD_INTERVAL_MS = 2_000;
 const RELOAD_SHARE = 0.6;
-const CUT_OFF_MS = 50;
 const HERD_SHARE = 0.55;
 const RESET_SERVER_SHARE = 0.35;
 const RESET_CONNECTION_SHARE = 0.55;
@@ -38,18 +38,8 @@
 const reloadSome: Inject = async (site, { random, log, watch }) => {
     const chosen = site.vmIds.filter(vmId => random.uniform() < RELOAD_SHARE && watch.hasLoaded(vmId));
     const isCut = random.uniform() < 0.5;
-    const isFirstStart = random.uniform() < 0.5;
     log(`SIGHUP to ${chosen.join()}, settings ${isCut ? "cut off" : "complete"}`);
-    for (const vmId of chosen) {
-        site.writeSettings(vmId, { isFirstStart, share: isCut ? random.uniform() : 1 });
-        if (watch.hasLoaded(vmId)) {
-            site.process(vmId)?.kill("SIGHUP");
-        }
-    }
-    await sleep(CUT_OFF_MS);
-    for (const vmId of isCut ? chosen : []) {
-        site.writeSettings(vmId, { isFirstStart });
-    }
+    await Promise.all(chosen.map(vmId => reloadVm(site, vmId, { random, isCut })));
 };
 
 const reloadInSeries = async (site: SoakSite, opts: InjectProcessFaultsOptions, endAtMs: number): Promise<void> => {
--- a/soak/src/process-watch.ts
+++ b/soak/src/process-watch.ts
@@ -13,7 +13,7 @@
 
 interface ProcessWatchOptions {
     /** Called once a process has logged that it handles signals. */
-    readonly onLoaded: (process: ManagedProcess) => void;
+    readonly onLoaded: (vmId: string) => void;
     /** Called when a process has ended before the watch was stopped. */
     readonly onEnded: (vmId: string) => void;
 }
@@ -116,7 +116,7 @@
         for (const watched of this.watched.values()) {
             if (!this.loaded.has(watched.process) && watched.process.running && hasLoadingLine(watched)) {
                 this.loaded.add(watched.process);
-                this.opts.onLoaded(watched.process);
+                this.opts.onLoaded(watched.vmId);
             }
         }
     }
--- a/soak/src/run-process-ends.ts
+++ b/soak/src/run-process-ends.ts
@@ -1,12 +1,12 @@
 import { type Outcome, PlatformCaller } from "@marigoldstall-private/platform";
 import { RandomSource } from "@marigoldstall-private/random";
-import type { ManagedProcess } from "@marigoldstall-private/sites";
 import { setTimeout as sleep } from "node:timers/promises";
 import { findUnexpectedEnds } from "./find-unexpected-ends.js";
 import { findUnexpectedLines } from "./find-unexpected-lines.js";
 import { injectProcessFaults } from "./inject-process-faults.js";
 import type { ProcessEnd } from "./process-end.js";
 import { ProcessWatch } from "./process-watch.js";
+import { reloadVm } from "./reload-vm.js";
 import { SoakSite } from "./soak-site.js";
 
 interface RunProcessEndsOptions {
@@ -56,15 +56,17 @@
     const log = (line: string): void => {
         opts.log?.(`${Math.round(performance.now() - beganAtMs)} ms  ${line}`);
     };
-    const reloadWithin = (started: ManagedProcess, periodMs: number): void => {
-        setTimeout(() => {
-            started.kill("SIGHUP");
-        }, random.uniform() * periodMs);
+    const reloadWithin = async (vmId: string, periodMs: number): Promise<void> => {
+        const started = site.process(vmId);
+        await sleep(random.uniform() * periodMs);
+        if (started?.running === true && site.process(vmId) === started) {
+            await reloadVm(site, vmId, { random, isCut: random.uniform() < 0.5 });
+        }
     };
     let isStopping = false;
     const watch = new ProcessWatch({
-        onLoaded: started => {
-            reloadWithin(started, LOADED_PERIOD_MS);
+        onLoaded: vmId => {
+            void reloadWithin(vmId, LOADED_PERIOD_MS);
         },
         onEnded: vmId => {
             setTimeout(() => {
@@ -82,7 +84,7 @@
         onVmStarted: (vmId, started) => {
             watch.add(vmId, started, { logFile: site.logFile(vmId) });
             if (hasEarlyReloads) {
-                reloadWithin(started, EARLY_PERIOD_MS);
+                void reloadWithin(vmId, EARLY_PERIOD_MS);
             }
         },
     });
