test(entry): read the bundle when the test runs

The test of a daemon file that is cut off read the bundle while mocha loaded the test files, so a checkout without target/ could not load any test. It reads the file in the test now, as the other tests of the program do.

--- a/daemon/entry/test/process-environment.test.ts
+++ b/daemon/entry/test/process-environment.test.ts
@@ -8,6 +8,7 @@
 const DAEMON_FILE = "marigoldstall-entry-program.cjs";
 const EXIT_START_FAILED = 2;
 const MAX_MESSAGE_BYTES = 2_000;
+const CUT_OFF_AT = 300_000;
 const TEST_TIMEOUT_MS = 60_000;
 
 // On the users' machines the system did not start, or its processes ended by themselves (rule FAULT).
@@ -26,15 +27,16 @@
     // A process whose daemon could not be loaded ended with a bare stack trace. If the file was cut off, the trace came
     // after a line of the bundle with 19 KB.
     for (
-        const [description, write] of [
-            ["missing", undefined],
-            ["empty", ""],
-            ["cut off", readFileSync(resolve("target", DAEMON_FILE), "utf8").slice(0, 300_000)],
+        const [description, readDaemon] of [
+            ["missing", () => undefined],
+            ["empty", () => ""],
+            ["cut off", () => readFileSync(resolve("target", DAEMON_FILE), "utf8").slice(0, CUT_OFF_AT)],
         ] as const
     ) {
         it(`names the file of the daemon when it is ${description}`, async () => {
-            if (write !== undefined) {
-                writeFileSync(join(directory, DAEMON_FILE), write);
+            const text = readDaemon();
+            if (text !== undefined) {
+                writeFileSync(join(directory, DAEMON_FILE), text);
             }
             const daemon = new ManagedProcess({
                 name: "vm-0",
