fix(deploy): compare packages by version, source and checksum only

The installed list of another version of npm may hold other fields for the same package. The build would then install all packages again, which fails without a network.

--- a/scripts/check-build-tools.mjs
+++ b/scripts/check-build-tools.mjs
@@ -17,8 +17,12 @@
 // then delete packages that it cannot install again without a network.
 const locked = readPackages("package-lock.json");
 const installed = readPackages("node_modules/.package-lock.json");
+// The other fields of an entry depend on the version of npm.
+const selectIdentity = ({ version, resolved, integrity }) => ({ version, resolved, integrity });
 const isCurrent = path =>
-    installed[path] === undefined ? locked[path].optional === true : isDeepStrictEqual(installed[path], locked[path]);
+    installed[path] === undefined
+        ? locked[path].optional === true
+        : isDeepStrictEqual(selectIdentity(installed[path]), selectIdentity(locked[path]));
 const isLocked = path => locked[path] !== undefined;
 if (!Object.keys(locked).every(path => path === "" || isCurrent(path)) || !Object.keys(installed).every(isLocked)) {
     console.error("the installed packages are not those of the lock file");
