fix(rpc): leave no listener on a server whose port is in use

Seen: MaxListenersExceededWarning on standard error of a process that waits for a port, after 1.1 s of tries.

Cause: `server.listen(..., callback)` adds a "listening" listener that stays when the port can't be opened, and each try adds another one to the same server.

Ruled out: FleetSocket.listen. Its test for the same fault passed before the change too, as Node.js removes the callback of a failed bind.

Change: `listenOn` waits with `once` of node:events, which removes both of its listeners at either outcome.

Test that failed first (fleet/rpc/test/listen-on.test.ts, 20 failed tries): "expected 21 to equal 1" listeners, now 1.

Conclusion: tries can go on without a bound in time.

--- a/fleet/rpc/src/listen-on.ts
+++ b/fleet/rpc/src/listen-on.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 
@@ -5,12 +6,8 @@
 export const listenOn = async (server: Server, address: string): Promise<string> => {
     const colon = address.lastIndexOf(":");
     const host = address.slice(0, colon);
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(address.slice(colon + 1)), host.replace(/^\[|\]$/g, ""), () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
+    server.listen(Number(address.slice(colon + 1)), host.replace(/^\[|\]$/g, ""));
+    // Leaves no listener behind when it fails, as callers try again on the same server.
+    await once(server, "listening");
     return `${host}:${(server.address() as AddressInfo).port}`;
 };
