fix(entry): go on reading settings that stay unreadable

Seen: with settings that are missing, incomplete or without a required field the process ended with status 2 after 3 s.

Cause: readSettings gave up after 30 tries, and the program took that for an error of use.

Change: at the start the file is read every 100 ms for 2 s and then every second, without an end. It logs `settings-unavailable` with file, code and field after 2 s and every 10 s, and `settings-read` at last. SIGTERM ends it at once with status 0. Only a variable that is not set ends it with status 2, now at once. SIGHUP still reads for 3 s at most.

The test "names the settings file in the error when it stays unreadable" asserted status 2, which was the fault. In its place one asserts that the process still runs after 3.5 s, names file and code in its log, serves once the file is there, and ends with status 0 at SIGTERM.

Conclusion: a file that becomes complete later is met by a process that serves from then on.

--- a/daemon/entry/src/json-logger.ts
+++ b/daemon/entry/src/json-logger.ts
@@ -10,7 +10,7 @@
 
 /** Structured logger that writes JSON lines to stdout asynchronously, with a bounded buffer and rate. */
 export class JsonLogger {
-    private readonly vmId: string;
+    private readonly vmId: string | undefined;
     private pendingLines: string[] = [];
     private pendingBytes = 0;
     private isWriting = false;
@@ -19,7 +19,10 @@
     private linesInSecond = 0;
     private droppedLines = 0;
 
-    constructor(opts: { readonly vmId: string; }) {
+    constructor(opts: {
+        /** Absent until the settings have been read. */
+        readonly vmId: string | undefined;
+    }) {
         this.vmId = opts.vmId;
     }
 
--- a/daemon/entry/src/run-entry-program.ts
+++ b/daemon/entry/src/run-entry-program.ts
@@ -1,9 +1,11 @@
 import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
-import type { EntrySettings } from "@marigoldstall/core.types";
-import { decodeEntrySettings, SETTINGS_VARIABLE } from "@marigoldstall/platform.adapter";
+import { type DecodedEntrySettings, decodeEntrySettings, SETTINGS_VARIABLE } from "@marigoldstall/platform.adapter";
 import { Command } from "commander";
+import type { Result } from "neverthrow";
 import { EntryDaemon } from "./entry-daemon.js";
+import { JsonLogger } from "./json-logger.js";
 import { readSettings } from "./read-settings.js";
+import { waitForSettings } from "./wait-for-settings.js";
 
 const EXIT_USAGE = 2;
 
@@ -22,14 +24,23 @@
 };
 
 const run = async (flags: EntryFlags, opts: RunEntryProgramOptions): Promise<void> => {
-    const readCurrentSettings = (): ReturnType<typeof readSettings<EntrySettings>> =>
-        readSettings({ file: process.env[SETTINGS_VARIABLE] ?? "", decode: decodeEntrySettings });
-    const settings = await readCurrentSettings();
-    if (settings.isErr()) {
-        return fail(settings.error);
+    const file = process.env[SETTINGS_VARIABLE] ?? "";
+    if (file === "") {
+        return fail(
+            new MarigoldstallError({
+                code: "SETTINGS_UNNAMED",
+                message: `the environment variable ${SETTINGS_VARIABLE} is not set`,
+                step: "read the platform's settings",
+                hint: "set it to the path of the settings file",
+            }),
+        );
     }
+    const decode = (text: string): Result<EntrySettings, MarigoldstallError> =>
+        decodeEntrySettings(text, { file });
+    const log = new JsonLogger({ vmId: undefined });
+    const settings = await waitForSettings({ file, decode, log });
     const metricsPort = flags.metricsPort === undefined ? undefined : Number(flags.metricsPort);
-    const daemon = new EntryDaemon({ settings: settings.value, metricsPort });
+    const daemon = new EntryDaemon({ settings, metricsPort });
     process.on("SIGTERM", () => {
         daemon.countSignal("SIGTERM");
         void daemon.stop().then(() => {
@@ -37,7 +48,7 @@
         });
     });
     process.on("SIGHUP", () => {
-        void daemon.reload(readCurrentSettings);
+        void daemon.reload(() => readSettings({ file, decode }));
     });
     const { earlyReloads } = opts.onSignalsHandled();
     daemon.countSignal("SIGHUP", earlyReloads);
@@ -57,7 +68,7 @@
                 code: "LISTEN_FAILED",
                 message: cause instanceof Error ? cause.message : String(cause),
                 step: "open the ports",
-                peer: settings.value.host,
+                peer: settings.host,
                 hint: "check that the addresses in the settings belong to this VM and that no other process uses them",
                 cause,
             }),
--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -20,6 +20,10 @@
 const STATUS_OK = 200;
 const POLL_INTERVAL_MS = 20;
 const HOLD_MS = 700;
+// Longer than a process without ports or settings needs to end, shorter than a graceful shutdown.
+const PROMPT_EXIT_MS = 1_500;
+// Longer than the 3 s for which settings were read.
+const UNREADABLE_MS = 3_500;
 const TEST_TIMEOUT_MS = 60_000;
 
 let hostCount = 0;
@@ -90,12 +94,12 @@
         rmSync(directory, { recursive: true, force: true });
     });
 
-    const start = (program = PROGRAM): ManagedProcess => {
+    const start = (program = PROGRAM, environment: Readonly<Record<string, string>> = {}): ManagedProcess => {
         daemon = new ManagedProcess({
             name: "vm-0",
             command: [process.execPath, "--max-old-space-size=160", program, "--metrics-port", String(PORTS.metrics)],
             logFile: join(directory, "vm-0.log"),
-            environment: { [SETTINGS_VARIABLE]: join(directory, "settings.json") },
+            environment: { [SETTINGS_VARIABLE]: join(directory, "settings.json"), ...environment },
         });
         return daemon;
     };
@@ -107,6 +111,13 @@
         });
     };
 
+    const expectPromptExit = async (ending: ManagedProcess): Promise<void> => {
+        const signalledAtMs = performance.now();
+        process.kill(ending.pid, "SIGTERM");
+        expect(await ending.exited, readLog()).to.equal(0);
+        expect(performance.now() - signalledAtMs).to.be.lessThan(PROMPT_EXIT_MS);
+    };
+
     const readLog = (): string => readFileSync(join(directory, "vm-0.log"), "utf8");
 
     const waitForLog = async (text: string): Promise<void> => {
@@ -204,9 +215,34 @@
         }).timeout(TEST_TIMEOUT_MS);
     }
 
-    it("names the settings file in the error when it stays unreadable", async () => {
+    // A process that ended with status 2 was started again by the platform and ended again.
+    it("goes on reading settings that stay unreadable, and names the file in its log", async () => {
         rmSync(join(directory, "settings.json"));
-        expect(await start().exited).to.equal(2);
+        const waiting = start();
+        await sleep(UNREADABLE_MS);
+        expect(waiting.running, readLog()).to.equal(true);
+        await waitForLog("\"kind\":\"settings-unavailable\"");
         expect(readLog()).to.contain("ERR_MARIGOLDSTALL_SETTINGS_UNREADABLE").and.to.contain("settings.json");
+        writeFileSync(join(directory, "settings.json"), settings);
+        await waitUntilReady();
+        waiting.kill("SIGTERM");
+        expect(await waiting.exited).to.equal(0);
+    }).timeout(TEST_TIMEOUT_MS);
+
+    it("goes on reading settings without a required field, and names the field in its log", async () => {
+        const { zone, ...incomplete } = JSON.parse(settings) as Readonly<Record<string, unknown>>;
+        expect(zone).to.equal("zone-0");
+        writeFileSync(join(directory, "settings.json"), JSON.stringify(incomplete));
+        const waiting = start();
+        await waitForLog("\"kind\":\"settings-unavailable\"");
+        expect(readLog()).to.contain("ERR_MARIGOLDSTALL_PLATFORM_MALFORMED").and.to.contain("zone");
+        await expectPromptExit(waiting);
+    }).timeout(TEST_TIMEOUT_MS);
+
+    it("ends at once with status 2 when the variable that names the settings file is not set", async () => {
+        const startedAtMs = performance.now();
+        expect(await start(PROGRAM, { [SETTINGS_VARIABLE]: "" }).exited).to.equal(2);
+        expect(performance.now() - startedAtMs).to.be.lessThan(PROMPT_EXIT_MS);
+        expect(readLog()).to.contain(SETTINGS_VARIABLE);
     }).timeout(TEST_TIMEOUT_MS);
 });
