fix(adapter): use defaults for optional settings

`listen.ready` without a host was tried until the grace period ended, at an address that can't be opened (0.0.11.68 for "28840").

Cause: one schema required all fields that the daemon reads, and took any text for an address.

Change: the decoder reads each optional field by itself and takes the default that the daemon passes to it (daemon/entry/src/default-settings.ts), also for values that are of no use: durations and limits of the machine that are not positive, negative budgets. The names go to the log as `settings-defaulted`. 0 as budget or probes stays, since it is a limit. Listen addresses need a host and a port from 1 to 65535, the fleet's port too; without, the settings count as incomplete and are read again.

Weighed: defaults within the schema would have put the daemon's decisions into the adapter.

Tests that failed first: "serves with defaults for optional settings" (ended, "Expected array at seeds") and "takes a listen address without a host" (ended, EADDRNOTAVAIL and MaxListenersExceededWarning). "serves when the seeds are no addresses" is a guard: malformed seeds never ended a process.

--- a/daemon/entry/src/run-entry-program.ts
+++ b/daemon/entry/src/run-entry-program.ts
@@ -2,6 +2,7 @@
 import { type DecodedEntrySettings, decodeEntrySettings, SETTINGS_VARIABLE } from "@marigoldstall/platform.adapter";
 import { Command } from "commander";
 import type { Result } from "neverthrow";
+import { DEFAULT_SETTINGS } from "./default-settings.js";
 import { EntryDaemon } from "./entry-daemon.js";
 import { JsonLogger } from "./json-logger.js";
 import { readSettings } from "./read-settings.js";
@@ -35,10 +36,13 @@
             }),
         );
     }
-    const decode = (text: string): Result<EntrySettings, MarigoldstallError> =>
-        decodeEntrySettings(text, { file });
+    const decode = (text: string): Result<DecodedEntrySettings, MarigoldstallError> =>
+        decodeEntrySettings(text, { file, defaults: DEFAULT_SETTINGS });
     const log = new JsonLogger({ vmId: undefined });
-    const settings = await waitForSettings({ file, decode, log });
+    const { settings, defaultedFields } = await waitForSettings({ file, decode, log });
+    if (defaultedFields.length > 0) {
+        new JsonLogger({ vmId: settings.vmId }).write("settings-defaulted", { file, fields: defaultedFields });
+    }
     const metricsPort = flags.metricsPort === undefined ? undefined : Number(flags.metricsPort);
     const daemon = new EntryDaemon({ settings, metricsPort });
     process.on("SIGTERM", () => {
@@ -48,7 +52,7 @@
         });
     });
     process.on("SIGHUP", () => {
-        void daemon.reload(() => readSettings({ file, decode }));
+        void daemon.reload(async () => (await readSettings({ file, decode })).map(decoded => decoded.settings));
     });
     const { earlyReloads } = opts.onSignalsHandled();
     daemon.countSignal("SIGHUP", earlyReloads);
--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -239,10 +239,42 @@
         await expectPromptExit(waiting);
     }).timeout(TEST_TIMEOUT_MS);
 
+    // Each try added listeners to the same server, and no try at such an address could succeed.
+    it("takes a listen address without a host for settings that are not complete yet", async () => {
+        const incomplete = settings.replace(`"${host}:${PORTS.ready}"`, `"${PORTS.ready}"`);
+        writeFileSync(join(directory, "settings.json"), incomplete);
+        start();
+        await waitForLog("\"kind\":\"settings-unavailable\"");
+        writeFileSync(join(directory, "settings.json"), settings);
+        await waitUntilReady();
+        expect(readLog()).not.to.contain("MaxListenersExceededWarning");
+    }).timeout(TEST_TIMEOUT_MS);
+
     it("ends at once with status 2 when the variable that names the settings file is not set", async () => {
         const startedAtMs = performance.now();
         expect(await start(PROGRAM, { [SETTINGS_VARIABLE]: "" }).exited).to.equal(2);
         expect(performance.now() - startedAtMs).to.be.lessThan(PROMPT_EXIT_MS);
         expect(readLog()).to.contain(SETTINGS_VARIABLE);
     }).timeout(TEST_TIMEOUT_MS);
+
+    // Fields of matters that are not open may be empty, and the process ended with status 2 at each start.
+    it("serves with defaults for optional settings and logs their names", async () => {
+        const fields = JSON.parse(settings) as Readonly<Record<string, unknown>>;
+        const partial = { ...fields, seeds: "", bootstrap: "", limits: {}, heartbeat: "", bounds: undefined };
+        writeFileSync(join(directory, "settings.json"), JSON.stringify(partial));
+        start();
+        await waitUntilReady();
+        await waitForLog("\"kind\":\"settings-defaulted\"");
+        expect(readLog()).to.contain("\"limits.cpuShare\"").and.to.contain("\"bounds.grace\"");
+    }).timeout(TEST_TIMEOUT_MS);
+
+    // Guards against an error in the use of a malformed seed that ends the process or its joining of the fleet.
+    it("serves when the seeds are no addresses", async () => {
+        const seeds = ["", ":", "seed", "127.0.0.1:99999", "[::1", "127.0.0.1:-1"];
+        const fields = JSON.parse(settings) as Readonly<Record<string, unknown>>;
+        writeFileSync(join(directory, "settings.json"), JSON.stringify({ ...fields, seeds }));
+        start();
+        await waitUntilReady();
+        await waitForLog("\"kind\":\"joined\"");
+    }).timeout(TEST_TIMEOUT_MS);
 });
