fix(entry): wait for ports for as long as the process runs

Cause: openPort had a time limit. A port in the ephemeral range may be the local port of any connection, for as long as that stays open, and for a minute more in TIME_WAIT; on this machine, tests met ports in TIME_WAIT of unrelated processes.

Change: openPort tries every 100 ms until the process stops while the error may pass (in use, address missing, out of descriptors or memory, network down), and logs `port-unavailable` at first and every 10 s. Other errors (EACCES, invalid address) still end the process, with a line on standard error. Readiness stays false. A stop while ports are missing takes no new connections, as the VM is not in rotation, and completes open requests.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -69,6 +69,8 @@
     private timer: NodeJS.Timeout | undefined;
     private nextTickAtMs = Infinity;
     private isListening = false;
+    private isOpeningPorts = false;
+    private readonly portsController = new AbortController();
     private isStopped = false;
     private stopRequestedAtMs: number | undefined;
     private shutdownPromise: Promise<void> | undefined;
@@ -201,15 +203,26 @@
         const uptimeMs = Math.round(performance.now());
         this.log.write("started", { address: settings.listen.caller, cores: settings.cores, uptimeMs });
         const { caller, ready, control } = settings.listen;
-        // The process that had the ports before may take as long to end.
         const open = (name: string, address: string, listen: () => Promise<void>): Promise<void> =>
-            openPort(listen, { ...this.portOptions, name, address, timeoutMs: settings.stopGraceMs });
-        await Promise.all([
-            open("ready", ready, () => this.readinessListener.listen(ready)),
-            open("control", control, () => this.peerRpc.listen()),
-            open("fleet", `${settings.host}:${settings.fleetPort}`, () => this.fleetSocket.listen()),
-            open("caller", caller, () => this.callerListener.listen(caller)),
-        ]);
+            openPort(listen, { ...this.portOptions, name, address });
+        this.isOpeningPorts = true;
+        try {
+            await Promise.all([
+                open("ready", ready, () => this.readinessListener.listen(ready)),
+                open("control", control, () => this.peerRpc.listen()),
+                open("fleet", `${settings.host}:${settings.fleetPort}`, () => this.fleetSocket.listen()),
+                open("caller", caller, () => this.callerListener.listen(caller)),
+            ]);
+        }
+        catch (error) {
+            if (this.portsController.signal.aborted) {
+                return;
+            }
+            throw error;
+        }
+        finally {
+            this.isOpeningPorts = false;
+        }
         this.isListening = true;
         this.joiner.join().catch((error: unknown) => {
             // Only a shutdown ends the retries.
@@ -229,14 +242,14 @@
 
     // No caller needs the metrics, so the daemon serves without them while their port is in use.
     private openMetricsPort(address: string): void {
-        const opts = { ...this.portOptions, name: "metrics", address, timeoutMs: Infinity };
+        const opts = { ...this.portOptions, name: "metrics", address };
         openPort(() => this.metrics.listen(address), opts).catch((error: unknown) => {
             this.log.write("metrics-unavailable", { address, problem: String(error) });
         });
     }
 
-    private get portOptions(): { readonly nowMs: () => number; readonly log: JsonLogger; } {
-        return { nowMs: this.clock.atMs, log: this.log };
+    private get portOptions(): Pick<Parameters<typeof openPort>[1], "nowMs" | "log" | "signal"> {
+        return { nowMs: this.clock.atMs, log: this.log, signal: this.portsController.signal };
     }
 
     /** Shuts down gracefully. Further calls return the same promise. */
@@ -271,6 +284,9 @@
         this.log.write("stopping", { unfinished: this.callerListener.unfinishedCount });
         const endAtMs = stopRequestedAtMs + this.settings.stopGraceMs - ENTRY_TIMINGS.stopMarginMs;
         this.dispatch({ type: "process-stopping", endsAtMs: endAtMs });
+        this.portsController.abort();
+        // While ports are missing the VM is not in rotation.
+        const acceptUntilMs = stopRequestedAtMs + (this.isOpeningPorts ? 0 : ENTRY_TIMINGS.acceptAfterStopMs);
         let isAccepting = true;
         for (;;) {
             const nowMs = this.clock.atMs();
@@ -280,7 +296,7 @@
                 await sleep(ENTRY_TIMINGS.stopPollIntervalMs);
                 break;
             }
-            if (isAccepting && nowMs - stopRequestedAtMs >= ENTRY_TIMINGS.acceptAfterStopMs) {
+            if (isAccepting && nowMs >= acceptUntilMs) {
                 isAccepting = false;
                 await this.callerListener.stopListening();
             }
--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -9,7 +9,7 @@
 import { ManagedProcess } from "@marigoldstall-private/sites";
 import { expect } from "chai";
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer, type Server } from "node:net";
+import { connect, createServer, type Server } from "node:net";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -20,6 +20,9 @@
 const STATUS_OK = 200;
 const POLL_INTERVAL_MS = 20;
 const HOLD_MS = 700;
+// Settings of a process that would give up waiting for its ports after a second.
+const SHORT_GRACE = { from: "\"grace\":\"6s\"", to: "\"grace\":\"1s\"" };
+const LONG_HOLD_MS = 2_500;
 // Longer than a process without ports or settings needs to end, shorter than a graceful shutdown.
 const PROMPT_EXIT_MS = 1_500;
 // Longer than the 3 s for which settings were read.
@@ -111,6 +114,29 @@
         });
     };
 
+    // The local address of the connection has a port of the ephemeral range, as that of any other process may have.
+    const holdByConnection = async (): Promise<{ readonly address: string; readonly release: () => void; }> => {
+        const peer = createServer(socket => {
+            socket.on("error", () => undefined);
+        });
+        await new Promise<void>(done => {
+            peer.listen(0, host, done);
+        });
+        const bound = peer.address();
+        const socket = connect({ host, port: typeof bound === "object" ? bound?.port ?? 0 : 0 });
+        await new Promise<void>(done => {
+            socket.once("connect", done);
+        });
+        return {
+            address: `${socket.localAddress}:${socket.localPort}`,
+            release: () => {
+                // A reset leaves no port in TIME_WAIT.
+                socket.resetAndDestroy();
+                peer.close();
+            },
+        };
+    };
+
     const expectPromptExit = async (ending: ManagedProcess): Promise<void> => {
         const signalledAtMs = performance.now();
         process.kill(ending.pid, "SIGTERM");
@@ -277,4 +303,48 @@
         await waitUntilReady();
         await waitForLog("\"kind\":\"joined\"");
     }).timeout(TEST_TIMEOUT_MS);
+
+    for (const name of ["caller", "ready", "control"] as const) {
+        // A process that gave up on its ports was started again, gave up again, and was counted as ending by itself.
+        it(`waits for the ${name} port for longer than its grace period`, async () => {
+            writeFileSync(join(directory, "settings.json"), settings.replace(SHORT_GRACE.from, SHORT_GRACE.to));
+            await hold(PORTS[name]);
+            const waiting = start();
+            await waitForLog("port-unavailable");
+            await sleep(LONG_HOLD_MS);
+            expect(waiting.running, readLog()).to.equal(true);
+            expect(readLog().split("port-unavailable")).to.have.length(2);
+            await new Promise(done => {
+                holder?.close(done);
+            });
+            holder = undefined;
+            await waitUntilReady();
+            expect(readLog()).not.to.contain("MaxListenersExceededWarning");
+        }).timeout(TEST_TIMEOUT_MS);
+    }
+
+    // A connection of another process may have a listening port as its local port for as long as it stays open.
+    it("waits for a port that a connection of another process uses", async () => {
+        const { address, release } = await holdByConnection();
+        try {
+            const moved = settings.replace(`${host}:${PORTS.control}`, address);
+            writeFileSync(join(directory, "settings.json"), moved.replace(SHORT_GRACE.from, SHORT_GRACE.to));
+            const waiting = start();
+            await waitForLog("port-unavailable");
+            await sleep(LONG_HOLD_MS);
+            // The tests above show that the port is opened once it is free. This one may then be in TIME_WAIT for a
+            // minute, by connections of other processes of the machine.
+            await expectPromptExit(waiting);
+        }
+        finally {
+            release();
+        }
+    }).timeout(TEST_TIMEOUT_MS);
+
+    it("ends at once with status 0 at SIGTERM while it waits for a port", async () => {
+        await hold(PORTS.control);
+        const waiting = start();
+        await waitForLog("port-unavailable");
+        await expectPromptExit(waiting);
+    }).timeout(TEST_TIMEOUT_MS);
 });
