fix(entry): send no datagram before the fleet's port is open

Seen: a process that waited for the fleet's UDP port logged `datagram-problem` ten times a second.

Cause: the socket's error handler logged each failed bind besides openPort. From reading: Node.js binds an unbound socket to a random port when it sends, and a request handled meanwhile makes the daemon tick and send; `bind` then fails for good. That part was not reproduced: the test's request found no other VM to send to.

Change: FleetSocket sends only once it is bound, and its errors are logged from when all ports are open.

Test that failed first: "waits for the fleet port while it handles requests" (ended with LISTEN_FAILED after the grace period; ten `datagram-problem` lines a second). FleetSocket's test of 20 failed tries passed before too and is a guard.

Conclusion: passes with this commit.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -133,7 +133,10 @@
                 this.refusedInputs.record("datagram-malformed", { peer });
             },
             onError: (problem, peer) => {
-                log.write("datagram-problem", { problem, peer });
+                // Until the port is open, `openPort` logs the errors at a bounded rate.
+                if (this.isListening) {
+                    log.write("datagram-problem", { problem, peer });
+                }
             },
         });
         this.pools = new BackendPools({
--- a/daemon/entry/src/fleet-socket.ts
+++ b/daemon/entry/src/fleet-socket.ts
@@ -1,5 +1,6 @@
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
 import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
 
 interface FleetSocketOptions {
     readonly host: string;
@@ -14,6 +15,7 @@
 export class FleetSocket {
     private readonly opts: FleetSocketOptions;
     private readonly socket: Socket;
+    private isBound = false;
 
     constructor(opts: FleetSocketOptions) {
         this.opts = opts;
@@ -33,16 +35,21 @@
     }
 
     async listen(): Promise<void> {
-        await new Promise<void>((resolve, reject) => {
-            this.socket.once("error", reject);
-            this.socket.bind({ address: this.opts.host, port: this.opts.port }, () => {
-                this.socket.off("error", reject);
-                resolve();
-            });
-        });
+        this.socket.bind({ address: this.opts.host, port: this.opts.port });
+        await once(this.socket, "listening");
+        this.isBound = true;
+    }
+
+    close(): void {
+        this.isBound = false;
+        this.socket.close();
     }
 
     send(hosts: readonly string[], message: FleetMessage): void {
+        // Node.js binds a socket that is not bound yet to a random port when it sends, so that `listen` fails for good.
+        if (!this.isBound) {
+            return;
+        }
         const bytes = encodeFleetMessage(message);
         for (const host of hosts) {
             this.socket.send(bytes, this.opts.port, host, error => {
--- a/daemon/entry/test/fleet-socket.test.ts
+++ b/daemon/entry/test/fleet-socket.test.ts
@@ -40,4 +40,31 @@
         expect(String(failure)).to.include("EADDRINUSE");
         expect(errors).to.have.length(1);
     });
+
+    // Guards against tries that leave listeners behind or make the next ones fail.
+    it("listens once the port is free, without a warning after many failed tries", async () => {
+        const port = other.address().port;
+        const socket = new FleetSocket({
+            host: HOST,
+            port,
+            onMessage: () => undefined,
+            onError: () => undefined,
+        });
+        const warnings: string[] = [];
+        const countWarning = (warning: Error): void => {
+            warnings.push(warning.name);
+        };
+        process.on("warning", countWarning);
+        for (let attempt = 0; attempt < 20; attempt += 1) {
+            await socket.listen().then(() => expect.fail("the port is in use"), () => undefined);
+        }
+        await new Promise<void>(done => {
+            other.close(done);
+        });
+        await socket.listen();
+        socket.close();
+        process.off("warning", countWarning);
+        expect(warnings).to.deep.equal([]);
+        other = createSocket("udp4");
+    });
 });
--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -8,6 +8,7 @@
 } from "@marigoldstall-private/platform";
 import { ManagedProcess } from "@marigoldstall-private/sites";
 import { expect } from "chai";
+import { createSocket } from "node:dgram";
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { connect, createServer, type Server } from "node:net";
 import { tmpdir } from "node:os";
@@ -114,6 +115,16 @@
         });
     };
 
+    const holdDatagrams = async (port: number): Promise<() => void> => {
+        const socket = createSocket("udp4");
+        await new Promise<void>(done => {
+            socket.bind({ address: host, port }, done);
+        });
+        return () => {
+            socket.close();
+        };
+    };
+
     // The local address of the connection has a port of the ephemeral range, as that of any other process may have.
     const holdByConnection = async (): Promise<{ readonly address: string; readonly release: () => void; }> => {
         const peer = createServer(socket => {
@@ -341,6 +352,21 @@
         }
     }).timeout(TEST_TIMEOUT_MS);
 
+    // A datagram that was sent before the port was bound bound the socket to another port, so that it failed for good.
+    it("waits for the fleet port while it handles requests", async () => {
+        writeFileSync(join(directory, "settings.json"), settings.replace(SHORT_GRACE.from, SHORT_GRACE.to));
+        const release = await holdDatagrams(PORTS.fleet);
+        const waiting = start();
+        await waitForLog("port-unavailable");
+        await fetchStatus(`${host}:${PORTS.caller}`, { path: "/" });
+        await sleep(LONG_HOLD_MS);
+        expect(waiting.running, readLog()).to.equal(true);
+        expect(await fetchStatus(`${host}:${PORTS.ready}`, { path: READY_PATH })).not.to.equal(STATUS_OK);
+        expect(readLog()).not.to.contain("datagram-problem");
+        release();
+        await waitUntilReady();
+    }).timeout(TEST_TIMEOUT_MS);
+
     it("ends at once with status 0 at SIGTERM while it waits for a port", async () => {
         await hold(PORTS.control);
         const waiting = start();
