test(entry): send a datagram before the fleet's port is open

With the guard in FleetSocket.send disabled, this test fails with ERR_SOCKET_ALREADY_BOUND at the next `listen`, and passes with it. In the daemon a request that is handled while the port is held can lead to such a datagram; that path was not reproduced.

--- a/daemon/entry/test/fleet-socket.test.ts
+++ b/daemon/entry/test/fleet-socket.test.ts
@@ -67,4 +67,23 @@
         expect(warnings).to.deep.equal([]);
         other = createSocket("udp4");
     });
+
+    // A datagram that was sent first bound the socket to a random port, so that no try to listen could succeed.
+    it("listens on its port after datagrams that were sent too early", async () => {
+        const socket = new FleetSocket({
+            host: HOST,
+            port: other.address().port,
+            onMessage: () => undefined,
+            onError: () => undefined,
+        });
+        await socket.listen().then(() => expect.fail("the port is in use"), () => undefined);
+        const query = { vmId: "a", service: "one", workMs: 1, responseBytes: 1, connectedInstanceIds: [] };
+        socket.send([HOST], { type: "load-query", ...query });
+        await new Promise<void>(done => {
+            other.close(done);
+        });
+        await socket.listen();
+        socket.close();
+        other = createSocket("udp4");
+    });
 });
