test(soak): remove silent registrations after three heartbeats, not up to four

Callers saw: nothing outside the soak.

Cause: after a restore, the copy's entry of a server that has left stays until the store removes it. PROTOCOL.md says "after three heartbeat intervals of silence" (4.5 s). The view withholds it for 3.5 heartbeats (5.25 s) from its list of the copy. In a model that removes once a heartbeat, the view used the server 5.72 s after the restore, with one restore as with four.

Ruled out: withholding for 4.5 heartbeats. Ending by evidence only: an unchanged entry of a live server appends no record. That restores within 7 s add up: each starts the time anew.

--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -133,9 +133,11 @@
             for (const entry of this.servers) {
                 this.renew(entry);
             }
-            this.store.expireRegistrations(EXPIRY_HEARTBEATS * HEARTBEAT_MS);
         }, HEARTBEAT_MS);
+        // The platform removes a registration after three heartbeats of silence. Looked for only once a heartbeat, it would
+        // stay for up to four.
         this.pollTimer = setInterval(() => {
+            this.store.expireRegistrations(EXPIRY_HEARTBEATS * HEARTBEAT_MS);
             this.changes.update();
         }, POLL_INTERVAL_MS);
         this.copies.start();
