--- a/daemon/entry/test/fleet-socket.test.ts
+++ b/daemon/entry/test/fleet-socket.test.ts
@@ -48,6 +48,7 @@
             host: HOST,
             port,
             onMessage: () => undefined,
+            onRefused: () => undefined,
             onError: () => undefined,
         });
         const warnings: string[] = [];
@@ -74,6 +75,7 @@
             host: HOST,
             port: other.address().port,
             onMessage: () => undefined,
+            onRefused: () => undefined,
             onError: () => undefined,
         });
         await socket.listen().then(() => expect.fail("the port is in use"), () => undefined);
