--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -1,9 +1,7 @@
-import { formatError, type MarigoldstallError } from "@marigoldstall/core.error";
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
 import { selectLiveHub } from "@marigoldstall/fleet.hubs";
 import { StoreClient } from "@marigoldstall/platform.adapter";
-import type { Result } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
@@ -26,7 +24,6 @@
 import { ReadinessListener } from "./readiness-listener.js";
 import { reduceEntry } from "./reduce-entry.js";
 import { RefusedInputs } from "./refused-inputs.js";
-import { selectChangedSettings } from "./select-changed-settings.js";
 import { selectTickDelayMs } from "./select-tick-delay-ms.js";
 import { ServerAttempts } from "./server-attempts.js";
 import { StoreReader } from "./store-reader.js";
@@ -266,20 +263,6 @@
         this.metrics.signals.inc({ signal }, count);
     }
 
-    /** Logs which settings have changed. They hold addresses and machine limits, which take effect at the next start. */
-    async reload(read: () => Promise<Result<EntrySettings, MarigoldstallError>>): Promise<void> {
-        this.countSignal("SIGHUP");
-        (await read()).match(
-            settings => {
-                const changed = selectChangedSettings(this.settings, settings);
-                this.log.write("reload-ignored", { reason: "no setting changes without a restart", changed });
-            },
-            error => {
-                this.log.write("reload-failed", { problem: formatError(error) });
-            },
-        );
-    }
-
     // Accepts connections until the platform's balancer has taken the VM out of rotation, then completes open requests.
     private async shutDown(): Promise<void> {
         const stopRequestedAtMs = this.clock.atMs();
--- a/daemon/entry/src/run-entry-program.ts
+++ b/daemon/entry/src/run-entry-program.ts
@@ -1,4 +1,5 @@
 import { formatError, MarigoldstallError } from "@marigoldstall/core.error";
+import type { EntrySettings } from "@marigoldstall/core.types";
 import { type DecodedEntrySettings, decodeEntrySettings, SETTINGS_VARIABLE } from "@marigoldstall/platform.adapter";
 import { Command } from "commander";
 import type { Result } from "neverthrow";
@@ -6,6 +7,7 @@
 import { EntryDaemon } from "./entry-daemon.js";
 import { JsonLogger } from "./json-logger.js";
 import { readSettings } from "./read-settings.js";
+import { SettingsReloader } from "./settings-reloader.js";
 import { waitForSettings } from "./wait-for-settings.js";
 
 const EXIT_USAGE = 2;
@@ -38,10 +40,11 @@
     }
     const decode = (text: string): Result<DecodedEntrySettings, MarigoldstallError> =>
         decodeEntrySettings(text, { file, defaults: DEFAULT_SETTINGS });
-    const log = new JsonLogger({ vmId: undefined });
-    const { settings, defaultedFields } = await waitForSettings({ file, decode, log });
+    const startLog = new JsonLogger({ vmId: undefined });
+    const { settings, defaultedFields } = await waitForSettings({ file, decode, log: startLog });
+    const log = new JsonLogger({ vmId: settings.vmId });
     if (defaultedFields.length > 0) {
-        new JsonLogger({ vmId: settings.vmId }).write("settings-defaulted", { file, fields: defaultedFields });
+        log.write("settings-defaulted", { file, fields: defaultedFields });
     }
     const metricsPort = flags.metricsPort === undefined ? undefined : Number(flags.metricsPort);
     const daemon = new EntryDaemon({ settings, metricsPort });
@@ -51,8 +54,12 @@
             process.exit(0);
         });
     });
+    const readCurrent = async (): Promise<Result<EntrySettings, MarigoldstallError>> =>
+        (await readSettings({ file, decode })).map(decoded => decoded.settings);
+    const reloader = new SettingsReloader({ settings, read: readCurrent, log });
     process.on("SIGHUP", () => {
-        void daemon.reload(async () => (await readSettings({ file, decode })).map(decoded => decoded.settings));
+        daemon.countSignal("SIGHUP");
+        void reloader.reload();
     });
     const { earlyReloads } = opts.onSignalsHandled();
     daemon.countSignal("SIGHUP", earlyReloads);
