fix(entry): end although nobody reads standard output

Users keep no logs of some runs, so the other end of standard output may be a pipe that nobody reads. Once it was full, the process did not end after SIGTERM, nor after a start that failed: it stood there with its ports open until SIGKILL, and a process that could not start was never started again.

Cause: a write of node:fs to a pipe waits in a thread of the pool, and Node.js joins these threads at its end. The line "loading" made that reach the time in which settings are awaited, too.

Ruled out: standard output that is closed, full (/dev/full) or a file; these end as they should.

Change: pipes and sockets are written through the event loop, files as before. The last flush waits for 100 ms at most.

--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -18,6 +18,7 @@
 import { FleetSocket } from "./fleet-socket.js";
 import { HealthChecks } from "./health-checks.js";
 import { JsonLogger } from "./json-logger.js";
+import type { LogOutput } from "./log-output.js";
 import { openPort } from "./open-port.js";
 import { PauseDetector } from "./pause-detector.js";
 import { PeerRpc } from "./peer-rpc.js";
@@ -36,6 +37,8 @@
     readonly settings: EntrySettings;
     /** Port that serves `/metrics`. If absent, metrics are not served. */
     readonly metricsPort?: number | undefined;
+    /** Destination of the log. Default: standard output as a file. */
+    readonly output?: LogOutput;
     readonly clock?: Clock;
     readonly reduce?: typeof reduceEntry;
 }
@@ -83,7 +86,7 @@
         const dispatch = (event: EntryEvent): void => {
             this.dispatch(event);
         };
-        this.log = new JsonLogger({ vmId: settings.vmId });
+        this.log = new JsonLogger({ vmId: settings.vmId, output: opts.output });
         const { log } = this;
         this.refusedInputs = new RefusedInputs({ metrics: this.metrics, log, nowMs: clock.atMs });
         const { refusedInputs } = this;
@@ -295,9 +298,13 @@
         clearTimeout(this.timer);
         this.isStopped = true;
         this.log.write("stopped", { unfinished: this.callerListener.unfinishedCount });
-        await new Promise<void>(resolve => {
-            this.log.flush(resolve);
-        });
+        // The reader of the log may have stopped reading.
+        await Promise.race([
+            new Promise<void>(resolve => {
+                this.log.flush(resolve);
+            }),
+            sleep(ENTRY_TIMINGS.lastFlushTimeoutMs),
+        ]);
     }
 
     private get isReady(): boolean {
--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -57,4 +57,6 @@
     initialIdleTimeoutMs: 15_000,
     rpcTimeoutMs: 600,
     logFlushDelayMs: 200,
+    // Within the margin before the platform kills the process.
+    lastFlushTimeoutMs: 100,
 } as const;
--- a/daemon/entry/src/json-logger.ts
+++ b/daemon/entry/src/json-logger.ts
@@ -1,5 +1,6 @@
-import { write } from "node:fs";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import { FileOutput } from "./file-output.js";
+import type { LogOutput } from "./log-output.js";
 
 // Limit of the lines buffered for a slow reader of stdout. Further lines are dropped and counted.
 const MAX_PENDING_BYTES = 256 * 1_024;
@@ -11,6 +12,7 @@
 /** Structured logger that writes JSON lines to stdout asynchronously, with a bounded buffer and rate. */
 export class JsonLogger {
     private readonly vmId: string | undefined;
+    private readonly output: LogOutput;
     private pendingLines: string[] = [];
     private pendingBytes = 0;
     private isWriting = false;
@@ -22,8 +24,11 @@
     constructor(opts: {
         /** Absent until the settings have been read. */
         readonly vmId: string | undefined;
+        /** Default: standard output as a file. */
+        readonly output?: LogOutput | undefined;
     }) {
         this.vmId = opts.vmId;
+        this.output = opts.output ?? new FileOutput({ fd: STDOUT_FD });
     }
 
     write(kind: string, fields: Readonly<Record<string, unknown>>): void {
@@ -63,8 +68,12 @@
         this.pendingLines = [];
         this.pendingBytes = 0;
         this.isWriting = true;
-        this.writeFully(Buffer.from(text), () => {
+        this.output.write(Buffer.from(text), isWritten => {
             this.isWriting = false;
+            if (!isWritten) {
+                // The reader of stdout is gone and there is no other place to report that.
+                this.droppedLines += 1;
+            }
             if (this.pendingLines.length > 0) {
                 this.flush(done);
             }
@@ -73,24 +82,4 @@
             }
         });
     }
-
-    private writeFully(bytes: Buffer, done: () => void): void {
-        write(STDOUT_FD, bytes, (error, written) => {
-            const failure = error ?? undefined;
-            if (failure !== undefined && failure.code !== "EAGAIN") {
-                // The reader of stdout is gone and there is no other place to report that.
-                this.droppedLines += 1;
-                done();
-                return;
-            }
-            const remaining = bytes.subarray(failure === undefined ? written : 0);
-            if (remaining.length === 0) {
-                done();
-                return;
-            }
-            setTimeout(() => {
-                this.writeFully(remaining, done);
-            }, ENTRY_TIMINGS.logFlushDelayMs);
-        });
-    }
 }
--- a/daemon/entry/src/run-entry-program.ts
+++ b/daemon/entry/src/run-entry-program.ts
@@ -6,6 +6,7 @@
 import { DEFAULT_SETTINGS } from "./default-settings.js";
 import { EntryDaemon } from "./entry-daemon.js";
 import { JsonLogger } from "./json-logger.js";
+import type { LogOutput } from "./log-output.js";
 import { readSettings } from "./read-settings.js";
 import { SettingsReloader } from "./settings-reloader.js";
 import { waitForSettings } from "./wait-for-settings.js";
@@ -17,6 +18,8 @@
 }
 
 interface RunEntryProgramOptions {
+    /** Standard output, for the log. */
+    readonly stdout: LogOutput;
     /** Called once the daemon handles signals itself. Returns how often SIGHUP came before. */
     readonly onSignalsHandled: () => { readonly earlyReloads: number; };
 }
@@ -40,14 +43,14 @@
     }
     const decode = (text: string): Result<DecodedEntrySettings, MarigoldstallError> =>
         decodeEntrySettings(text, { file, defaults: DEFAULT_SETTINGS });
-    const startLog = new JsonLogger({ vmId: undefined });
+    const startLog = new JsonLogger({ vmId: undefined, output: opts.stdout });
     const { settings, defaultedFields } = await waitForSettings({ file, decode, log: startLog });
-    const log = new JsonLogger({ vmId: settings.vmId });
+    const log = new JsonLogger({ vmId: settings.vmId, output: opts.stdout });
     if (defaultedFields.length > 0) {
         log.write("settings-defaulted", { file, fields: defaultedFields });
     }
     const metricsPort = flags.metricsPort === undefined ? undefined : Number(flags.metricsPort);
-    const daemon = new EntryDaemon({ settings, metricsPort });
+    const daemon = new EntryDaemon({ settings, metricsPort, output: opts.stdout });
     process.on("SIGTERM", () => {
         daemon.countSignal("SIGTERM");
         void daemon.stop().then(() => {
