--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -247,6 +247,9 @@
     private openMetricsPort(address: string): void {
         const opts = { ...this.portOptions, name: "metrics", address };
         openPort(() => this.metrics.listen(address), opts).catch((error: unknown) => {
+            if (opts.signal.aborted) {
+                return;
+            }
             this.log.write("metrics-unavailable", { address, problem: String(error) });
         });
     }
