--- a/soak/src/reload-vm.ts
+++ b/soak/src/reload-vm.ts
@@ -11,10 +11,10 @@
 }): Promise<void> => {
     const { random, isCut } = opts;
     const isFirstStart = random.uniform() < 0.5;
-    site.writeSettings(vmId, { isFirstStart, share: isCut ? random.uniform() : 1 });
+    site.settingsFiles.write(vmId, { isFirstStart, share: isCut ? random.uniform() : 1 });
     site.process(vmId)?.kill("SIGHUP");
     if (isCut) {
         await sleep(CUT_OFF_MS);
-        site.writeSettings(vmId, { isFirstStart });
+        site.settingsFiles.write(vmId, { isFirstStart });
     }
 };
--- a/soak/src/soak-site.ts
+++ b/soak/src/soak-site.ts
@@ -9,7 +9,7 @@
 } from "@marigoldstall-private/platform";
 import type { RandomSource } from "@marigoldstall-private/random";
 import { ManagedProcess } from "@marigoldstall-private/sites";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -19,6 +19,7 @@
 import type { SoakServerEntry } from "./soak-server-entry.js";
 import { StoreCopies } from "./store-copies.js";
 import type { VmFault } from "./vm-fault.js";
+import { VmSettingsFiles } from "./vm-settings-files.js";
 
 const PROGRAM = resolve("target/marigoldstall-entry.cjs");
 // Soaks that run at the same time, as separate processes, use different subnets of the loopback network.
@@ -68,6 +69,10 @@
     /** When servers ended under the request that ends each server that runs it. */
     readonly crashesMs: number[] = [];
     readonly directory = mkdtempSync(join(tmpdir(), "marigoldstall-soak-"));
+    readonly settingsFiles = new VmSettingsFiles({
+        directory: this.directory,
+        build: (vmId, { isFirstStart }) => this.buildSettings(vmId, isFirstStart),
+    });
     /** Time of the latest store fault or pause of a VM, during which a VM may not learn that a server drains. */
     lastStoreFaultAtMs = -Infinity;
     private readonly opts: SoakSiteOptions;
@@ -148,24 +153,18 @@
     }
 
     startVm(vmId: string): void {
-        this.writeSettings(vmId);
+        this.settingsFiles.write(vmId);
         this.vmStartedAtMs.set(vmId, performance.now());
         const started = new ManagedProcess({
             name: vmId,
             command: [process.execPath, "--max-old-space-size=160", PROGRAM],
             logFile: this.logFile(vmId),
-            environment: { [SETTINGS_VARIABLE]: this.settingsFile(vmId) },
+            environment: { [SETTINGS_VARIABLE]: this.settingsFiles.pathOf(vmId) },
         });
         this.processes.set(vmId, started);
         this.opts.onVmStarted?.(vmId, started);
     }
 
-    /** Writes a VM's settings in place, or only a share of the text from its start. */
-    writeSettings(vmId: string, opts: { readonly isFirstStart?: boolean; readonly share?: number; } = {}): void {
-        const text = JSON.stringify(this.settings(vmId, opts.isFirstStart ?? false));
-        writeFileSync(this.settingsFile(vmId), text.slice(0, Math.floor(text.length * (opts.share ?? 1))));
-    }
-
     logFile(vmId: string): string {
         return join(this.directory, `${vmId}.log`);
     }
@@ -378,16 +377,12 @@
         });
     }
 
-    private settingsFile(vmId: string): string {
-        return join(this.directory, `${vmId}.json`);
-    }
-
     private zoneAt(index: number): string {
         const { zones = DEFAULT_ZONES } = this.opts;
         return zones[index % zones.length] ?? "";
     }
 
-    private settings(vmId: string, isFirstStart: boolean): unknown {
+    private buildSettings(vmId: string, isFirstStart: boolean): unknown {
         return buildVmSettings({
             vmId,
             availabilityZone: this.zoneAt(Number(vmId.slice(3))),
