--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -276,16 +276,25 @@
         await expectPromptExit(waiting);
     }).timeout(TEST_TIMEOUT_MS);
 
-    // Each try added listeners to the same server, and no try at such an address could succeed.
-    it("takes a listen address without a host for settings that are not complete yet", async () => {
-        const incomplete = settings.replace(`"${host}:${PORTS.ready}"`, `"${PORTS.ready}"`);
-        writeFileSync(join(directory, "settings.json"), incomplete);
-        start();
-        await waitForLog("\"kind\":\"settings-unavailable\"");
-        writeFileSync(join(directory, "settings.json"), settings);
-        await waitUntilReady();
-        expect(readLog()).not.to.contain("MaxListenersExceededWarning");
-    }).timeout(TEST_TIMEOUT_MS);
+    // Each try added listeners to the same server, and no try at such an address could succeed. Settings with an empty
+    // platform address or IP address were taken as complete, and the file was not read again.
+    for (
+        const [description, toIncomplete] of [
+            ["a listen address without a host", () => settings.replace(`"${host}:${PORTS.ready}"`, `"${PORTS.ready}"`)],
+            ["an empty platform address", () => settings.replace(/("platform":\{"address":")[^"]+/, "$1")],
+            ["an empty IP address", () => settings.replace(`"ip":"${host}"`, "\"ip\":\"\"")],
+        ] as const
+    ) {
+        it(`takes ${description} for settings that are not complete yet`, async () => {
+            expect(toIncomplete()).not.to.equal(settings);
+            writeFileSync(join(directory, "settings.json"), toIncomplete());
+            start();
+            await waitForLog("\"kind\":\"settings-unavailable\"");
+            writeFileSync(join(directory, "settings.json"), settings);
+            await waitUntilReady();
+            expect(readLog()).not.to.contain("MaxListenersExceededWarning");
+        }).timeout(TEST_TIMEOUT_MS);
+    }
 
     it("ends at once with status 2 when the variable that names the settings file is not set", async () => {
         const startedAtMs = performance.now();
