fix(cli): go on when nobody reads the output of marigoldstalld

Seen: with the reader of standard error gone, SIGHUP ended the daemon with status 1. Cause: the line about the signal is written to standard error; the write raised EPIPE, and no handler took the error. Change: errors of standard output and standard error are handled first and ignored. Result: the new test of marigoldstalld.test.ts failed before (the process had ended, exit code 1) and passes after.

--- a/daemon/cli/src/run-daemon.ts
+++ b/daemon/cli/src/run-daemon.ts
@@ -13,6 +13,10 @@
 
 /** Starts the daemon, which runs until SIGTERM or SIGINT. Errors at startup end the process with exit code 2. */
 export const runDaemon = async (flags: DaemonFlags): Promise<void> => {
+    // The daemon outlives the readers of its output. A write without a reader raises EPIPE.
+    for (const stream of [process.stdout, process.stderr]) {
+        stream.on("error", () => undefined);
+    }
     process.on("SIGHUP", () => {
         process.stderr.write("marigoldstalld: SIGHUP received, settings take effect at the next start\n");
     });
--- a/daemon/cli/test/marigoldstalld.test.ts
+++ b/daemon/cli/test/marigoldstalld.test.ts
@@ -198,6 +198,28 @@
         expect(await exited).to.equal(0);
     });
 
+    // The write of a line that nobody reads raised EPIPE as an uncaught error, which ended the daemon with status 1.
+    it("goes on when it receives SIGHUP after the reader of its output has ended", async () => {
+        const ports = await writeSettings();
+        const { child, exited, output } = spawnDaemon("--settings", file);
+        while (!output().includes("started")) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        let isRunning = true;
+        void exited.then(() => {
+            isRunning = false;
+        });
+        child.stdout?.destroy();
+        child.stderr?.destroy();
+        child.kill("SIGHUP");
+        // No line tells that the signal was handled.
+        await new Promise(resolve => setTimeout(resolve, 300));
+        expect(isRunning).to.equal(true);
+        expect((await fetch(`http://127.0.0.1:${ports[2]}/livez`)).status).to.equal(200);
+        child.kill("SIGTERM");
+        expect(await exited).to.equal(0);
+    });
+
     it("exits with 0 on SIGTERM, and a second SIGTERM has no effect", async () => {
         const ports = await writeSettings();
         const { child, exited, output } = spawnDaemon("--settings", file);
