fix(cli): exit with 0 when marigoldstalld is stopped during its start

Seen: SIGTERM or SIGINT while the daemon opens its ports ended it by the signal. Cause: both had their default action until daemon.start() was over. Change: the handlers are installed before the start and exit with 0 until it is over. No caller is served before that. Result: the 2 new tests of marigoldstalld.test.ts ended with the signal before and pass after (12 of 12 in the file).

--- a/daemon/cli/src/run-daemon.ts
+++ b/daemon/cli/src/run-daemon.ts
@@ -20,6 +20,16 @@
     process.on("SIGHUP", () => {
         process.stderr.write("marigoldstalld: SIGHUP received, settings take effect at the next start\n");
     });
+    // No caller is served before the start has ended.
+    let stopDaemon = (): Promise<void> => Promise.resolve();
+    const stop = (signal: NodeJS.Signals): void => {
+        process.stderr.write(`marigoldstalld: ${signal} received\n`);
+        void stopDaemon().then(() => {
+            process.exit(0);
+        });
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
     let text: string;
     try {
         text = readFileSync(flags.settings, "utf8");
@@ -59,13 +69,6 @@
         // Ports that are already open would keep the process alive.
         process.exit(EXIT_USAGE);
     }
-    const stop = (signal: NodeJS.Signals): void => {
-        process.stderr.write(`marigoldstalld: ${signal} received\n`);
-        void daemon.stop().then(() => {
-            process.exit(0);
-        });
-    };
-    process.on("SIGTERM", stop);
-    process.on("SIGINT", stop);
+    stopDaemon = () => daemon.stop();
     process.stderr.write(`marigoldstalld: started, control port ${daemon.addresses.control}\n`);
 };
--- a/daemon/cli/test/marigoldstalld.test.ts
+++ b/daemon/cli/test/marigoldstalld.test.ts
@@ -13,6 +13,18 @@
 
 const MAIN = fileURLToPath(new URL("../lib/main.js", import.meta.url));
 
+// Loaded before the daemon: no port is ever opened, and the first try writes a line.
+const NEVER_LISTENING = `data:text/javascript,${
+    encodeURIComponent(`
+        import { Server } from "node:net";
+        setInterval(() => undefined, 1000);
+        Server.prototype.listen = function () {
+            process.stdout.write("opening a port\\n");
+            return this;
+        };
+    `)
+}`;
+
 const TARGETS = {
     site: "test",
     measuring: { probesPerSecond: 5 },
@@ -220,6 +232,20 @@
         expect(await exited).to.equal(0);
     });
 
+    // The signals had their default action until the ports were open, so that a stop during the start was a failure.
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+        it(`exits with 0 on ${signal} while it opens its ports`, async () => {
+            await writeSettings();
+            const child = spawn(process.execPath, ["--import", NEVER_LISTENING, MAIN, "--settings", file], {
+                stdio: ["ignore", "pipe", "ignore"],
+            });
+            const exited = once(child, "exit").then(([code]) => code as number);
+            await once(child.stdout, "data");
+            child.kill(signal);
+            expect(await exited).to.equal(0);
+        });
+    }
+
     it("exits with 0 on SIGTERM, and a second SIGTERM has no effect", async () => {
         const ports = await writeSettings();
         const { child, exited, output } = spawnDaemon("--settings", file);
