test(entry): wait for log lines instead of fixed times at the start

Seen by a review: both tests "waits for the rest of settings" pass without the wait when the start takes over 700 ms, as the file is complete before it is read first. "ends at once with status 2" allowed 1,500 ms including the start of Node.js. Cause: the times ran from the start of the process. Change: the first two wait for the line settings-unavailable, which proves that the incomplete file was read. The third measures from the line "loading" with the same limit. A new test sends SIGHUP while the settings are empty, completes them 700 ms later, during the first, quick attempts, and expects the signal in marigoldstall_signals_total.

--- a/daemon/entry/test/process-start.test.ts
+++ b/daemon/entry/test/process-start.test.ts
@@ -246,12 +246,25 @@
         it(`waits for the rest of settings that are ${description} at the start`, async () => {
             writeFileSync(join(directory, "settings.json"), text);
             start();
-            await sleep(HOLD_MS);
+            await waitForLog("\"kind\":\"settings-unavailable\"");
             writeFileSync(join(directory, "settings.json"), settings);
             await waitUntilReady();
         }).timeout(TEST_TIMEOUT_MS);
     }
 
+    // Guards against a SIGHUP that is lost from the metrics because it came before the daemon handled signals.
+    it("counts a SIGHUP that comes while its settings are not complete", async () => {
+        writeFileSync(join(directory, "settings.json"), "");
+        const loading = start();
+        await waitForLog("\"kind\":\"loading\"");
+        loading.kill("SIGHUP");
+        await sleep(HOLD_MS);
+        writeFileSync(join(directory, "settings.json"), settings);
+        await waitUntilReady();
+        const metrics = await fetch(`http://${host}:${PORTS.metrics}/metrics`).then(response => response.text());
+        expect(metrics).to.contain("marigoldstall_signals_total{signal=\"SIGHUP\"} 1\n");
+    }).timeout(TEST_TIMEOUT_MS);
+
     // A process that ended with status 2 was started again by the platform and ended again.
     it("goes on reading settings that stay unreadable, and names the file in its log", async () => {
         rmSync(join(directory, "settings.json"));
@@ -297,9 +310,11 @@
     }
 
     it("ends at once with status 2 when the variable that names the settings file is not set", async () => {
-        const startedAtMs = performance.now();
-        expect(await start(PROGRAM, { [SETTINGS_VARIABLE]: "" }).exited).to.equal(2);
-        expect(performance.now() - startedAtMs).to.be.lessThan(PROMPT_EXIT_MS);
+        const ending = start(PROGRAM, { [SETTINGS_VARIABLE]: "" });
+        await waitForLog("\"kind\":\"loading\"");
+        const loadingAtMs = performance.now();
+        expect(await ending.exited).to.equal(2);
+        expect(performance.now() - loadingAtMs).to.be.lessThan(PROMPT_EXIT_MS);
         expect(readLog()).to.contain(SETTINGS_VARIABLE);
     }).timeout(TEST_TIMEOUT_MS);
 
