review: show that a large configuration is not in force in time

Its text exceeds the size of an RPC answer, so members fetch it from their hub again and again in vain, and read the store only seconds later.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/case.mjs"
