--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -24,7 +24,7 @@
 const GRACE_MS = 6_000;
 const REQUEST = { host: HOST, deadlineMs: DEADLINE_MS };
 
-const record = openRecord(import.meta.dirname);
+const record = openRecord(import.meta.url);
 const store = new Store();
 const backends = [];
 const fleet = new Fleet({ store, record });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -23,7 +23,7 @@
 // The rule is broken if it happens more often than this.
 const ALLOWED = 3;
 
-const record = openRecord(import.meta.dirname);
+const record = openRecord(import.meta.url);
 const store = new Store();
 const backends = [];
 const fleet = new Fleet({ store, record });
--- a/review/stand-ins-2/common.mjs
+++ b/review/stand-ins-2/common.mjs
@@ -3,17 +3,18 @@
 import { appendFileSync, writeFileSync } from "node:fs";
 import net from "node:net";
 import path from "node:path";
+import { fileURLToPath } from "node:url";
 
-export const REPOSITORY = path.resolve(import.meta.dirname, "../..");
+export const REPOSITORY = fileURLToPath(new URL("../..", import.meta.url));
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 export const newId = () => randomBytes(8).toString("hex");
 const startedAtMs = performance.now();
 export const nowMs = () => performance.now() - startedAtMs;
 
-/** Writes the lines of `record.txt`. */
-export const openRecord = folder => {
-    const file = path.join(folder, "record.txt");
+/** Writes the lines of `record.txt`, which stands beside the module. */
+export const openRecord = moduleUrl => {
+    const file = path.join(path.dirname(fileURLToPath(moduleUrl)), "record.txt");
     writeFileSync(file, "");
     return text => appendFileSync(file, `${(nowMs() / 1_000).toFixed(3).padStart(8)} ${text}\n`);
 };
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -93,7 +93,7 @@
             this.launch(vm);
             return vm;
         });
-        const untilMs = nowMs() + 15_000;
+        const untilMs = nowMs() + 30_000;
         for (const vm of this.vms) {
             while (!await this.isReady(vm)) {
                 if (nowMs() > untilMs) {
