--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -19,6 +19,10 @@
         this.folder = mkdtempSync(path.join(tmpdir(), "marigoldstall-review-"));
         this.vms = [];
         this.memoryMb = opts.memoryMb ?? 350;
+        // A case that is ended early leaves no process behind.
+        process.once("exit", () => this.stop());
+        process.once("SIGTERM", () => process.exit(2));
+        process.once("SIGINT", () => process.exit(2));
     }
 
     async start(zones) {
@@ -157,7 +161,7 @@
     stop() {
         for (const vm of this.vms) {
             if (vm.exit === undefined) {
-                vm.child.kill("SIGKILL");
+                vm.child?.kill("SIGKILL");
             }
         }
         if (process.env.KEEP !== "1") {
