fix(entry): decide when a response is written whether it is the last one

Cause: whether a connection closes after a response was decided when the response was handed to Node.js, which queues it behind the responses before it. A response that was ready before SIGTERM, and left after it, kept the connection open. The request that had been ignored in between, because the connection was to close, left an unfinished response in the queue of Node.js that blocked all later ones, and a request behind it was accepted again.

Ruled out: the end of the grace period (the answer was ready seconds earlier), the linger of a closing connection (it had not begun to close).

Change: a reducer for the requests of one connection (requests/pipeline) decides which are accepted, in which order responses are written and which is the last. The listener writes a response when its turn comes and the one before has left, so Node.js never queues one of them. A request is ignored only while a later response can still announce the end of the connection, and all requests behind an ignored one are ignored too. An effect of the reducer that throws ends in a 502; the steps of the faults that are reported are named by their effect now, hence "write-response" in two tests.

--- a/daemon/entry/src/caller-connection.ts
+++ b/daemon/entry/src/caller-connection.ts
@@ -1,21 +1,29 @@
+import {
+    createPipelineState,
+    type PipelineEffect,
+    type PipelineEvent,
+    type PipelineState,
+    reducePipeline,
+} from "@marigoldstall/requests.pipeline";
 import type { Socket } from "node:net";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 
 interface CallerConnectionOptions {
     readonly socket: Socket;
     readonly nowMs: () => number;
+    readonly isStopping: () => boolean;
+    readonly execute: (effect: PipelineEffect) => void;
 }
 
-/** A caller's connection: its requests in progress in the order of their arrival, and the way in which it closes. */
+/** A caller's connection: drives the reducer for its requests, and closes without losing bytes that were sent. */
 export class CallerConnection {
     private readonly opts: CallerConnectionOptions;
     private readonly openedAtMs: number;
-    /** Keys of the requests whose headers have been read and whose response has not been written completely. */
-    private readonly unfinishedKeys = new Set<string>();
-    private newestKey: string | undefined;
+    private state: PipelineState = createPipelineState();
+    private readonly events: PipelineEvent[] = [];
+    private isReducing = false;
     /** Bytes read at the end of the latest request. More bytes belong to a request that is still being received. */
     private bytesReadAtRequestEnd = 0;
-    private isClosingAfterResponse = false;
     private lingerTimer: NodeJS.Timeout | undefined;
 
     constructor(opts: CallerConnectionOptions) {
@@ -26,47 +34,46 @@
         opts.socket.destroySoon = () => {
             this.close();
         };
+        // Node.js emits no close event for responses that are queued behind another one.
         opts.socket.once("close", () => {
             clearTimeout(this.lingerTimer);
+            this.dispatch({ type: "connection-closed" });
         });
     }
 
-    /** Whether no further request of the connection is forwarded. */
-    get isClosing(): boolean {
-        return this.isClosingAfterResponse || this.lingerTimer !== undefined;
-    }
-
-    get unfinishedRequestKeys(): ReadonlySet<string> {
-        return this.unfinishedKeys;
-    }
-
     /** Whether no request is in progress, partly received or, on a new connection, about to arrive. */
     get isIdle(): boolean {
         const { socket, nowMs } = this.opts;
-        return this.unfinishedKeys.size === 0 && socket.bytesRead === this.bytesReadAtRequestEnd
+        return this.state.requests.length === 0 && socket.bytesRead === this.bytesReadAtRequestEnd
             && (socket.bytesRead > 0 || nowMs() - this.openedAtMs >= ENTRY_TIMINGS.firstRequestTimeoutMs);
     }
 
-    addRequest(requestKey: string): void {
-        this.unfinishedKeys.add(requestKey);
-        this.newestKey = requestKey;
+    /** Applies an event and executes the effects. Events that effects cause are applied after them. */
+    dispatch(event: PipelineEvent): void {
+        this.events.push(event);
+        if (this.isReducing) {
+            return;
+        }
+        this.isReducing = true;
+        for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
+            const { state, effects } = reducePipeline(this.state, next, { isStopping: this.opts.isStopping() });
+            this.state = state;
+            for (const effect of effects) {
+                this.opts.execute(effect);
+            }
+        }
+        this.isReducing = false;
     }
 
     onRequestRead(): void {
         this.bytesReadAtRequestEnd = this.opts.socket.bytesRead;
     }
 
-    /** Returns false if the request was finished before. */
-    finishRequest(requestKey: string): boolean {
-        return this.unfinishedKeys.delete(requestKey);
-    }
-
-    isNewest(requestKey: string): boolean {
-        return this.newestKey === requestKey;
-    }
-
-    closeAfterResponse(): void {
-        this.isClosingAfterResponse = true;
+    /** Whether requests behind a given one have been passed on. */
+    hasFollowers(requestKey: string): boolean {
+        const { requests } = this.state;
+        const index = requests.findIndex(request => request.requestKey === requestKey);
+        return requests.slice(index + 1).some(({ phase }) => phase !== "receiving");
     }
 
     /** Ends the responses, and reads and ignores what still arrives until the caller closes its side too. */
@@ -78,6 +85,7 @@
             }, ENTRY_TIMINGS.lingerTimeoutMs);
             socket.end();
             socket.resume();
+            this.dispatch({ type: "connection-closing" });
         }
     }
 }
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -3,10 +3,13 @@
 import { endToEndHeaders } from "@marigoldstall/daemon.connections";
 import { listenOn } from "@marigoldstall/fleet.rpc";
 import { decodeCallerRequestHead, encodeRejectionHeaders, INTERNAL_HEADERS } from "@marigoldstall/platform.adapter";
+import type { PipelineEffect } from "@marigoldstall/requests.pipeline";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { BufferedResponse } from "./buffered-response.js";
 import { CallerConnection } from "./caller-connection.js";
+import type { CallerExchange } from "./caller-exchange.js";
+import type { CallerReply } from "./caller-reply.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import { isForwardable } from "./is-forwardable.js";
 import type { OpenRequest } from "./open-request.js";
@@ -27,14 +30,33 @@
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 
+// Answers a request whose response cannot be sent. The status promises nothing, as the request may have run.
+const BAD_GATEWAY_REPLY: CallerReply = {
+    statusCode: STATUS_BAD_GATEWAY,
+    headers: ["Content-Length", "0"],
+    body: undefined,
+    isFramed: true,
+};
+
 const countHeaderBytes = (message: IncomingMessage): number =>
     message.rawHeaders.reduce((bytes, text) => bytes + text.length, message.url?.length ?? 0);
 
-interface Reply {
-    readonly statusCode: number;
-    readonly headers: string[];
-    readonly body: Buffer | undefined;
-}
+const createRejection = (
+    message: IncomingMessage,
+    opts: { readonly statusCode: number; readonly retryAfterMs: number | undefined; },
+): CallerReply => {
+    const { requestId } = decodeCallerRequestHead(message.headers);
+    const headers = encodeRejectionHeaders({ requestId, retryAfterMs: opts.retryAfterMs });
+    return { statusCode: opts.statusCode, headers, body: undefined, isFramed: true };
+};
+
+const writeReply = (response: ServerResponse, reply: CallerReply): void => {
+    if (!reply.isFramed) {
+        response.useChunkedEncodingByDefault = false;
+    }
+    response.writeHead(reply.statusCode, [...reply.headers]);
+    response.end(reply.body);
+};
 
 interface CallerListenerOptions {
     readonly isStopping: () => boolean;
@@ -50,13 +72,10 @@
     private readonly opts: CallerListenerOptions;
     private readonly server: Server;
     private readonly bodyBudget = new BodyBudget({ maxBytes: MAX_BODIES_BYTES });
-    private readonly openRequests = new Map<string, OpenRequest>();
-    /** Bodies of the unfinished requests. */
-    private readonly bodies = new Map<string, BodyCollector>();
+    private readonly exchanges = new Map<string, CallerExchange>();
     private readonly connections = new Map<Socket, CallerConnection>();
     private maxHeaderBytes = MAX_HEADER_BYTES;
     private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
-    private unfinishedRequests = 0;
     private nextRequestKey = 1;
     private acceptedConnections = 0;
 
@@ -84,7 +103,7 @@
 
     /** Number of requests whose headers have been read and whose response has not been sent completely. */
     get unfinishedCount(): number {
-        return this.unfinishedRequests;
+        return this.exchanges.size;
     }
 
     async listen(address: string): Promise<void> {
@@ -99,7 +118,7 @@
     }
 
     find(requestKey: string): OpenRequest | undefined {
-        return this.openRequests.get(requestKey);
+        return this.exchanges.get(requestKey)?.request;
     }
 
     /** Stops accepting new connections. Those that wait to be accepted are accepted first, as closing resets them. */
@@ -121,7 +140,7 @@
      * further request is forwarded, so the process can exit without cutting one off.
      */
     closeIfIdle(): boolean {
-        const isIdle = this.unfinishedRequests === 0;
+        const isIdle = this.exchanges.size === 0;
         for (const connection of this.connections.values()) {
             if (isIdle || connection.isIdle) {
                 connection.close();
@@ -131,22 +150,17 @@
     }
 
     relay(requestKey: string, backendResponse: BufferedResponse): void {
-        this.answer(requestKey, request => {
-            const headers = endToEndHeaders(backendResponse.rawHeaders, {
-                connection: backendResponse.connectionHeader,
-                excluded: INTERNAL_HEADERS,
-            });
-            if (backendResponse.isFramed) {
-                headers.push("Content-Length", String(backendResponse.body.length));
-            }
-            else {
-                // Only the backend server knows whether its response was truncated. An added Content-Length would make a
-                // truncated response look complete, so the end of the connection delimits the body here as well.
-                request.response.useChunkedEncodingByDefault = false;
-                request.response.shouldKeepAlive = false;
-                this.connection(request.message.socket).closeAfterResponse();
-            }
-            return { statusCode: backendResponse.statusCode, headers, body: backendResponse.body };
+        this.answer(requestKey, () => {
+            const { statusCode, rawHeaders, connectionHeader, body, isFramed } = backendResponse;
+            const headers = endToEndHeaders(rawHeaders, { connection: connectionHeader, excluded: INTERNAL_HEADERS });
+            // Only the backend server knows whether a response without a length was truncated. An added Content-Length
+            // would make a truncated one look complete, so the end of the connection delimits the body here as well.
+            return {
+                statusCode,
+                headers: isFramed ? [...headers, "Content-Length", String(body.length)] : headers,
+                body,
+                isFramed,
+            };
         });
     }
 
@@ -154,152 +168,197 @@
         requestKey: string,
         opts: { readonly statusCode: number; readonly retryAfterMs: number | undefined; },
     ): void {
-        this.answer(requestKey, ({ requestId }) => ({
-            statusCode: opts.statusCode,
-            headers: encodeRejectionHeaders({ requestId, retryAfterMs: opts.retryAfterMs }),
-            body: undefined,
-        }));
+        this.answer(requestKey, ({ message }) => createRejection(message, opts));
     }
 
     // The request is known to nobody else from here on, so every way out of this function ends it.
-    private answer(requestKey: string, createReply: (request: OpenRequest) => Reply): void {
-        const request = this.removeOpenRequest(requestKey);
-        if (request === undefined) {
+    private answer(
+        requestKey: string,
+        createReply: (exchange: CallerExchange) => CallerReply,
+        opts: { readonly isLastResponse?: boolean; } = {},
+    ): void {
+        const exchange = this.exchanges.get(requestKey);
+        if (exchange === undefined || exchange.reply !== undefined) {
             return;
         }
+        let reply = BAD_GATEWAY_REPLY;
         try {
-            this.sendResponse(request, createReply(request));
+            reply = createReply(exchange);
         }
         catch (error) {
             this.opts.onFault("answer-request", error);
-            this.sendBadGateway(request);
-        }
-    }
-
-    /** Answers a request whose response cannot be sent. The status promises nothing, as the request may have run. */
-    private sendBadGateway({ response }: OpenRequest): void {
-        try {
-            response.writeHead(STATUS_BAD_GATEWAY, { "Content-Length": 0 });
-            response.end();
-        }
-        catch (error) {
-            this.opts.onFault("answer-request", error);
-            response.destroy();
         }
+        this.exchanges.set(requestKey, { ...exchange, reply });
+        const isLastResponse = opts.isLastResponse === true || !reply.isFramed;
+        exchange.connection.dispatch({ type: "response-ready", requestKey, isLastResponse });
     }
 
     private handleRequest(message: IncomingMessage, response: ServerResponse): void {
-        const receivedAtMs = this.opts.nowMs();
-        const { socket } = message;
-        const connection = this.connection(socket);
-        const hasUnfinishedRequest = connection.unfinishedRequestKeys.size > 0;
-        if (connection.isClosing || (this.opts.isStopping() && hasUnfinishedRequest)) {
-            // The connection closes after the response to an earlier request, and the caller resends this one.
-            message.resume();
-            return;
-        }
+        const connection = this.connection(message.socket);
         const requestKey = String(this.nextRequestKey);
         this.nextRequestKey += 1;
-        connection.addRequest(requestKey);
-        this.unfinishedRequests += 1;
         response.sendDate = false;
         response.on("error", () => undefined);
-        response.on("close", () => {
-            this.finishRequest(connection, requestKey);
+        response.on("finish", () => {
+            this.removeExchange(requestKey);
+            connection.dispatch({ type: "response-written", requestKey });
         });
         message.on("error", () => undefined);
-        const rejectWithStatus = (statusCode: number, opts: { readonly retryAfterMs?: number; } = {}): void => {
+        // Until the response is ready, the request has no other way out than its connection.
+        const reject = (statusCode: number, opts: { readonly retryAfterMs?: number; } = {}): void => {
             message.resume();
-            response.shouldKeepAlive = false;
-            connection.closeAfterResponse();
-            const { requestId } = decodeCallerRequestHead(message.headers);
-            response.writeHead(statusCode, encodeRejectionHeaders({ requestId, retryAfterMs: opts.retryAfterMs }));
-            response.end();
+            const reply = createRejection(message, { statusCode, retryAfterMs: opts.retryAfterMs });
+            this.answer(requestKey, () => reply, { isLastResponse: true });
         };
-        if (countHeaderBytes(message) > this.maxHeaderBytes) {
-            rejectWithStatus(STATUS_HEADERS_TOO_LARGE);
-            return;
-        }
-        if (!isForwardable(message)) {
-            rejectWithStatus(STATUS_BAD_REQUEST);
-            return;
-        }
         const collector = new BodyCollector({
             maxBytes: this.maxBodyBytes,
             budget: this.bodyBudget,
             onExceeded: limit => {
                 if (limit === "body-size") {
-                    rejectWithStatus(STATUS_BODY_TOO_LARGE);
+                    reject(STATUS_BODY_TOO_LARGE);
                 }
                 else {
-                    rejectWithStatus(STATUS_UNAVAILABLE, { retryAfterMs: BODIES_TOO_LARGE_RETRY_AFTER_MS });
+                    reject(STATUS_UNAVAILABLE, { retryAfterMs: BODIES_TOO_LARGE_RETRY_AFTER_MS });
                 }
             },
         });
-        this.bodies.set(requestKey, collector);
+        this.exchanges.set(requestKey, {
+            requestKey,
+            connection,
+            message,
+            response,
+            receivedAtMs: this.opts.nowMs(),
+            collector,
+            request: undefined,
+            reply: undefined,
+        });
+        connection.dispatch({ type: "request-started", requestKey, isLastRequest: !response.shouldKeepAlive });
+        if (!this.exchanges.has(requestKey)) {
+            return;
+        }
+        if (countHeaderBytes(message) > this.maxHeaderBytes) {
+            reject(STATUS_HEADERS_TOO_LARGE);
+            return;
+        }
+        if (!isForwardable(message)) {
+            reject(STATUS_BAD_REQUEST);
+            return;
+        }
         collectBody(message, collector);
         message.on("end", () => {
             connection.onRequestRead();
-            if (response.headersSent || response.destroyed) {
-                return;
-            }
-            const { requestId, deadlineMs } = decodeCallerRequestHead(message.headers);
-            const hasBody = collector.byteCount > 0 || message.headers["content-length"] !== undefined;
-            const body = hasBody ? collector.complete() : undefined;
-            const hasFollowers = (): boolean => !connection.isNewest(requestKey);
-            const request = { requestKey, requestId, message, response, body, hasFollowers };
-            this.openRequests.set(requestKey, request);
-            this.opts.onRequest(request, receivedAtMs, deadlineMs);
+            this.completeRequest(requestKey);
         });
     }
 
+    private completeRequest(requestKey: string): void {
+        const exchange = this.exchanges.get(requestKey);
+        if (exchange === undefined || exchange.reply !== undefined) {
+            return;
+        }
+        const { connection, message, collector } = exchange;
+        const hasBody = collector.byteCount > 0 || message.headers["content-length"] !== undefined;
+        const request: OpenRequest = {
+            requestKey,
+            requestId: decodeCallerRequestHead(message.headers).requestId,
+            message,
+            body: hasBody ? collector.complete() : undefined,
+            hasFollowers: () => connection.hasFollowers(requestKey),
+        };
+        this.exchanges.set(requestKey, { ...exchange, request });
+        connection.dispatch({ type: "request-read", requestKey });
+    }
+
     private connection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (connection === undefined) {
-            const opened = new CallerConnection({ socket, nowMs: this.opts.nowMs });
-            this.connections.set(socket, opened);
-            // Node.js emits no close event for responses that are queued behind another one.
+            connection = new CallerConnection({
+                socket,
+                nowMs: this.opts.nowMs,
+                isStopping: this.opts.isStopping,
+                execute: effect => {
+                    this.run(effect);
+                },
+            });
+            this.connections.set(socket, connection);
             socket.once("close", () => {
                 this.connections.delete(socket);
-                for (const requestKey of [...opened.unfinishedRequestKeys]) {
-                    this.finishRequest(opened, requestKey);
-                }
             });
-            connection = opened;
         }
         return connection;
     }
 
-    private finishRequest(connection: CallerConnection, requestKey: string): void {
-        if (!connection.finishRequest(requestKey)) {
+    /** Executes an effect. One that fails still ends in a response, as the requests behind it wait for it. */
+    private run(effect: PipelineEffect): void {
+        const exchange = this.exchanges.get(effect.requestKey);
+        if (exchange === undefined) {
             return;
         }
-        this.unfinishedRequests -= 1;
-        this.bodies.get(requestKey)?.release();
-        this.bodies.delete(requestKey);
-        if (this.removeOpenRequest(requestKey) !== undefined) {
-            this.opts.onCallerLeft(requestKey);
+        try {
+            this.execute(effect, exchange);
+        }
+        catch (error) {
+            this.opts.onFault(effect.type, error);
+            if (effect.type === "write-response") {
+                this.writeBadGateway(exchange.response);
+            }
+            else {
+                this.answer(effect.requestKey, () => BAD_GATEWAY_REPLY);
+            }
+        }
+    }
+
+    private execute(effect: PipelineEffect, exchange: CallerExchange): void {
+        const { requestKey } = effect;
+        switch (effect.type) {
+            case "forward-request":
+                this.forward(exchange);
+                return;
+            case "write-response":
+                this.writeResponse(exchange, { isLastResponse: effect.isLastResponse });
+                return;
+            case "ignore-request":
+                exchange.message.resume();
+                this.removeExchange(requestKey);
+                return;
+            case "abandon-request":
+                this.removeExchange(requestKey);
+                if (exchange.request !== undefined && exchange.reply === undefined) {
+                    this.opts.onCallerLeft(requestKey);
+                }
+                return;
         }
     }
 
-    private removeOpenRequest(requestKey: string): OpenRequest | undefined {
-        const request = this.openRequests.get(requestKey);
-        this.openRequests.delete(requestKey);
-        return request;
+    private forward({ request, message, receivedAtMs }: CallerExchange): void {
+        if (request !== undefined) {
+            this.opts.onRequest(request, receivedAtMs, decodeCallerRequestHead(message.headers).deadlineMs);
+        }
     }
 
-    private sendResponse(request: OpenRequest, reply: Reply): void {
-        const { response, message } = request;
+    private writeResponse(exchange: CallerExchange, opts: { readonly isLastResponse: boolean; }): void {
+        const { response, message, reply = BAD_GATEWAY_REPLY } = exchange;
         if (response.destroyed || message.socket.destroyed) {
             return;
         }
-        const connection = this.connection(message.socket);
-        // A connection with pipelined requests stays open until all of them have been answered.
-        if (this.opts.isStopping() && connection.isNewest(request.requestKey)) {
+        if (opts.isLastResponse) {
             response.shouldKeepAlive = false;
-            connection.closeAfterResponse();
         }
-        response.writeHead(reply.statusCode, reply.headers);
-        response.end(reply.body);
+        writeReply(response, reply);
+    }
+
+    private writeBadGateway(response: ServerResponse): void {
+        try {
+            writeReply(response, BAD_GATEWAY_REPLY);
+        }
+        catch (error) {
+            this.opts.onFault("answer-request", error);
+            response.destroy();
+        }
+    }
+
+    private removeExchange(requestKey: string): void {
+        this.exchanges.get(requestKey)?.collector.release();
+        this.exchanges.delete(requestKey);
     }
 }
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -113,7 +113,7 @@
         });
         await waitUntil(() => received.endsWith("second"));
         expect(received).to.match(/^HTTP\/1.1 502 [^]*HTTP\/1.1 200 /);
-        expect(faults).to.deep.equal(["answer-request"]);
+        expect(faults).to.deep.equal(["write-response"]);
     });
 
     // Node.js reads a response with such a header and refuses to write it. The request had left the table of the open
--- a/daemon/entry/test/effect-failures.test.ts
+++ b/daemon/entry/test/effect-failures.test.ts
@@ -12,9 +12,9 @@
 // Parts of the daemon that effects call, and the path of the requests that lead there.
 const STEPS: readonly (readonly [part: string, method: string, path?: string])[] = [
     ["callerListener", "relay"],
-    ["callerListener", "sendResponse"],
+    ["callerListener", "writeResponse"],
     ["callerListener", "reject", UNKNOWN_PATH],
-    ["callerListener", "sendResponse", UNKNOWN_PATH],
+    ["callerListener", "writeResponse", UNKNOWN_PATH],
     ["serverAttempts", "start"],
     ["serverAttempts", "takeResponse"],
     ["pools", "get"],
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -1,7 +1,7 @@
 import { BodyBudget } from "@marigoldstall/core.http-body";
 import { BackendPool, createClock } from "@marigoldstall/daemon.connections";
 import { expect } from "chai";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { createServer, type Server, type Socket } from "node:net";
 import { ServerAttempt } from "../src/server-attempt.js";
 import { measureHeapGrowth } from "./support/measure-heap-growth.js";
@@ -73,7 +73,6 @@
                     requestKey: "1",
                     requestId: "abc",
                     message,
-                    response: {} as ServerResponse,
                     body: undefined,
                     hasFollowers: () => false,
                 },
--- /dev/null
+++ b/requests/pipeline/src/pipeline-event.ts
@@ -0,0 +1,22 @@
+/** Event on a caller's connection. */
+export type PipelineEvent =
+    /** The headers of a request were read. */
+    | {
+        readonly type: "request-started";
+        readonly requestKey: string;
+        /** Whether the caller asks to close the connection after the response. */
+        readonly isLastRequest: boolean;
+    }
+    /** A request was read completely. */
+    | { readonly type: "request-read"; readonly requestKey: string; }
+    | {
+        readonly type: "response-ready";
+        readonly requestKey: string;
+        /** Whether the connection has to close after the response, as for one without a length. */
+        readonly isLastResponse: boolean;
+    }
+    /** A response was handed to the operating system completely. */
+    | { readonly type: "response-written"; readonly requestKey: string; }
+    /** The listener ends its side of the connection. */
+    | { readonly type: "connection-closing"; }
+    | { readonly type: "connection-closed"; };
--- /dev/null
+++ b/requests/pipeline/src/pipeline-state.ts
@@ -0,0 +1,9 @@
+import type { PipelinedRequest } from "./pipelined-request.js";
+
+/** State of a caller's connection. */
+export interface PipelineState {
+    /** In the order of their arrival, which is the order of their responses. */
+    readonly requests: readonly PipelinedRequest[];
+    /** Whether further requests are ignored. The connection closes after the response to the last accepted one. */
+    readonly isClosing: boolean;
+}
--- /dev/null
+++ b/requests/pipeline/src/reduce-pipeline.ts
@@ -0,0 +1,58 @@
+import { completeResponse } from "./complete-response.js";
+import type { PipelineEvent } from "./pipeline-event.js";
+import type { PipelineState } from "./pipeline-state.js";
+import type { PipelineTransition } from "./pipeline-transition.js";
+import { setRequest } from "./set-request.js";
+import { startRequest } from "./start-request.js";
+import { writeNextResponse } from "./write-next-response.js";
+
+interface ReducePipelineOptions {
+    /** Whether the process has received SIGTERM. */
+    readonly isStopping: boolean;
+}
+
+const readRequest = (state: PipelineState, requestKey: string): PipelineTransition => {
+    const request = state.requests.find(each => each.requestKey === requestKey);
+    if (request?.phase !== "receiving") {
+        return { state, effects: [] };
+    }
+    return {
+        state: setRequest(state, requestKey, { phase: "forwarded" }),
+        effects: [{ type: "forward-request", requestKey }],
+    };
+};
+
+const removeResponse = (
+    state: PipelineState,
+    requestKey: string,
+    opts: ReducePipelineOptions,
+): PipelineTransition =>
+    writeNextResponse({
+        ...state,
+        requests: state.requests.filter(request => request.requestKey !== requestKey),
+    }, opts);
+
+/** Applies an event on a caller's connection. */
+export const reducePipeline = (
+    state: PipelineState,
+    event: PipelineEvent,
+    opts: ReducePipelineOptions,
+): PipelineTransition => {
+    switch (event.type) {
+        case "request-started":
+            return startRequest(state, event, opts);
+        case "request-read":
+            return readRequest(state, event.requestKey);
+        case "response-ready":
+            return completeResponse(state, event, opts);
+        case "response-written":
+            return removeResponse(state, event.requestKey, opts);
+        case "connection-closing":
+            return { state: { ...state, isClosing: true }, effects: [] };
+        case "connection-closed":
+            return {
+                state: { ...state, requests: [], isClosing: true },
+                effects: state.requests.map(({ requestKey }) => ({ type: "abandon-request", requestKey })),
+            };
+    }
+};
--- /dev/null
+++ b/requests/pipeline/test/pipeline.test.ts
@@ -0,0 +1,125 @@
+import {
+    createPipelineState,
+    type PipelineEffect,
+    type PipelineEvent,
+    type PipelineState,
+    reducePipeline,
+} from "@marigoldstall/requests.pipeline";
+import { expect } from "chai";
+
+describe("requests.pipeline", () => {
+    let state: PipelineState;
+    let effects: readonly PipelineEffect[];
+    let isStopping: boolean;
+
+    const apply = (event: PipelineEvent): void => {
+        const transition = reducePipeline(state, event, { isStopping });
+        state = transition.state;
+        effects = [...effects, ...transition.effects];
+    };
+    const start = (requestKey: string, opts: { readonly isLastRequest?: boolean; } = {}): void => {
+        apply({ type: "request-started", requestKey, isLastRequest: opts.isLastRequest ?? false });
+    };
+    const forward = (requestKey: string): void => {
+        start(requestKey);
+        apply({ type: "request-read", requestKey });
+    };
+    const answer = (requestKey: string, opts: { readonly isLastResponse?: boolean; } = {}): void => {
+        apply({ type: "response-ready", requestKey, isLastResponse: opts.isLastResponse ?? false });
+    };
+    const finishWriting = (requestKey: string): void => {
+        apply({ type: "response-written", requestKey });
+    };
+    const keysOf = (type: PipelineEffect["type"]): readonly string[] =>
+        effects.filter(effect => effect.type === type).map(({ requestKey }) => requestKey);
+    const writes = (): readonly (readonly [string, boolean])[] =>
+        effects.flatMap(effect =>
+            effect.type === "write-response" ? [[effect.requestKey, effect.isLastResponse] as const] : []
+        );
+
+    beforeEach(() => {
+        state = createPipelineState();
+        effects = [];
+        isStopping = false;
+    });
+
+    it("writes responses in the order of the requests, each after the one before has been written", () => {
+        forward("1");
+        forward("2");
+        answer("2");
+        expect(writes()).to.deep.equal([]);
+        answer("1");
+        expect(writes()).to.deep.equal([["1", false]]);
+        finishWriting("1");
+        expect(writes()).to.deep.equal([["1", false], ["2", false]]);
+    });
+
+    it("takes the first response to a request only", () => {
+        forward("1");
+        answer("1");
+        answer("1", { isLastResponse: true });
+        expect(writes()).to.deep.equal([["1", false]]);
+    });
+
+    it("drops the requests behind a last response, and ends those that were passed on", () => {
+        forward("1");
+        forward("2");
+        start("3");
+        answer("1", { isLastResponse: true });
+        expect(writes()).to.deep.equal([["1", true]]);
+        expect(keysOf("abandon-request")).to.deep.equal(["2"]);
+        expect(keysOf("ignore-request")).to.deep.equal(["3"]);
+    });
+
+    it("ignores what comes behind a request that closes the connection", () => {
+        start("1", { isLastRequest: true });
+        start("2");
+        expect(keysOf("ignore-request")).to.deep.equal(["2"]);
+    });
+
+    it("ends all requests in progress once the connection has closed", () => {
+        forward("1");
+        answer("1");
+        forward("2");
+        apply({ type: "connection-closed" });
+        expect(keysOf("abandon-request")).to.deep.equal(["1", "2"]);
+    });
+
+    describe("while the process stops", () => {
+        // A response was written as one that keeps the connection open before SIGTERM came, although it had to wait for
+        // its turn until after it (review/6).
+        it("closes the connection after the last accepted request, whenever its response was ready", () => {
+            forward("1");
+            forward("2");
+            answer("2");
+            isStopping = true;
+            start("3");
+            answer("1");
+            finishWriting("1");
+            expect(writes()).to.deep.equal([["1", false], ["2", true]]);
+            expect(keysOf("ignore-request")).to.deep.equal(["3"]);
+        });
+
+        // A request was ignored although no later response could announce the end of the connection any more.
+        it("accepts a request behind a response that is being written", () => {
+            forward("1");
+            answer("1");
+            isStopping = true;
+            forward("2");
+            finishWriting("1");
+            answer("2");
+            expect(writes()).to.deep.equal([["1", false], ["2", true]]);
+        });
+
+        // Once a request is ignored, its response would have to come before those of all later ones.
+        it("ignores each request behind an ignored one", () => {
+            forward("1");
+            isStopping = true;
+            start("2");
+            answer("1");
+            start("3");
+            expect(keysOf("ignore-request")).to.deep.equal(["2", "3"]);
+            expect(writes()).to.deep.equal([["1", true]]);
+        });
+    });
+});
