fix(entry): hold requests back behind one whose response may close the connection

Callers saw: no answer to a safe request that they had sent behind a non-idempotent one on the same connection.

Cause: the response to the non-idempotent request had no length, so that only the end of the connection could delimit it for the caller. It had to be relayed, as the request must not run twice, and the connection closed before the answer behind it, which the VM held in memory.

Change: a request behind a non-idempotent one is passed on once the response to that one is known to leave the connection open. RFC 9112, section 9.3.2, asks callers not to pipeline behind non-idempotent requests. Requests behind idempotent ones are passed on at once, as before: their response can be replaced by another attempt.

--- a/daemon/entry/src/caller-connection.ts
+++ b/daemon/entry/src/caller-connection.ts
@@ -73,7 +73,7 @@
     hasFollowers(requestKey: string): boolean {
         const { requests } = this.state;
         const index = requests.findIndex(request => request.requestKey === requestKey);
-        return requests.slice(index + 1).some(({ phase }) => phase !== "receiving");
+        return requests.slice(index + 1).some(({ phase }) => phase !== "receiving" && phase !== "held");
     }
 
     /** Ends the responses, and reads and ignores what still arrives until the caller closes its side too. */
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -61,6 +61,8 @@
 interface CallerListenerOptions {
     readonly isStopping: () => boolean;
     readonly nowMs: () => number;
+    /** Whether a request that was passed on may run again. Called right after `onRequest`. */
+    readonly isIdempotent: (requestKey: string) => boolean;
     readonly onRequest: (request: OpenRequest, receivedAtMs: number, deadlineMs: number | undefined) => void;
     readonly onCallerLeft: (requestKey: string) => void;
     /** Called when a response could not be sent as it should. */
@@ -330,10 +332,13 @@
         }
     }
 
-    private forward({ request, message, receivedAtMs }: CallerExchange): void {
-        if (request !== undefined) {
-            this.opts.onRequest(request, receivedAtMs, decodeCallerRequestHead(message.headers).deadlineMs);
+    private forward({ requestKey, connection, request, message, receivedAtMs }: CallerExchange): void {
+        if (request === undefined) {
+            return;
         }
+        const { onRequest, isIdempotent } = this.opts;
+        onRequest(request, receivedAtMs, decodeCallerRequestHead(message.headers).deadlineMs);
+        connection.dispatch({ type: "request-forwarded", requestKey, isIdempotent: isIdempotent(requestKey) });
     }
 
     private writeResponse(exchange: CallerExchange, opts: { readonly isLastResponse: boolean; }): void {
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -159,6 +159,8 @@
         this.callerListener = new CallerListener({
             nowMs: clock.atMs,
             isStopping: () => this.stopRequestedAtMs !== undefined,
+            // A request that the reducer does not know any more has been answered.
+            isIdempotent: requestKey => this.state.dispatch.requests.get(requestKey)?.route.isIdempotent ?? true,
             onRequest: (request, receivedAtMs, deadlineMs) => {
                 const { requestKey, requestId, message } = request;
                 dispatch({
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -39,6 +39,7 @@
         listener = new CallerListener({
             nowMs: () => performance.now(),
             isStopping: () => isStopping,
+            isIdempotent: () => true,
             onRequest: request => {
                 requests.push(request.requestKey);
                 openRequests.push(request);
--- a/daemon/entry/test/caller-requests.test.ts
+++ b/daemon/entry/test/caller-requests.test.ts
@@ -32,6 +32,7 @@
         listener = new CallerListener({
             nowMs: () => performance.now(),
             isStopping: () => false,
+            isIdempotent: () => true,
             onRequest: request => {
                 openRequests.push(request);
             },
--- a/daemon/entry/test/support/listener-harness.ts
+++ b/daemon/entry/test/support/listener-harness.ts
@@ -20,6 +20,8 @@
     readonly listener: CallerListener;
     readonly requests: OpenRequest[] = [];
     readonly abandonedKeys: string[] = [];
+    /** Ids of the requests that must not run twice. */
+    readonly nonIdempotentIds = new Set<string>();
     isStopping = false;
     received = "";
     isClosed = false;
@@ -29,6 +31,10 @@
         this.listener = new CallerListener({
             nowMs: () => performance.now(),
             isStopping: () => this.isStopping,
+            isIdempotent: requestKey => {
+                const request = this.requests.find(each => each.requestKey === requestKey);
+                return !this.nonIdempotentIds.has(request?.requestId ?? "");
+            },
             onRequest: request => {
                 this.requests.push(request);
             },
--- a/requests/pipeline/src/complete-response.ts
+++ b/requests/pipeline/src/complete-response.ts
@@ -1,19 +1,13 @@
-import type { PipelineEffect } from "./pipeline-effect.js";
+import { dropRequest } from "./drop-request.js";
+import { forwardRequests } from "./forward-requests.js";
 import type { PipelineEvent } from "./pipeline-event.js";
 import type { PipelineState } from "./pipeline-state.js";
 import type { PipelineTransition } from "./pipeline-transition.js";
-import type { PipelinedRequest } from "./pipelined-request.js";
 import { writeNextResponse } from "./write-next-response.js";
 
 type ResponseReady = Extract<PipelineEvent, { readonly type: "response-ready"; }>;
 
-// A server may be running a request that was passed on.
-const dropRequest = ({ requestKey, phase }: PipelinedRequest): PipelineEffect => ({
-    type: phase === "receiving" ? "ignore-request" : "abandon-request",
-    requestKey,
-});
-
-/** Takes a response that is ready. The requests behind a last response are dropped. */
+/** Takes a response that is ready. The requests behind a last response are dropped, others may be passed on now. */
 export const completeResponse = (
     state: PipelineState,
     event: ResponseReady,
@@ -28,9 +22,13 @@
     const isLastResponse = request.isLastResponse || event.isLastResponse;
     const answered = { ...request, phase: "answered", isLastResponse } as const;
     const followers = state.requests.slice(index + 1);
-    const next = writeNextResponse({
+    const forwarded = forwardRequests({
         requests: [...state.requests.slice(0, index), answered, ...isLastResponse ? [] : followers],
         isClosing: state.isClosing || isLastResponse,
     }, opts);
-    return { state: next.state, effects: [...isLastResponse ? followers.map(dropRequest) : [], ...next.effects] };
+    const written = writeNextResponse(forwarded.state, opts);
+    return {
+        state: written.state,
+        effects: [...isLastResponse ? followers.map(dropRequest) : [], ...forwarded.effects, ...written.effects],
+    };
 };
--- a/requests/pipeline/src/pipeline-event.ts
+++ b/requests/pipeline/src/pipeline-event.ts
@@ -9,6 +9,8 @@
     }
     /** A request was read completely. */
     | { readonly type: "request-read"; readonly requestKey: string; }
+    /** A request was passed on. */
+    | { readonly type: "request-forwarded"; readonly requestKey: string; readonly isIdempotent: boolean; }
     | {
         readonly type: "response-ready";
         readonly requestKey: string;
--- a/requests/pipeline/src/reduce-pipeline.ts
+++ b/requests/pipeline/src/reduce-pipeline.ts
@@ -1,4 +1,6 @@
 import { completeResponse } from "./complete-response.js";
+import { dropRequest } from "./drop-request.js";
+import { forwardRequests } from "./forward-requests.js";
 import type { PipelineEvent } from "./pipeline-event.js";
 import type { PipelineState } from "./pipeline-state.js";
 import type { PipelineTransition } from "./pipeline-transition.js";
@@ -11,15 +13,16 @@
     readonly isStopping: boolean;
 }
 
-const readRequest = (state: PipelineState, requestKey: string): PipelineTransition => {
+const readRequest = (
+    state: PipelineState,
+    requestKey: string,
+    opts: ReducePipelineOptions,
+): PipelineTransition => {
     const request = state.requests.find(each => each.requestKey === requestKey);
     if (request?.phase !== "receiving") {
         return { state, effects: [] };
     }
-    return {
-        state: setRequest(state, requestKey, { phase: "forwarded" }),
-        effects: [{ type: "forward-request", requestKey }],
-    };
+    return forwardRequests(setRequest(state, requestKey, { phase: "held" }), opts);
 };
 
 const removeResponse = (
@@ -42,7 +45,12 @@
         case "request-started":
             return startRequest(state, event, opts);
         case "request-read":
-            return readRequest(state, event.requestKey);
+            return readRequest(state, event.requestKey, opts);
+        case "request-forwarded":
+            return forwardRequests(
+                setRequest(state, event.requestKey, { isReplaceable: event.isIdempotent }),
+                opts,
+            );
         case "response-ready":
             return completeResponse(state, event, opts);
         case "response-written":
@@ -50,9 +58,6 @@
         case "connection-closing":
             return { state: { ...state, isClosing: true }, effects: [] };
         case "connection-closed":
-            return {
-                state: { ...state, requests: [], isClosing: true },
-                effects: state.requests.map(({ requestKey }) => ({ type: "abandon-request", requestKey })),
-            };
+            return { state: { requests: [], isClosing: true }, effects: state.requests.map(dropRequest) };
     }
 };
--- a/requests/pipeline/src/start-request.ts
+++ b/requests/pipeline/src/start-request.ts
@@ -18,6 +18,6 @@
     if (state.isClosing || (opts.isStopping && canCloseBefore)) {
         return { state: { ...state, isClosing: true }, effects: [{ type: "ignore-request", requestKey }] };
     }
-    const request = { requestKey, phase: "receiving", isLastResponse: isLastRequest } as const;
+    const request = { requestKey, phase: "receiving", isReplaceable: false, isLastResponse: isLastRequest } as const;
     return { state: { requests: [...state.requests, request], isClosing: isLastRequest }, effects: [] };
 };
--- a/requests/pipeline/test/pipeline.test.ts
+++ b/requests/pipeline/test/pipeline.test.ts
@@ -20,10 +20,14 @@
     const start = (requestKey: string, opts: { readonly isLastRequest?: boolean; } = {}): void => {
         apply({ type: "request-started", requestKey, isLastRequest: opts.isLastRequest ?? false });
     };
-    const forward = (requestKey: string): void => {
+    const read = (requestKey: string): void => {
         start(requestKey);
         apply({ type: "request-read", requestKey });
     };
+    const forward = (requestKey: string, opts: { readonly isIdempotent?: boolean; } = {}): void => {
+        read(requestKey);
+        apply({ type: "request-forwarded", requestKey, isIdempotent: opts.isIdempotent ?? true });
+    };
     const answer = (requestKey: string, opts: { readonly isLastResponse?: boolean; } = {}): void => {
         apply({ type: "response-ready", requestKey, isLastResponse: opts.isLastResponse ?? false });
     };
@@ -85,6 +89,48 @@
         expect(keysOf("abandon-request")).to.deep.equal(["1", "2"]);
     });
 
+    // The response to the first one may have no length, so that only the end of the connection delimits it. It has to be
+    // relayed all the same, and took the response behind it with it (review/8).
+    describe("behind a request that is not idempotent", () => {
+        it("holds requests back until its response is known to leave the connection open", () => {
+            forward("1", { isIdempotent: false });
+            read("2");
+            read("3");
+            expect(keysOf("forward-request")).to.deep.equal(["1"]);
+            answer("1");
+            expect(keysOf("forward-request")).to.deep.equal(["1", "2"]);
+            apply({ type: "request-forwarded", requestKey: "2", isIdempotent: true });
+            expect(keysOf("forward-request")).to.deep.equal(["1", "2", "3"]);
+        });
+
+        it("ignores the held requests if its response closes the connection", () => {
+            forward("1", { isIdempotent: false });
+            read("2");
+            start("3");
+            answer("1", { isLastResponse: true });
+            expect(keysOf("forward-request")).to.deep.equal(["1"]);
+            expect(keysOf("ignore-request")).to.deep.equal(["2", "3"]);
+        });
+
+        it("holds back a request that was read before an earlier one", () => {
+            start("1");
+            read("2");
+            expect(keysOf("forward-request")).to.deep.equal([]);
+            apply({ type: "request-read", requestKey: "1" });
+            apply({ type: "request-forwarded", requestKey: "1", isIdempotent: true });
+            expect(keysOf("forward-request")).to.deep.equal(["1", "2"]);
+        });
+
+        it("ignores the held requests once the process stops", () => {
+            forward("1", { isIdempotent: false });
+            read("2");
+            isStopping = true;
+            answer("1");
+            expect(keysOf("ignore-request")).to.deep.equal(["2"]);
+            expect(writes()).to.deep.equal([["1", true]]);
+        });
+    });
+
     describe("while the process stops", () => {
         // A response was written as one that keeps the connection open before SIGTERM came, although it had to wait for
         // its turn until after it (review/6).
