fix(entry): answer what comes behind a request after that request's response

Callers saw: while a request ran, other bytes on the same connection decided its answer. Bytes that are no request, two lengths or a malformed chunk gave 400, a head over the limit of Node.js 431, a head that was not finished in time 408, although the request ran; CONNECT closed the connection. 408 promises that the request has not run, so a caller may have sent it twice.

Cause: nothing handled the errors of a caller's connection, so Node.js wrote a status of its own into the place of the next response and closed.

Ruled out: the dispatcher (its log has the request's own answer) and the handler of daemon/runtime. That one closes without a status behind a request in progress, and speaks another protocol to its callers; it stays.

Change: input that fails is an event of the connection's reducer. Nothing more is read then, each accepted request gets its own response, and the failure is answered as the last one, unless it belongs to the request that was being received, which is rejected. What comes behind a response that closes the connection is ignored, as it does not count as read. CONNECT gets 501, an unknown expectation its 417 through the same order. Each is counted and logged by kind, at a bounded rate, with the ids of the requests in progress.

The search over all orders has failing input now, also within a request.

Conclusion: the listener is the only one that writes to a caller's connection.

--- a/daemon/entry/src/caller-connection.ts
+++ b/daemon/entry/src/caller-connection.ts
@@ -5,6 +5,7 @@
     type PipelineState,
     reducePipeline,
 } from "@marigoldstall/requests.pipeline";
+import { STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 
@@ -25,6 +26,7 @@
     /** Bytes read at the end of the latest request. More bytes belong to a request that is still being received. */
     private bytesReadAtRequestEnd = 0;
     private lingerTimer: NodeJS.Timeout | undefined;
+    private newestKey: string | undefined;
 
     constructor(opts: CallerConnectionOptions) {
         this.opts = opts;
@@ -48,8 +50,26 @@
             && (socket.bytesRead > 0 || nowMs() - this.openedAtMs >= ENTRY_TIMINGS.firstRequestTimeoutMs);
     }
 
+    /** Key of the request whose headers were read last. It may have been ignored or answered. */
+    get newestRequestKey(): string | undefined {
+        return this.newestKey;
+    }
+
+    /** Whether nothing that still arrives is passed on. */
+    get isClosing(): boolean {
+        return this.state.isClosing;
+    }
+
+    /** Keys of the requests in progress. */
+    get requestKeys(): readonly string[] {
+        return this.state.requests.map(({ requestKey }) => requestKey);
+    }
+
     /** Applies an event and executes the effects. Events that effects cause are applied after them. */
     dispatch(event: PipelineEvent): void {
+        if (event.type === "request-started") {
+            this.newestKey = event.requestKey;
+        }
         this.events.push(event);
         if (this.isReducing) {
             return;
@@ -76,6 +96,17 @@
         return requests.slice(index + 1).some(({ phase }) => phase !== "receiving" && phase !== "held");
     }
 
+    /** Answers input that is no request, and closes the connection. */
+    closeWithError(statusCode: number): void {
+        const lines = [
+            `HTTP/1.1 ${statusCode} ${STATUS_CODES[statusCode] ?? ""}`,
+            "Content-Length: 0",
+            "Connection: close",
+        ];
+        this.opts.socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+        this.close();
+    }
+
     /** Ends the responses, and reads and ignores what still arrives until the caller closes its side too. */
     close(): void {
         const { socket } = this.opts;
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -1,18 +1,29 @@
-import { BodyBudget, BodyCollector, collectBody } from "@marigoldstall/core.http-body";
+import { BodyBudget, BodyCollector, type BodyLimit, collectBody } from "@marigoldstall/core.http-body";
 import type { CallerLimits } from "@marigoldstall/core.types";
 import { endToEndHeaders } from "@marigoldstall/daemon.connections";
 import { listenOn } from "@marigoldstall/fleet.rpc";
-import { decodeCallerRequestHead, encodeRejectionHeaders, INTERNAL_HEADERS } from "@marigoldstall/platform.adapter";
+import { decodeCallerRequestHead, INTERNAL_HEADERS } from "@marigoldstall/platform.adapter";
 import type { PipelineEffect } from "@marigoldstall/requests.pipeline";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import { acceptWaitingConnections } from "./accept-waiting-connections.js";
 import type { BufferedResponse } from "./buffered-response.js";
 import { CallerConnection } from "./caller-connection.js";
 import type { CallerExchange } from "./caller-exchange.js";
 import type { CallerReply } from "./caller-reply.js";
+import { createRejection } from "./create-rejection.js";
+import { discardInput } from "./discard-input.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
-import { isForwardable } from "./is-forwardable.js";
+import type { InputFailure } from "./input-failure.js";
 import type { OpenRequest } from "./open-request.js";
+import { selectHeadError } from "./select-head-error.js";
+import { watchCallerInput } from "./watch-caller-input.js";
+import { writeReply } from "./write-reply.js";
+
+interface Rejection {
+    readonly statusCode: number;
+    readonly retryAfterMs?: number | undefined;
+}
 
 // Limits that apply until a configuration is active. Node.js cannot change `maxHeaderSize` after the server is created,
 // so MAX_HEADER_BYTES also caps the configured header limit.
@@ -20,15 +31,13 @@
 const INITIAL_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 // The smallest VMs have 250 MB, of which the process needs about 60 MB without any request.
 const MAX_BODIES_BYTES = 64 * 1_024 * 1_024;
-const BODIES_TOO_LARGE_RETRY_AFTER_MS = 500;
-// The first round may have passed the sockets already. The kernel keeps 511 waiting connections.
-const QUIET_ACCEPT_ROUNDS = 2;
-const MAX_ACCEPT_ROUNDS = 600;
-const STATUS_BAD_REQUEST = 400;
-const STATUS_BODY_TOO_LARGE = 413;
-const STATUS_HEADERS_TOO_LARGE = 431;
+const STATUS_EXPECTATION_FAILED = 417;
 const STATUS_BAD_GATEWAY = 502;
-const STATUS_UNAVAILABLE = 503;
+
+const BODY_LIMIT_REJECTIONS: Readonly<Record<BodyLimit, Rejection>> = {
+    "body-size": { statusCode: 413 },
+    "total-size": { statusCode: 503, retryAfterMs: 500 },
+};
 
 // Answers a request whose response cannot be sent. The status promises nothing, as the request may have run.
 const BAD_GATEWAY_REPLY: CallerReply = {
@@ -38,25 +47,9 @@
     isFramed: true,
 };
 
-const countHeaderBytes = (message: IncomingMessage): number =>
-    message.rawHeaders.reduce((bytes, text) => bytes + text.length, message.url?.length ?? 0);
+type RequestEffect = Exclude<PipelineEffect, { readonly type: "write-error"; }>;
 
-const createRejection = (
-    message: IncomingMessage,
-    opts: { readonly statusCode: number; readonly retryAfterMs: number | undefined; },
-): CallerReply => {
-    const { requestId } = decodeCallerRequestHead(message.headers);
-    const headers = encodeRejectionHeaders({ requestId, retryAfterMs: opts.retryAfterMs });
-    return { statusCode: opts.statusCode, headers, body: undefined, isFramed: true };
-};
-
-const writeReply = (response: ServerResponse, reply: CallerReply): void => {
-    if (!reply.isFramed) {
-        response.useChunkedEncodingByDefault = false;
-    }
-    response.writeHead(reply.statusCode, [...reply.headers]);
-    response.end(reply.body);
-};
+const selectRequestId = (message: IncomingMessage): string => decodeCallerRequestHead(message.headers).requestId;
 
 interface CallerListenerOptions {
     readonly isStopping: () => boolean;
@@ -65,6 +58,8 @@
     readonly isIdempotent: (requestKey: string) => boolean;
     readonly onRequest: (request: OpenRequest, receivedAtMs: number, deadlineMs: number | undefined) => void;
     readonly onCallerLeft: (requestKey: string) => void;
+    /** Called when a caller sent something that is no request, or sent it too slowly. */
+    readonly onInputRefused: (failure: InputFailure, fields: Readonly<Record<string, unknown>>) => void;
     /** Called when a response could not be sent as it should. */
     readonly onFault: (step: string, error: unknown) => void;
 }
@@ -92,10 +87,18 @@
         }, (message, response) => {
             this.handleRequest(message, response);
         });
-        this.server.on("connection", socket => {
+        this.server.on("connection", (socket: Socket) => {
             this.acceptedConnections += 1;
             this.connection(socket);
         });
+        this.server.on("checkExpectation", (message: IncomingMessage, response: ServerResponse) => {
+            this.handleRequest(message, response, { rejectionStatusCode: STATUS_EXPECTATION_FAILED });
+        });
+        watchCallerInput(this.server, {
+            onFailed: (socket, failure) => {
+                this.failInput(socket, failure);
+            },
+        });
     }
 
     /** Number of open connections, including those that only wait for the caller to close its side. */
@@ -125,15 +128,7 @@
 
     /** Stops accepting new connections. Those that wait to be accepted are accepted first, as closing resets them. */
     async stopListening(): Promise<void> {
-        // Node.js accepts one connection in each round of its event loop, and runs due timers before.
-        let quietRounds = 0;
-        for (let round = 0; round < MAX_ACCEPT_ROUNDS && quietRounds < QUIET_ACCEPT_ROUNDS; round += 1) {
-            const acceptedBefore = this.acceptedConnections;
-            await new Promise(resolve => {
-                setImmediate(resolve);
-            });
-            quietRounds = this.acceptedConnections === acceptedBefore ? quietRounds + 1 : 0;
-        }
+        await acceptWaitingConnections(() => this.acceptedConnections);
         NetServer.prototype.close.call(this.server);
     }
 
@@ -168,9 +163,11 @@
 
     reject(
         requestKey: string,
-        opts: { readonly statusCode: number; readonly retryAfterMs: number | undefined; },
+        /** `isLastResponse`: whether the connection closes after the response. Default: false. */
+        opts: Rejection & { readonly isLastResponse?: boolean; },
     ): void {
-        this.answer(requestKey, ({ message }) => createRejection(message, opts));
+        const { isLastResponse = false } = opts;
+        this.answer(requestKey, ({ message }) => createRejection(message, opts), { isLastResponse });
     }
 
     // The request is known to nobody else from here on, so every way out of this function ends it.
@@ -195,7 +192,11 @@
         exchange.connection.dispatch({ type: "response-ready", requestKey, isLastResponse });
     }
 
-    private handleRequest(message: IncomingMessage, response: ServerResponse): void {
+    private handleRequest(
+        message: IncomingMessage,
+        response: ServerResponse,
+        opts: { readonly rejectionStatusCode?: number; } = {},
+    ): void {
         const connection = this.connection(message.socket);
         const requestKey = String(this.nextRequestKey);
         this.nextRequestKey += 1;
@@ -206,22 +207,15 @@
             connection.dispatch({ type: "response-written", requestKey });
         });
         message.on("error", () => undefined);
-        // Until the response is ready, the request has no other way out than its connection.
-        const reject = (statusCode: number, opts: { readonly retryAfterMs?: number; } = {}): void => {
+        const reject = (rejection: Rejection): void => {
             message.resume();
-            const reply = createRejection(message, { statusCode, retryAfterMs: opts.retryAfterMs });
-            this.answer(requestKey, () => reply, { isLastResponse: true });
+            this.reject(requestKey, { ...rejection, isLastResponse: true });
         };
         const collector = new BodyCollector({
             maxBytes: this.maxBodyBytes,
             budget: this.bodyBudget,
             onExceeded: limit => {
-                if (limit === "body-size") {
-                    reject(STATUS_BODY_TOO_LARGE);
-                }
-                else {
-                    reject(STATUS_UNAVAILABLE, { retryAfterMs: BODIES_TOO_LARGE_RETRY_AFTER_MS });
-                }
+                reject(BODY_LIMIT_REJECTIONS[limit]);
             },
         });
         this.exchanges.set(requestKey, {
@@ -238,12 +232,10 @@
         if (!this.exchanges.has(requestKey)) {
             return;
         }
-        if (countHeaderBytes(message) > this.maxHeaderBytes) {
-            reject(STATUS_HEADERS_TOO_LARGE);
-            return;
-        }
-        if (!isForwardable(message)) {
-            reject(STATUS_BAD_REQUEST);
+        const statusCode = opts.rejectionStatusCode
+            ?? selectHeadError(message, { maxHeaderBytes: this.maxHeaderBytes });
+        if (statusCode !== undefined) {
+            reject({ statusCode });
             return;
         }
         collectBody(message, collector);
@@ -262,7 +254,7 @@
         const hasBody = collector.byteCount > 0 || message.headers["content-length"] !== undefined;
         const request: OpenRequest = {
             requestKey,
-            requestId: decodeCallerRequestHead(message.headers).requestId,
+            requestId: selectRequestId(message),
             message,
             body: hasBody ? collector.complete() : undefined,
             hasFollowers: () => connection.hasFollowers(requestKey),
@@ -274,14 +266,15 @@
     private connection(socket: Socket): CallerConnection {
         let connection = this.connections.get(socket);
         if (connection === undefined) {
-            connection = new CallerConnection({
+            const opened = new CallerConnection({
                 socket,
                 nowMs: this.opts.nowMs,
                 isStopping: this.opts.isStopping,
                 execute: effect => {
-                    this.run(effect);
+                    this.run(effect, opened);
                 },
             });
+            connection = opened;
             this.connections.set(socket, connection);
             socket.once("close", () => {
                 this.connections.delete(socket);
@@ -290,8 +283,34 @@
         return connection;
     }
 
+    /** Reads nothing more from a connection. All accepted requests are answered before the failure is. */
+    private failInput(socket: Socket, failure: InputFailure): void {
+        const connection = this.connection(socket);
+        const newest = this.exchanges.get(connection.newestRequestKey ?? "");
+        const partial = newest?.message.complete === false ? newest : undefined;
+        const isExpected = connection.isClosing && partial === undefined;
+        discardInput(socket);
+        if (isExpected) {
+            return;
+        }
+        this.opts.onInputRefused(failure, {
+            peer: `${socket.remoteAddress}:${socket.remotePort}`,
+            ...partial === undefined ? {} : { requestId: selectRequestId(partial.message) },
+            requestIdsInProgress: connection.requestKeys.flatMap(requestKey => {
+                const exchange = this.exchanges.get(requestKey);
+                return exchange === undefined || exchange === partial ? [] : [selectRequestId(exchange.message)];
+            }),
+        });
+        const { statusCode } = failure;
+        connection.dispatch({ type: "input-failed", requestKey: partial?.requestKey, statusCode });
+    }
+
     /** Executes an effect. One that fails still ends in a response, as the requests behind it wait for it. */
-    private run(effect: PipelineEffect): void {
+    private run(effect: PipelineEffect, connection: CallerConnection): void {
+        if (effect.type === "write-error") {
+            connection.closeWithError(effect.statusCode);
+            return;
+        }
         const exchange = this.exchanges.get(effect.requestKey);
         if (exchange === undefined) {
             return;
@@ -310,9 +329,12 @@
         }
     }
 
-    private execute(effect: PipelineEffect, exchange: CallerExchange): void {
+    private execute(effect: RequestEffect, exchange: CallerExchange): void {
         const { requestKey } = effect;
         switch (effect.type) {
+            case "reject-request":
+                this.reject(requestKey, { statusCode: effect.statusCode, isLastResponse: true });
+                return;
             case "forward-request":
                 this.forward(exchange);
                 return;
--- /dev/null
+++ b/daemon/entry/src/create-rejection.ts
@@ -0,0 +1,13 @@
+import { decodeCallerRequestHead, encodeRejectionHeaders } from "@marigoldstall/platform.adapter";
+import type { IncomingMessage } from "node:http";
+import type { CallerReply } from "./caller-reply.js";
+
+/** Creates the response of the daemon itself to a request. */
+export const createRejection = (
+    message: IncomingMessage,
+    opts: { readonly statusCode: number; readonly retryAfterMs?: number | undefined; },
+): CallerReply => {
+    const { requestId } = decodeCallerRequestHead(message.headers);
+    const headers = encodeRejectionHeaders({ requestId, retryAfterMs: opts.retryAfterMs });
+    return { statusCode: opts.statusCode, headers, body: undefined, isFramed: true };
+};
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -177,6 +177,9 @@
             onCallerLeft: requestKey => {
                 dispatch({ type: "caller-left", requestKey });
             },
+            onInputRefused: ({ kind, ...failure }, fields) => {
+                refusedInputs.record(kind, { ...failure, ...fields });
+            },
             onFault: (step, error) => {
                 this.reportFault(step, error);
             },
--- /dev/null
+++ b/daemon/entry/src/watch-caller-input.ts
@@ -0,0 +1,57 @@
+import type { IncomingMessage, Server } from "node:http";
+import type { Socket } from "node:net";
+import { classifyInputError } from "./classify-input-error.js";
+import type { InputFailure } from "./input-failure.js";
+
+interface WatchCallerInputOptions {
+    readonly onFailed: (socket: Socket, failure: InputFailure) => void;
+}
+
+const STATUS_NOT_IMPLEMENTED = 501;
+
+const handleError = (
+    socket: Socket,
+    opts: { readonly error: NodeJS.ErrnoException; readonly onFailed: WatchCallerInputOptions["onFailed"]; },
+): void => {
+    const { error, onFailed } = opts;
+    if (error.code === "HPE_INVALID_EOF_STATE") {
+        // The caller ended its side within a request.
+        socket.end();
+        return;
+    }
+    const failure = classifyInputError(error);
+    if (failure === undefined) {
+        socket.destroy();
+        return;
+    }
+    onFailed(socket, failure);
+};
+
+// Node.js has taken its parser and its listeners off the socket.
+const replaceListeners = (socket: Socket): void => {
+    socket.on("error", () => {
+        socket.destroy();
+    });
+    socket.on("end", () => {
+        socket.end();
+    });
+};
+
+/**
+ * Reports input of callers that is no request, or comes too slowly. Node.js would write a status of its own into the
+ * place of the next response, or close the connection, whatever requests are in progress.
+ */
+export const watchCallerInput = (server: Server, opts: WatchCallerInputOptions): void => {
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        handleError(socket as Socket, { error, onFailed: opts.onFailed });
+    });
+    server.on("connect", (message: IncomingMessage, duplex) => {
+        const socket = duplex as Socket;
+        replaceListeners(socket);
+        opts.onFailed(socket, {
+            kind: "caller-input-method-unsupported",
+            statusCode: STATUS_NOT_IMPLEMENTED,
+            problem: message.method ?? "",
+        });
+    });
+};
--- a/daemon/entry/test/caller-listener.test.ts
+++ b/daemon/entry/test/caller-listener.test.ts
@@ -40,6 +40,7 @@
             nowMs: () => performance.now(),
             isStopping: () => isStopping,
             isIdempotent: () => true,
+            onInputRefused: () => undefined,
             onRequest: request => {
                 requests.push(request.requestKey);
                 openRequests.push(request);
--- a/daemon/entry/test/caller-requests.test.ts
+++ b/daemon/entry/test/caller-requests.test.ts
@@ -33,6 +33,7 @@
             nowMs: () => performance.now(),
             isStopping: () => false,
             isIdempotent: () => true,
+            onInputRefused: () => undefined,
             onRequest: request => {
                 openRequests.push(request);
             },
--- a/daemon/entry/test/support/listener-harness.ts
+++ b/daemon/entry/test/support/listener-harness.ts
@@ -20,6 +20,7 @@
     readonly listener: CallerListener;
     readonly requests: OpenRequest[] = [];
     readonly abandonedKeys: string[] = [];
+    readonly refusedKinds: string[] = [];
     /** Ids of the requests that must not run twice. */
     readonly nonIdempotentIds = new Set<string>();
     isStopping = false;
@@ -41,6 +42,9 @@
             onCallerLeft: requestKey => {
                 this.abandonedKeys.push(requestKey);
             },
+            onInputRefused: ({ kind }) => {
+                this.refusedKinds.push(kind);
+            },
             onFault: (step, error) => {
                 throw new Error(step, { cause: error });
             },
--- a/requests/pipeline/src/complete-response.ts
+++ b/requests/pipeline/src/complete-response.ts
@@ -25,6 +25,7 @@
     const forwarded = forwardRequests({
         requests: [...state.requests.slice(0, index), answered, ...isLastResponse ? [] : followers],
         isClosing: state.isClosing || isLastResponse,
+        errorStatusCode: isLastResponse ? undefined : state.errorStatusCode,
     }, opts);
     const written = writeNextResponse(forwarded.state, opts);
     return {
--- a/requests/pipeline/src/forward-requests.ts
+++ b/requests/pipeline/src/forward-requests.ts
@@ -26,7 +26,7 @@
     const earlier = state.requests.slice(0, index);
     if (opts.isStopping && earlier.some(({ phase }) => phase !== "writing")) {
         return {
-            state: { requests: earlier, isClosing: true },
+            state: { requests: earlier, isClosing: true, errorStatusCode: undefined },
             effects: state.requests.slice(index).map(dropRequest),
         };
     }
--- a/requests/pipeline/src/pipeline-event.ts
+++ b/requests/pipeline/src/pipeline-event.ts
@@ -19,6 +19,13 @@
     }
     /** A response was handed to the operating system completely. */
     | { readonly type: "response-written"; readonly requestKey: string; }
+    /** The caller sent something that is no request, or too slowly. Nothing more is read from the connection. */
+    | {
+        readonly type: "input-failed";
+        /** The request that was being received, if any. */
+        readonly requestKey: string | undefined;
+        readonly statusCode: number;
+    }
     /** The listener ends its side of the connection. */
     | { readonly type: "connection-closing"; }
     | { readonly type: "connection-closed"; };
--- a/requests/pipeline/src/pipeline-state.ts
+++ b/requests/pipeline/src/pipeline-state.ts
@@ -6,4 +6,6 @@
     readonly requests: readonly PipelinedRequest[];
     /** Whether further requests are ignored. The connection closes after the response to the last accepted one. */
     readonly isClosing: boolean;
+    /** Status with which input that is no request is answered, after the responses to all accepted requests. */
+    readonly errorStatusCode: number | undefined;
 }
--- a/requests/pipeline/src/reduce-pipeline.ts
+++ b/requests/pipeline/src/reduce-pipeline.ts
@@ -1,5 +1,6 @@
 import { completeResponse } from "./complete-response.js";
 import { dropRequest } from "./drop-request.js";
+import { failInput } from "./fail-input.js";
 import { forwardRequests } from "./forward-requests.js";
 import type { PipelineEvent } from "./pipeline-event.js";
 import type { PipelineState } from "./pipeline-state.js";
@@ -55,9 +56,14 @@
             return completeResponse(state, event, opts);
         case "response-written":
             return removeResponse(state, event.requestKey, opts);
+        case "input-failed":
+            return failInput(state, event, opts);
         case "connection-closing":
             return { state: { ...state, isClosing: true }, effects: [] };
         case "connection-closed":
-            return { state: { requests: [], isClosing: true }, effects: state.requests.map(dropRequest) };
+            return {
+                state: { requests: [], isClosing: true, errorStatusCode: undefined },
+                effects: state.requests.map(dropRequest),
+            };
     }
 };
--- a/requests/pipeline/src/start-request.ts
+++ b/requests/pipeline/src/start-request.ts
@@ -19,5 +19,5 @@
         return { state: { ...state, isClosing: true }, effects: [{ type: "ignore-request", requestKey }] };
     }
     const request = { requestKey, phase: "receiving", isReplaceable: false, isLastResponse: isLastRequest } as const;
-    return { state: { requests: [...state.requests, request], isClosing: isLastRequest }, effects: [] };
+    return { state: { ...state, requests: [...state.requests, request], isClosing: isLastRequest }, effects: [] };
 };
--- a/requests/pipeline/src/write-next-response.ts
+++ b/requests/pipeline/src/write-next-response.ts
@@ -3,7 +3,7 @@
 import { setRequest } from "./set-request.js";
 
 /**
- * Writes the first response if it is ready. Only then is it decided whether the connection closes after it, so that the
+ * Writes the first response if it is ready, or an error once no response is due before it. Only then is it decided whether the connection closes after it, so that the
  * headers are right whatever happened while it waited for its turn.
  */
 export const writeNextResponse = (
@@ -11,11 +11,18 @@
     opts: { readonly isStopping: boolean; },
 ): PipelineTransition => {
     const [first, ...others] = state.requests;
+    if (first === undefined && state.errorStatusCode !== undefined) {
+        return {
+            state: { ...state, errorStatusCode: undefined },
+            effects: [{ type: "write-error", statusCode: state.errorStatusCode }],
+        };
+    }
     if (first?.phase !== "answered") {
         return { state, effects: [] };
     }
     const { requestKey } = first;
-    const isLastResponse = first.isLastResponse || (others.length === 0 && (state.isClosing || opts.isStopping));
+    const isLastOutput = others.length === 0 && state.errorStatusCode === undefined;
+    const isLastResponse = first.isLastResponse || (isLastOutput && (state.isClosing || opts.isStopping));
     return {
         state: { ...setRequest(state, requestKey, { phase: "writing" }), isClosing: state.isClosing || isLastResponse },
         effects: [{ type: "write-response", requestKey, isLastResponse }],
--- a/requests/pipeline/test/pipeline-search.ts
+++ b/requests/pipeline/test/pipeline-search.ts
@@ -26,6 +26,8 @@
     readonly written: readonly number[];
     readonly writing: number | undefined;
     readonly isStopping: boolean;
+    /** Whether the caller's input has failed. */
+    readonly hasFailed: boolean;
     /** Whether the response that is being written, or was written, is the last one. */
     readonly isEnding: boolean;
     readonly isClosed: boolean;
@@ -53,6 +55,7 @@
             written: [],
             writing: undefined,
             isStopping: false,
+            hasFailed: false,
             isEnding: false,
             isClosed: false,
         }, []);
@@ -86,8 +89,8 @@
         if (ignored >= 0 && fates.slice(ignored).some(fate => fate !== "ignored" && fate !== "unsent")) {
             this.report("a request behind an ignored one accepted", path);
         }
-        if (ignored >= 0 && pipeline.requests.length === 0 && !world.isEnding) {
-            this.report("an ignored request on a connection that stays open", path);
+        if ((ignored >= 0 || world.hasFailed) && pipeline.requests.length === 0 && !world.isEnding) {
+            this.report("an ignored request or failed input on a connection that stays open", path);
         }
         if (fates.includes("abandoned")) {
             this.report("a request that was passed on and abandoned", path);
@@ -108,7 +111,7 @@
             const next = this.apply({ ...world, ...changes }, event, path);
             steps.push({ name, next });
         };
-        const nextIndex = fates.indexOf("unsent");
+        const nextIndex = world.hasFailed ? -1 : fates.indexOf("unsent");
         const kind = this.kinds[nextIndex];
         if (kind !== undefined) {
             add(`start ${nextIndex}`, {
@@ -142,6 +145,13 @@
                 add(`write ${writing}`, event, changes);
             }
         }
+        if (!world.hasFailed) {
+            const partial = world.pipeline.requests.at(-1);
+            const requestKey = partial?.phase === "receiving" ? partial.requestKey : undefined;
+            const failure = { hasFailed: true };
+            add("input fails", { type: "input-failed", requestKey: undefined, statusCode: 400 }, failure);
+            add("request fails", { type: "input-failed", requestKey, statusCode: 400 }, failure);
+        }
         if (!world.isStopping) {
             steps.push({ name: "stop", next: { ...world, isStopping: true } });
         }
@@ -165,6 +175,15 @@
         }
     }
 
+    // The connection closes after the error.
+    private applyError(world: World, path: readonly string[]): World {
+        if (world.isEnding || world.pipeline.requests.length > 0) {
+            this.report("an error in the place of a response", path);
+        }
+        this.checkEnd(world, path);
+        return { ...world, isEnding: true, isClosed: true };
+    }
+
     private apply(world: World, event: PipelineEvent, path: readonly string[]): World {
         const { state, effects } = reducePipeline(world.pipeline, event, { isStopping: world.isStopping });
         let next: World = { ...world, pipeline: state };
@@ -174,6 +193,15 @@
             next = { ...next, fates: next.fates.with(index, fate) };
         }
         for (const effect of effects) {
+            if (effect.type === "write-error") {
+                next = this.applyError(next, path);
+                continue;
+            }
+            if (effect.type === "reject-request") {
+                const { requestKey } = effect;
+                next = this.apply(next, { type: "response-ready", requestKey, isLastResponse: true }, path);
+                continue;
+            }
             const index = Number(effect.requestKey);
             if (effect.type === "write-response") {
                 next = {
--- a/requests/pipeline/test/pipeline.test.ts
+++ b/requests/pipeline/test/pipeline.test.ts
@@ -35,7 +35,7 @@
         apply({ type: "response-written", requestKey });
     };
     const keysOf = (type: PipelineEffect["type"]): readonly string[] =>
-        effects.filter(effect => effect.type === type).map(({ requestKey }) => requestKey);
+        effects.flatMap(effect => effect.type === type && "requestKey" in effect ? [effect.requestKey] : []);
     const writes = (): readonly (readonly [string, boolean])[] =>
         effects.flatMap(effect =>
             effect.type === "write-response" ? [[effect.requestKey, effect.isLastResponse] as const] : []
@@ -131,6 +131,55 @@
         });
     });
 
+    // The status of what came behind a request was written into the place of that request's answer (issue 46).
+    describe("with input that is no request", () => {
+        const failInput = (requestKey?: string): void => {
+            apply({ type: "input-failed", requestKey, statusCode: 400 });
+        };
+        const errors = (): readonly number[] =>
+            effects.flatMap(effect => effect.type === "write-error" ? [effect.statusCode] : []);
+
+        it("answers it after the responses to all accepted requests", () => {
+            forward("1");
+            forward("2");
+            failInput();
+            answer("2");
+            answer("1");
+            finishWriting("1");
+            expect(errors()).to.deep.equal([]);
+            expect(writes()).to.deep.equal([["1", false], ["2", false]]);
+            finishWriting("2");
+            expect(errors()).to.deep.equal([400]);
+        });
+
+        it("answers it at once on a connection without requests", () => {
+            failInput();
+            failInput();
+            expect(errors()).to.deep.equal([400]);
+        });
+
+        it("rejects the request that it belongs to, as the last one", () => {
+            forward("1");
+            start("2");
+            failInput("2");
+            expect(effects.at(-1)).to.deep.equal({ type: "reject-request", requestKey: "2", statusCode: 400 });
+            answer("2", { isLastResponse: true });
+            answer("1");
+            finishWriting("1");
+            finishWriting("2");
+            expect(writes()).to.deep.equal([["1", false], ["2", true]]);
+            expect(errors()).to.deep.equal([]);
+        });
+
+        it("ignores it behind a response that closes the connection", () => {
+            forward("1", { isIdempotent: false });
+            failInput();
+            answer("1", { isLastResponse: true });
+            finishWriting("1");
+            expect(errors()).to.deep.equal([]);
+        });
+    });
+
     describe("while the process stops", () => {
         // A response was written as one that keeps the connection open before SIGTERM came, although it had to wait for
         // its turn until after it (review/6).
