fix(entry): limit the time for heads and bodies as the configuration says

Callers saw: nothing, unless others sent slowly. A head that never ended kept its connection for 15 s more than the configured limit and up to 30 s until the next look; a body that stopped coming kept it for ever. A connection without a request yet was closed with a 408.

Cause: headersTimeout was the limit plus the idle timeout, as Node.js counts the time for the first head from the start of the connection, and its check interval was the default. No limit applied to a body.

Change: the limit on heads is the configured one, looked at every 0.5 s and ignored until the first byte. A body, and a connection that has not carried a request, may stand still for the idle timeout.

A test with 500 callers that send a byte at a time holds that another caller is served within a second meanwhile, and the heap grows by less than 32 MB.

--- a/daemon/entry/src/caller-connection.ts
+++ b/daemon/entry/src/caller-connection.ts
@@ -46,7 +46,7 @@
     /** Whether no request is in progress, partly received or, on a new connection, about to arrive. */
     get isIdle(): boolean {
         const { socket, nowMs } = this.opts;
-        return this.state.requests.length === 0 && socket.bytesRead === this.bytesReadAtRequestEnd
+        return this.expectedInput === "request"
             && (socket.bytesRead > 0 || nowMs() - this.openedAtMs >= ENTRY_TIMINGS.firstRequestTimeoutMs);
     }
 
@@ -55,6 +55,14 @@
         return this.newestKey;
     }
 
+    /** What the caller has to send next: a new request, or the rest of one that it has begun. */
+    get expectedInput(): "request" | "head" | "body" {
+        if (this.state.requests.length > 0) {
+            return "body";
+        }
+        return this.opts.socket.bytesRead === this.bytesReadAtRequestEnd ? "request" : "head";
+    }
+
     /** Whether nothing that still arrives is passed on. */
     get isClosing(): boolean {
         return this.state.isClosing;
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -82,6 +82,8 @@
             maxHeaderSize: MAX_HEADER_BYTES,
             requireHostHeader: false,
             requestTimeout: 0,
+            headersTimeout: ENTRY_TIMINGS.initialHeaderTimeoutMs,
+            connectionsCheckingInterval: ENTRY_TIMINGS.headerTimeoutCheckIntervalMs,
             keepAliveTimeout: ENTRY_TIMINGS.initialIdleTimeoutMs,
             noDelay: true,
         }, (message, response) => {
@@ -90,11 +92,16 @@
         this.server.on("connection", (socket: Socket) => {
             this.acceptedConnections += 1;
             this.connection(socket);
+            socket.setTimeout(this.server.keepAliveTimeout);
         });
         this.server.on("checkExpectation", (message: IncomingMessage, response: ServerResponse) => {
             this.handleRequest(message, response, { rejectionStatusCode: STATUS_EXPECTATION_FAILED });
         });
         watchCallerInput(this.server, {
+            expects: socket => this.connection(socket).expectedInput,
+            onIdle: socket => {
+                this.connection(socket).close();
+            },
             onFailed: (socket, failure) => {
                 this.failInput(socket, failure);
             },
@@ -119,7 +126,7 @@
         this.maxHeaderBytes = limits.headerBytes;
         this.maxBodyBytes = limits.bodyBytes;
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
-        this.server.headersTimeout = limits.headerTimeoutMs + ENTRY_TIMINGS.initialIdleTimeoutMs;
+        this.server.headersTimeout = limits.headerTimeoutMs;
     }
 
     find(requestKey: string): OpenRequest | undefined {
@@ -232,6 +239,7 @@
         if (!this.exchanges.has(requestKey)) {
             return;
         }
+        message.socket.setTimeout(this.server.keepAliveTimeout);
         const statusCode = opts.rejectionStatusCode
             ?? selectHeadError(message, { maxHeaderBytes: this.maxHeaderBytes });
         if (statusCode !== undefined) {
@@ -241,6 +249,7 @@
         collectBody(message, collector);
         message.on("end", () => {
             connection.onRequestRead();
+            message.socket.setTimeout(0);
             this.completeRequest(requestKey);
         });
     }
--- a/daemon/entry/src/entry-timings.ts
+++ b/daemon/entry/src/entry-timings.ts
@@ -55,6 +55,9 @@
     rejoinWatchRounds: 6,
     // Idle timeout until a configuration is active. Callers reuse connections that have been idle for up to 12 s.
     initialIdleTimeoutMs: 15_000,
+    // Time for the head of a request until a configuration is active, and how often slow heads are looked for.
+    initialHeaderTimeoutMs: 5_000,
+    headerTimeoutCheckIntervalMs: 500,
     rpcTimeoutMs: 600,
     logFlushDelayMs: 200,
     // Within the margin before the platform kills the process.
--- a/daemon/entry/src/watch-caller-input.ts
+++ b/daemon/entry/src/watch-caller-input.ts
@@ -4,9 +4,13 @@
 import type { InputFailure } from "./input-failure.js";
 
 interface WatchCallerInputOptions {
+    /** What the connection is waiting for, as far as its caller is concerned. */
+    readonly expects: (socket: Socket) => "request" | "head" | "body";
+    readonly onIdle: (socket: Socket) => void;
     readonly onFailed: (socket: Socket, failure: InputFailure) => void;
 }
 
+const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_NOT_IMPLEMENTED = 501;
 
 const handleError = (
@@ -24,7 +28,10 @@
         socket.destroy();
         return;
     }
-    onFailed(socket, failure);
+    // Node.js counts the time for the first head from the start of the connection.
+    if (socket.bytesRead > 0) {
+        onFailed(socket, failure);
+    }
 };
 
 // Node.js has taken its parser and its listeners off the socket.
@@ -54,4 +61,16 @@
             problem: message.method ?? "",
         });
     });
+    server.on("timeout", (socket: Socket) => {
+        const expected = opts.expects(socket);
+        if (expected === "request") {
+            opts.onIdle(socket);
+            return;
+        }
+        opts.onFailed(socket, {
+            kind: `caller-input-${expected}-timeout`,
+            statusCode: STATUS_REQUEST_TIMEOUT,
+            problem: `no bytes of the ${expected} within the idle timeout`,
+        });
+    });
 };
--- a/daemon/entry/test/caller-input.test.ts
+++ b/daemon/entry/test/caller-input.test.ts
@@ -1,5 +1,7 @@
 import { expect } from "chai";
 import { ListenerHarness } from "./support/listener-harness.js";
+import { measureHeapGrowth } from "./support/measure-heap-growth.js";
+import { SlowSender } from "./support/slow-sender.js";
 
 const HEADER_TIMEOUT_MS = 600;
 const IDLE_TIMEOUT_MS = 900;
@@ -36,6 +38,18 @@
         statusCode: 431,
         kind: "head-too-large",
     },
+    {
+        name: "a head that never ends",
+        text: "GET /a/ HTTP/1.1\r\nHost: x\r\n",
+        statusCode: 408,
+        kind: "head-timeout",
+    },
+    {
+        name: "a body that never ends",
+        text: toText("POST /a/ HTTP/1.1", "Host: x", "Content-Length: 10") + "half",
+        statusCode: 408,
+        kind: "body-timeout",
+    },
     {
         name: "CONNECT",
         text: toText("CONNECT x:443 HTTP/1.1", "Host: x"),
@@ -135,4 +149,66 @@
         harness.socket.end();
         await harness.waitUntil(() => harness.abandonedKeys.length === 1);
     });
+
+    describe("with many callers that send a byte at a time", () => {
+        const CALLERS = 500;
+        const BYTE_INTERVAL_MS = 50;
+        const MAX_HEAP_GROWTH_BYTES = 32 * 1_024 * 1_024;
+        const MAX_WAIT_MS = 1_000;
+
+        // Their heads were given 15 s more than configured, and looked at every 30 s.
+        it("serves the others meanwhile, and closes the slow connections", async () => {
+            const { result, growthBytes } = await measureHeapGrowth(async () => {
+                const senders = [...Array(CALLERS).keys()].map(() => new SlowSender(BYTE_INTERVAL_MS));
+                await Promise.all(senders.map(sender => sender.start()));
+                const waitsMs: number[] = [];
+                for (let count = 1; senders.some(({ isClosed }) => !isClosed); count += 1) {
+                    const sentAtMs = performance.now();
+                    harness.send(`r${count}`);
+                    await harness.waitForRequests(count);
+                    harness.relay(`r${count}`);
+                    await harness.waitUntil(() => harness.received.endsWith(`<r${count}>`));
+                    waitsMs.push(performance.now() - sentAtMs);
+                }
+                return {
+                    waitsMs,
+                    statusLines: senders.map(({ received }) => received.slice(0, "HTTP/1.1 408".length)),
+                };
+            });
+            expect(new Set(result.statusLines)).to.deep.equal(new Set(["HTTP/1.1 408"]));
+            expect(Math.max(...result.waitsMs)).to.be.lessThan(MAX_WAIT_MS);
+            expect(growthBytes).to.be.lessThan(MAX_HEAP_GROWTH_BYTES);
+        });
+    });
+
+    describe("time limits", () => {
+        it("keep a connection open that has not carried a request yet, up to the idle timeout", async () => {
+            const startedAtMs = performance.now();
+            await harness.waitUntil(() => harness.isClosed);
+            expect(performance.now() - startedAtMs).to.be.greaterThan(IDLE_TIMEOUT_MS - 100);
+            expect(harness.received).to.equal("");
+        });
+
+        it("do not end a request that runs for longer", async () => {
+            harness.send("r1");
+            await harness.waitForRequests(1);
+            await new Promise(resolve => {
+                setTimeout(resolve, 2 * IDLE_TIMEOUT_MS);
+            });
+            harness.relay("r1");
+            await harness.waitUntil(() => harness.received.endsWith("<r1>"));
+        });
+
+        it("count the head from its first byte", async () => {
+            harness.send("r1");
+            await harness.waitForRequests(1);
+            harness.relay("r1");
+            await harness.waitUntil(() => harness.received.endsWith("<r1>"));
+            await new Promise(resolve => {
+                setTimeout(resolve, IDLE_TIMEOUT_MS / 2);
+            });
+            harness.send("r2");
+            await harness.waitForRequests(2);
+        });
+    });
 });
--- a/daemon/entry/test/support/listener-harness.ts
+++ b/daemon/entry/test/support/listener-harness.ts
@@ -2,9 +2,8 @@
 import { connect, type Socket } from "node:net";
 import { CallerListener } from "../../src/caller-listener.js";
 import type { OpenRequest } from "../../src/open-request.js";
+import { LISTENER_ADDRESS } from "./listener-address.js";
 
-const HOST = "127.0.0.1";
-const PORT = 18_742;
 const POLL_INTERVAL_MS = 5;
 const SETTLE_MS = 50;
 
@@ -52,8 +51,9 @@
     }
 
     async start(): Promise<void> {
-        await this.listener.listen(`${HOST}:${PORT}`);
-        this.socket = connect({ host: HOST, port: PORT });
+        const { host, port } = LISTENER_ADDRESS;
+        await this.listener.listen(`${host}:${port}`);
+        this.socket = connect({ host, port });
         this.socket.on("data", chunk => {
             this.received += chunk.toString("latin1");
         });
