fix(entry): keep the time limit for a body that came in one piece with others

Callers saw: nothing, unless one of them stopped sending in the middle of a body that had begun in the same packet as the request before it. That connection stayed open without a limit.

Cause: Node.js reports the end of a request after the start of the next one in the same piece, and the end of the first switched the limit of the second off.

Change: only the end of the newest request switches the limit off. An effect that throws no longer stops the events of its connection.

--- a/daemon/entry/src/caller-connection.ts
+++ b/daemon/entry/src/caller-connection.ts
@@ -83,18 +83,30 @@
             return;
         }
         this.isReducing = true;
-        for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
-            const { state, effects } = reducePipeline(this.state, next, { isStopping: this.opts.isStopping() });
-            this.state = state;
-            for (const effect of effects) {
-                this.opts.execute(effect);
+        try {
+            for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
+                const { state, effects } = reducePipeline(this.state, next, { isStopping: this.opts.isStopping() });
+                this.state = state;
+                effects.forEach(this.opts.execute);
             }
         }
-        this.isReducing = false;
+        finally {
+            this.isReducing = false;
+        }
+    }
+
+    /** Limits the time without a byte until the newest request has been read. */
+    limitBodyTime(timeoutMs: number): void {
+        this.opts.socket.setTimeout(timeoutMs);
     }
 
-    onRequestRead(): void {
-        this.bytesReadAtRequestEnd = this.opts.socket.bytesRead;
+    onRequestRead(requestKey: string): void {
+        const { socket } = this.opts;
+        this.bytesReadAtRequestEnd = socket.bytesRead;
+        // Node.js reports the end of a request after the start of one that came in the same piece.
+        if (requestKey === this.newestKey) {
+            socket.setTimeout(0);
+        }
     }
 
     /** Whether requests behind a given one have been passed on. */
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -239,7 +239,7 @@
         if (!this.exchanges.has(requestKey)) {
             return;
         }
-        message.socket.setTimeout(this.server.keepAliveTimeout);
+        connection.limitBodyTime(this.server.keepAliveTimeout);
         const statusCode = opts.rejectionStatusCode
             ?? selectHeadError(message, { maxHeaderBytes: this.maxHeaderBytes });
         if (statusCode !== undefined) {
@@ -248,8 +248,7 @@
         }
         collectBody(message, collector);
         message.on("end", () => {
-            connection.onRequestRead();
-            message.socket.setTimeout(0);
+            connection.onRequestRead(requestKey);
             this.completeRequest(requestKey);
         });
     }
--- a/daemon/entry/test/caller-input.test.ts
+++ b/daemon/entry/test/caller-input.test.ts
@@ -189,6 +189,17 @@
             expect(harness.received).to.equal("");
         });
 
+        // The end of the first request switched the limit off for the body of the second.
+        it("hold for a body that began in one piece with the request before it", async () => {
+            const partial = toText("POST /a/ HTTP/1.1", "Host: x", "Content-Length: 10") + "half";
+            harness.socket.write(toText("GET /a/ HTTP/1.1", "Host: x", "X-Request-Id: r1") + partial);
+            await harness.waitForRequests(1);
+            await harness.waitUntil(() => harness.refusedKinds.length > 0);
+            harness.relay("r1");
+            await harness.waitUntil(() => harness.isClosed);
+            expect(harness.statusCodes).to.deep.equal([200, 408]);
+        });
+
         it("do not end a request that runs for longer", async () => {
             harness.send("r1");
             await harness.waitForRequests(1);
--- a/requests/pipeline/src/write-next-response.ts
+++ b/requests/pipeline/src/write-next-response.ts
@@ -3,8 +3,8 @@
 import { setRequest } from "./set-request.js";
 
 /**
- * Writes the first response if it is ready, or an error once no response is due before it. Only then is it decided whether the connection closes after it, so that the
- * headers are right whatever happened while it waited for its turn.
+ * Writes the first response if it is ready, or an error once no response is due before it. Whether the connection closes
+ * after a response is decided only then, so that its headers are right whatever happened while it waited for its turn.
  */
 export const writeNextResponse = (
     state: PipelineState,
