--- a/daemon/entry/test/stop.test.ts
+++ b/daemon/entry/test/stop.test.ts
@@ -41,6 +41,7 @@
             { seed: 101, unframedShare: 0, cause: "a slow reader" },
             { seed: 114, unframedShare: 0, cause: "connections that were not accepted yet" },
             { seed: 201, unframedShare: 0.1, cause: "responses without a length" },
+            { seed: 301, unframedShare: 0.1, mixedCallers: 6, cause: "requests of all kinds behind one another" },
         ];
         for (const { cause, ...opts } of tries) {
             it(`loses no request, seed ${opts.seed} (${cause})`, async () => {
--- a/daemon/entry/test/support/raw-caller.ts
+++ b/daemon/entry/test/support/raw-caller.ts
@@ -1,10 +1,12 @@
 import type { RandomSource } from "@marigoldstall-private/random";
 import { connect, type Socket } from "node:net";
+import type { Habit } from "./habit.js";
 import { ResponseParser } from "./response-parser.js";
 import type { SentRequest } from "./sent-request.js";
 
-/** How a caller uses a connection. */
-type Habit = "serial" | "pipelined" | "chunked" | "late" | "slow-reader";
+const PIPELINING_HABITS: ReadonlySet<Habit> = new Set(["pipelined", "mixed"]);
+// Share of the requests of a mixed pipeline that are not idempotent.
+const NON_IDEMPOTENT_SHARE = 0.3;
 
 interface RawCallerOptions {
     readonly host: string;
@@ -110,12 +112,13 @@
         if (habit === "late") {
             await sleep(random.uniform() * MAX_IDLE_MS);
         }
-        const maxPending = habit === "pipelined" ? MAX_PIPELINED : 1;
+        const isPipelining = PIPELINING_HABITS.has(habit);
+        const maxPending = isPipelining ? MAX_PIPELINED : 1;
         while (!closed && !closing && !this.isStopped) {
             if (pending.length < maxPending) {
                 await this.send(socket, pending);
             }
-            await sleep(random.uniform() * (habit === "pipelined" ? 40 : 120));
+            await sleep(random.uniform() * (isPipelining ? 40 : 120));
         }
         if (this.isStopped && pending.length === 0) {
             socket.destroy();
@@ -129,7 +132,8 @@
         const requestId = `${name}-${this.count}`;
         const workMs = Math.round(random.uniform() * (random.uniform() < 0.1 ? LONG_WORK_MS : MAX_WORK_MS));
         const bodyBytes = habit === "slow-reader" ? LARGE_BODY_BYTES : 20;
-        const isPost = habit === "chunked";
+        const isChunked = habit === "chunked";
+        const isPost = isChunked || (habit === "mixed" && random.uniform() < NON_IDEMPOTENT_SHARE);
         const isBehindAnother = pending.length > 0;
         const head = [
             `${isPost ? "POST" : "GET"} /${
@@ -138,10 +142,11 @@
             `Host: ${publicHost}`,
             `X-Request-Id: ${requestId}`,
             "X-Deadline-Ms: 1500",
-            ...isPost ? ["Transfer-Encoding: chunked"] : [],
+            ...isChunked ? ["Transfer-Encoding: chunked"] : [],
+            ...isPost && !isChunked ? ["Content-Length: 0"] : [],
             "\r\n",
         ].join("\r\n");
-        if (isPost) {
+        if (isChunked) {
             // Split in the middle of the head and of the body.
             socket.write(head.slice(0, 30));
             await sleep(random.uniform() * 30);
--- a/daemon/entry/test/support/run-stop.ts
+++ b/daemon/entry/test/support/run-stop.ts
@@ -11,6 +11,7 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { findLostRequests } from "./find-lost-requests.js";
+import type { Habit } from "./habit.js";
 import { RawCaller } from "./raw-caller.js";
 import type { SentRequest } from "./sent-request.js";
 
@@ -18,6 +19,8 @@
     readonly seed: number;
     /** Share of responses without a length. */
     readonly unframedShare?: number;
+    /** Number of callers that send requests of all kinds behind one another. Default: 0. */
+    readonly mixedCallers?: number;
 }
 
 interface RunStopResult {
@@ -34,6 +37,7 @@
 const SERVER_COUNT = 12;
 const HABITS = ["serial", "pipelined", "chunked", "late", "slow-reader"] as const;
 const CALLERS_PER_HABIT = { "serial": 4, "pipelined": 4, "chunked": 3, "late": 6, "slow-reader": 1 } as const;
+const MIXED_SEED_FACTOR = 1_000_003;
 const MAX_STOP_DELAY_MS = 1_500;
 const DISTURBANCES_PER_RUN = 6;
 const GRACE_MS = 6_000;
@@ -114,18 +118,23 @@
         environment: { [SETTINGS_VARIABLE]: file },
     });
     const heartbeat = setInterval(register, 1_000);
-    const callers = HABITS.flatMap(habit =>
+    const createCaller = (habit: Habit, index: number, callerSeed: number): RawCaller =>
+        new RawCaller({
+            host,
+            port: PORTS.caller,
+            publicHost: PUBLIC_HOST,
+            name: `${habit}-${index}`,
+            habit,
+            random: new RandomSource({ seed: callerSeed }),
+        });
+    const callers = HABITS.flatMap((habit, habitIndex) =>
         [...Array(CALLERS_PER_HABIT[habit]).keys()].map(index =>
-            new RawCaller({
-                host,
-                port: PORTS.caller,
-                publicHost: PUBLIC_HOST,
-                name: `${habit}-${index}`,
-                habit,
-                random: new RandomSource({ seed: opts.seed * 100 + index * HABITS.length + HABITS.indexOf(habit) }),
-            })
+            createCaller(habit, index, opts.seed * 100 + index * HABITS.length + habitIndex)
         )
     );
+    for (let index = 0; index < (opts.mixedCallers ?? 0); index += 1) {
+        callers.push(createCaller("mixed", index, opts.seed * MIXED_SEED_FACTOR + index));
+    }
     let stoppedAtMs = Infinity;
     try {
         while ((await fetch(`http://${host}:${PORTS.ready}${READY_PATH}`).catch(() => undefined))?.status !== 200) {
