fix(entry): hand configurations to other VMs compressed

Cause: a member fetches a new configuration from its hub by a call whose answer held the text as a JSON string. Beyond 256 KB the member refused it, asked again every 250 ms in vain, and read the store only once its view had grown old. The store takes records of 262,144 bytes, and quotes count twice in JSON.

Ruled out: a higher limit alone. 33 members of a zone would take 33 times 350 KB over the link of one hub, 7 Mbit/s at worst, in a call that has 0.6 s.

Change: the hub compresses the text, once for all members, and the member bounds what it decompresses. VMs of earlier releases ask for, and send, the text as it is.

Conclusion: what the store can hold of a configuration, a member can fetch.

--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -4,6 +4,7 @@
 import { selectViewSnapshot, UNKNOWN_ERA, type ViewSnapshot } from "@marigoldstall/fleet.view";
 import * as Option from "effect/Option";
 import * as Schema from "effect/Schema";
+import { decompressText } from "./decompress-text.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
@@ -11,6 +12,7 @@
 import { NameSchema } from "./name-schema.js";
 import type { RefusedInputs } from "./refused-inputs.js";
 import { selectFindings } from "./select-findings.js";
+import { TextCompressor } from "./text-compressor.js";
 import { VmSchema } from "./vm-schema.js";
 
 const ConfirmationSchema = Schema.Struct({ readerId: Schema.String, number: Schema.Int });
@@ -75,11 +77,18 @@
 }));
 const decodeVms = Schema.decodeUnknownOption(Schema.Array(VmSchema));
 const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
-    text: Schema.String,
+    // VMs of earlier releases send the text as it is.
+    text: Schema.optional(Schema.String),
+    compressedText: Schema.optional(Schema.String),
     ageMs: Schema.Finite,
     confirmation: Schema.optional(ConfirmationSchema),
 }));
 
+const decodeConfigurationParams = Schema.decodeUnknownOption(Schema.Struct({ acceptsCompressed: Schema.Boolean }));
+
+// Four times the largest record of the store.
+const MAX_CONFIGURATION_BYTES = 1_048_576;
+
 // JSON cannot represent Infinity, the age of a view that was never confirmed.
 const MAX_AGE_MS = 1e9;
 
@@ -100,6 +109,7 @@
     private readonly opts: PeerRpcOptions;
     private readonly client: RpcClient;
     private readonly server: RpcServer;
+    private readonly compressor = new TextCompressor();
 
     constructor(opts: PeerRpcOptions) {
         this.opts = opts;
@@ -121,12 +131,7 @@
                     const { hub } = opts.state();
                     return [hub.self, ...selectLiveVms(hub, opts.nowMs()).map(vm => vm.info)];
                 },
-                "view.configuration": () => {
-                    const { configuration, configurationReading } = opts.state().view;
-                    const { confirmation, confirmedAtMs } = configurationReading;
-                    const ageMs = Math.min(MAX_AGE_MS, opts.nowMs() - confirmedAtMs);
-                    return { text: configuration?.text ?? "", ageMs, confirmation };
-                },
+                "view.configuration": params => this.describeConfiguration(params),
             },
             onRefused: (reason, peer) => {
                 opts.refusedInputs.record("peer-call-refused", { reason, peer });
@@ -138,6 +143,11 @@
         await this.server.listen(this.opts.settings.listen.control);
     }
 
+    async close(): Promise<void> {
+        this.client.close();
+        await this.server.close();
+    }
+
     async fetchVms(peerAddress: string): Promise<readonly VmInfo[]> {
         return Option.getOrElse(decodeVms(await this.call(peerAddress, "fleet.vms")), () => []);
     }
@@ -171,13 +181,15 @@
     }
 
     async fetchConfiguration(peerAddress: string): Promise<boolean> {
-        const rawResult = await this.call(peerAddress, "view.configuration");
+        const params = { acceptsCompressed: true };
+        const rawResult = await this.call(peerAddress, "view.configuration", params);
         const result = Option.getOrUndefined(decodePeerConfiguration(rawResult));
+        const text = result === undefined ? "" : await this.readText(result, peerAddress);
         // A peer that knows no configuration sends an empty text.
-        if (result === undefined || result.text === "") {
+        if (result === undefined || text === "") {
             return false;
         }
-        const { text, ageMs, confirmation } = result;
+        const { ageMs, confirmation } = result;
         const configuration = this.opts.parseConfiguration(text);
         if (configuration !== undefined) {
             this.opts.dispatch({ type: "peer-configuration-received", configuration, ageMs, confirmation });
@@ -185,8 +197,41 @@
         return configuration !== undefined;
     }
 
-    private async call(peerAddress: string, method: string): Promise<unknown> {
-        const opts = { method, params: {}, timeoutMs: ENTRY_TIMINGS.rpcTimeoutMs };
+    // A large configuration in JSON exceeds the limit of a call, and takes the link of a small VM for seconds.
+    private async describeConfiguration(params: unknown): Promise<unknown> {
+        const { configuration, configurationReading } = this.opts.state().view;
+        const { confirmation, confirmedAtMs } = configurationReading;
+        const ageMs = Math.min(MAX_AGE_MS, this.opts.nowMs() - confirmedAtMs);
+        const text = configuration?.text ?? "";
+        const acceptsCompressed = Option.getOrUndefined(decodeConfigurationParams(params))?.acceptsCompressed === true;
+        return acceptsCompressed && text !== ""
+            ? { compressedText: await this.compressor.compress(text), ageMs, confirmation }
+            : { text, ageMs, confirmation };
+    }
+
+    /** Returns an empty text if the peer's one cannot be read. */
+    private async readText(
+        result: { readonly text?: string | undefined; readonly compressedText?: string | undefined; },
+        peer: string,
+    ): Promise<string> {
+        if (result.compressedText === undefined) {
+            return result.text ?? "";
+        }
+        try {
+            return await decompressText(result.compressedText, { maxBytes: MAX_CONFIGURATION_BYTES });
+        }
+        catch (error) {
+            this.opts.refusedInputs.record("peer-configuration-malformed", { peer, problem: String(error) });
+            return "";
+        }
+    }
+
+    private async call(
+        peerAddress: string,
+        method: string,
+        params: Readonly<Record<string, unknown>> = {},
+    ): Promise<unknown> {
+        const opts = { method, params, timeoutMs: ENTRY_TIMINGS.rpcTimeoutMs };
         const result = await this.client.call(peerAddress, opts);
         if (result.isErr()) {
             this.opts.log.write("peer-call-failed", { method, peer: peerAddress, problem: result.error.message });
--- a/fleet/rpc/test/rpc.test.ts
+++ b/fleet/rpc/test/rpc.test.ts
@@ -91,7 +91,7 @@
             ["a call with a timestamp too far in the future", { timestampMs: WALL_MS + 30_001 }, "too-old", 401],
             ["a call that was signed for another daemon", { target: "127.0.0.1:1" }, "wrong-target", 401],
             ["a signed call that is not JSON", { body: "{" }, "malformed", 400],
-            ["a call larger than 256 KiB", { body: "x".repeat(RPC.maxBodyBytes + 1) }, "oversized", 413],
+            ["a call larger than the limit", { body: "x".repeat(RPC.maxBodyBytes + 1) }, "oversized", 413],
         ];
         for (const [name, call, refusal, statusCode] of cases) {
             it(`refuses ${name}, reports the reason and runs no method`, async () => {
