--- a/core/types/src/entry-settings.ts
+++ b/core/types/src/entry-settings.ts
@@ -1,3 +1,6 @@
+import type { ColdBounds } from "./cold-bounds.js";
+import type { QuotaBounds } from "./quota-bounds.js";
+
 /** Settings of the daemon on an entry VM, provided by the platform. */
 export interface EntrySettings {
     readonly vmId: string;
@@ -32,4 +35,17 @@
     readonly stopGraceMs: number;
     /** Maximum rate of health checks that one backend server may receive from the whole fleet. */
     readonly maxProbesPerSecond: number;
+    /** Memory at which the platform ends the process. */
+    readonly memoryBytes: number;
+    /** Descriptors that the process may open. */
+    readonly maxDescriptors: number;
+    /**
+     * Time after which a revoked API key must not work on any VM, also on one that cannot reach the store. Undefined if
+     * only VMs that reach it are bound.
+     */
+    readonly keyRevocationMs?: number | undefined;
+    /** Undefined if quotas are not limited over all VMs. */
+    readonly quotaBounds?: QuotaBounds | undefined;
+    /** Undefined if requests to cold servers are not limited. */
+    readonly coldBounds?: ColdBounds | undefined;
 }
--- a/core/types/src/route.ts
+++ b/core/types/src/route.ts
@@ -17,4 +17,6 @@
     /** Maximum number of backend servers to which one request is sent. */
     readonly maxAttempts: number;
     readonly destinations: readonly Destination[];
+    /** Whether it needs no API key, where the configuration has tenants. */
+    readonly isPublic?: boolean;
 }
--- a/daemon/entry/src/default-settings.ts
+++ b/daemon/entry/src/default-settings.ts
@@ -18,4 +18,7 @@
     stopGraceMs: 6_000,
     // A third of the usual limit.
     maxProbesPerSecond: 20,
+    // Below the smallest VMs in use.
+    memoryBytes: 192 * 1_024 * 1_024,
+    maxDescriptors: 2_048,
 };
--- a/daemon/entry/test/create-model-settings.ts
+++ b/daemon/entry/test/create-model-settings.ts
@@ -20,5 +20,7 @@
         retryBudget: { ratio: 0.2, windowMs: 10_000, extra: 58 },
         stopGraceMs: 6_000,
         maxProbesPerSecond: PROBES_PER_SECOND,
+        memoryBytes: 250 * 1_024 * 1_024,
+        maxDescriptors: 4_100,
     };
 };
--- a/daemon/entry/test/entry-daemon.test.ts
+++ b/daemon/entry/test/entry-daemon.test.ts
@@ -18,6 +18,8 @@
     retryBudget: { ratio: 0.2, windowMs: 10_000, extra: 58 },
     stopGraceMs: 700,
     maxProbesPerSecond: 60,
+    memoryBytes: 250 * 1_024 * 1_024,
+    maxDescriptors: 4_100,
 };
 
 const findFreePort = async (): Promise<number> => {
--- a/daemon/entry/test/entry-site.ts
+++ b/daemon/entry/test/entry-site.ts
@@ -165,6 +165,8 @@
             retryBudget: { ratio: 0.2, windowMs: 10_000, extra: 58 },
             stopGraceMs: 300,
             maxProbesPerSecond: 60,
+            memoryBytes: 250 * 1_024 * 1_024,
+            maxDescriptors: 4_100,
         };
     }
 }
