fix(view): age what was read before a suspension of the VM

A read of the store that began before the VM was suspended, and whose response arrived after it, made the configuration and its age look current, although the clock had not counted the time in between. A revoked API key would have worked for as long again. Times before the last resumption are now moved back by what the clock did not count. Reads of registrations keep their own handling, which the list in docs/design does not depend on.

--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -4,6 +4,7 @@
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
+import { selectCountedTimeMs } from "./select-counted-time-ms.js";
 import { selectNewChanges } from "./select-new-changes.js";
 import { selectPeerEra } from "./select-peer-era.js";
 import type { StorePosition } from "./store-position.js";
@@ -89,7 +90,7 @@
         return state;
     }
     const configurationReading = confirmReading(state.configurationReading, {
-        confirmedAtMs: atMs - summary.configurationAgeMs,
+        confirmedAtMs: selectCountedTimeMs(state, atMs - summary.configurationAgeMs),
         confirmation: summary.configurationConfirmation,
     });
     return { ...state, configurationReading };
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -36,6 +36,7 @@
         recentChanges: [],
         recentBase: { era: 0, offset: 0 },
         outageEndedAtMs: -Infinity,
+        lastResume: undefined,
         snapshotRequestedAtMs: -Infinity,
         configurationRequestedAtMs: -Infinity,
     };
--- a/fleet/view/src/index.ts
+++ b/fleet/view/src/index.ts
@@ -4,6 +4,7 @@
 export type { KnownServer } from "./known-server.js";
 export { reduceView } from "./reduce-view.js";
 export type { RegistrationChange } from "./registration-change.js";
+export { selectConfigurationAgeMs } from "./select-configuration-age-ms.js";
 export { selectViewSnapshot } from "./select-view-snapshot.js";
 export { selectViewSummary } from "./select-view-summary.js";
 export type { StorePosition } from "./store-position.js";
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -12,6 +12,7 @@
 import { onResumed } from "./on-resumed.js";
 import { READING_FIELD_BY_TOPIC } from "./reading-field-by-topic.js";
 import type { RegistrationChange } from "./registration-change.js";
+import { selectCountedTimeMs } from "./select-counted-time-ms.js";
 import { selectLaterPosition } from "./select-later-position.js";
 import { selectNewChanges } from "./select-new-changes.js";
 import { selectPeerEra } from "./select-peer-era.js";
@@ -125,7 +126,7 @@
         return { state: { ...state, configurationReading: { ...finished, startedAtMs: -Infinity } }, effects };
     }
     const confirmed = confirmReading(finished, {
-        confirmedAtMs: event.startedAtMs,
+        confirmedAtMs: selectCountedTimeMs(state, event.startedAtMs),
         confirmation: nextConfirmation(state, reading),
     });
     const next = selectLaterPosition({ era, offset: event.nextOffset }, reading.next);
@@ -199,7 +200,7 @@
         case "seeds-asked":
             return { state: { ...state, firstReadAtMs: -Infinity }, effects: [] };
         case "resumed":
-            return { state: onResumed(state, event.uncountedMs), effects: [] };
+            return { state: onResumed(state, event), effects: [] };
         case "registrations-read":
             return onRegistrationsRead(state, event);
         case "registrations-listed":
@@ -218,7 +219,7 @@
                 return { state, effects };
             }
             const configurationReading = confirmReading(next.configurationReading, {
-                confirmedAtMs: event.atMs - event.ageMs,
+                confirmedAtMs: selectCountedTimeMs(state, event.atMs - event.ageMs),
                 confirmation: event.confirmation,
             });
             return { state: { ...next, configurationReading }, effects };
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -51,6 +51,8 @@
     readonly recentBase: StorePosition;
     /** When the last outage of the store ended. */
     readonly outageEndedAtMs: number;
+    /** When the VM was last resumed, and for how long it had been suspended without the clock counting. */
+    readonly lastResume: { readonly atMs: number; readonly uncountedMs: number; } | undefined;
     readonly snapshotRequestedAtMs: number;
     readonly configurationRequestedAtMs: number;
 }
