feat(quotas): add the reducer that keeps tenants within their quotas

Callers of one tenant could take all servers. Each VM counts what it admits by tenant, hubs add up the reports, and above half of a burst or 0.7 of a window the hub grants each request from a token bucket.

Ruled out: equal parts for each VM (0.02 a VM for a small tenant), parts lent on demand, one VM for each tenant.

--- /dev/null
+++ b/routing/quotas/src/add-to-window.ts
@@ -0,0 +1,35 @@
+import { QUOTA_LIMITS } from "./quota-limits.js";
+import type { WindowCount } from "./window-count.js";
+
+// Takes requests back, the newest first.
+const subtract = (window: WindowCount, count: number): WindowCount => {
+    const remaining = [...window];
+    let left = count;
+    for (let last = remaining.pop(); last !== undefined; last = remaining.pop()) {
+        if (last.count > left) {
+            return [...remaining, { ...last, count: last.count - left }];
+        }
+        left -= last.count;
+    }
+    return remaining;
+};
+
+/** Adds requests to the current slice, or takes some back if the count is negative, and drops slices that are too old. */
+export const addToWindow = (
+    window: WindowCount,
+    opts: { readonly atMs: number; readonly windowMs: number; readonly count: number; },
+): WindowCount => {
+    const { atMs, windowMs, count } = opts;
+    const { sliceMs, historyWindows } = QUOTA_LIMITS;
+    const firstSlice = Math.floor((atMs - windowMs * historyWindows) / sliceMs);
+    const isOutdated = (window[0]?.slice ?? firstSlice) < firstSlice;
+    const current = isOutdated ? window.filter(({ slice }) => slice >= firstSlice) : window;
+    if (count <= 0) {
+        return subtract(current, -count);
+    }
+    const slice = Math.floor(atMs / sliceMs);
+    const last = current.at(-1);
+    return last?.slice === slice
+        ? [...current.slice(0, -1), { slice, count: last.count + count }]
+        : [...current, { slice, count }];
+};
--- /dev/null
+++ b/routing/quotas/src/index.ts
@@ -0,0 +1,11 @@
+export type { AdmissionVerdict } from "./admission-verdict.js";
+export { createQuotaState } from "./create-quota-state.js";
+export type { QuotaEffect } from "./quota-effect.js";
+export type { QuotaEvent } from "./quota-event.js";
+export { QUOTA_LIMITS } from "./quota-limits.js";
+export type { QuotaState } from "./quota-state.js";
+export { reduceQuotas } from "./reduce-quotas.js";
+export { selectQuotaLimit } from "./select-quota-limit.js";
+export { selectUsageReport } from "./select-usage-report.js";
+export { selectUsage } from "./select-usage.js";
+export type { UsageReport } from "./usage-report.js";
--- /dev/null
+++ b/routing/quotas/src/quota-limits.ts
@@ -0,0 +1,36 @@
+/** Durations, shares and counts of the quotas reducer. Milliseconds unless the name says otherwise. */
+export const QUOTA_LIMITS = {
+    // Requests are counted in slices of this length.
+    sliceMs: 100,
+    // Use of the quota of a window, and use of the burst, above which each request is granted by a hub. The rest is what a
+    // tenant with five times its rate can use until all VMs know: the news takes up to 300 ms through two hubs and their
+    // heartbeats.
+    meteredShare: 0.7,
+    meteredBurstShare: 0.5,
+    // Windows for which counts are kept. A burst counts as unused before that, so a tenant that always asks for more gets
+    // its rate and one burst in this time.
+    historyWindows: 3,
+    // A member whose hub was not heard for this time asks for each request. It covers the takeover by another hub.
+    meteringValidForMs: 450,
+    // A query without an answer is repeated once after this time, then the request is rejected.
+    queryTimeoutMs: 60,
+    maxQueries: 2,
+    // Each count is reported again within this time, so that a lost datagram is repaired by the next one.
+    repeatReportMs: 200,
+    maxReportedTenants: 100,
+    // After a peer was silent for this time, it is told all counts.
+    fullReportGapMs: 600,
+    // Part of the fleet below which most of it is out of reach, and how long nothing is granted then. The other side needs
+    // that long to leave this part of the quota alone.
+    minorityShare: 0.5,
+    minorityDelayMs: 1_500,
+    // Below this part of the fleet, every request is granted by a hub.
+    openShare: 0.9,
+    // Share of a quota that counts as used by requests from before the process started, decaying over a window: all VMs
+    // may have restarted, so that nobody knows. The usual use of a quota is about half.
+    assumedShare: 0.45,
+    // Reporters that were silent for this many windows are forgotten.
+    reporterKeptWindows: 2,
+    // How long a caller waits that is told to come back when no hub answers.
+    unknownRetryAfterMs: 200,
+} as const;
--- /dev/null
+++ b/routing/quotas/src/zone-usage.ts
@@ -0,0 +1,11 @@
+import type { TenantCount } from "./tenant-count.js";
+
+/** Admitted requests of a zone, by tenant. */
+export interface ZoneUsage {
+    /** Hub that reported them. */
+    readonly reporterId: string;
+    readonly sequence: number;
+    /** Totals of the latest reports of that hub, by tenant. */
+    readonly reportedTotals: ReadonlyMap<string, number>;
+    readonly tenants: ReadonlyMap<string, TenantCount>;
+}
