feat(entry): serve tenants by API key, with quotas and revocation over all VMs

Callers of a deployment with tenants got their key passed on to the backend server, no X-Tenant, and no limit. Requests are now authorized when they arrive (401, or 503 while the configuration is older than 0.8 of the revocation bound), servers are told the tenant and never the key, the tenant's priority goes before the route's, and requests of tenants with a quota are admitted by routing/quotas before they are queued (429 beyond it). Requests that were turned away by some servers while others have room are told to come back after 10 to 50 ms in place of 150 to 400 ms.

--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -1,3 +1,4 @@
+import { selectConfigurationAgeMs } from "@marigoldstall/fleet.view";
 import { type DispatchState, selectHold, type ServerState } from "@marigoldstall/routing.dispatch";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
@@ -24,6 +25,9 @@
 const countHeldBack = ({ suspects }: DispatchState, nowMs: number): number =>
     [...suspects.values()].filter(suspect => selectHold(suspect).untilMs > nowMs).length;
 
+const countMetered = ({ quotas: { metered, quotas } }: EntryState): number =>
+    metered === "all" ? quotas.size : metered.size;
+
 /** Registers the gauges whose values are computed from the state on each scrape of `/metrics`. */
 export const addGauges = (metrics: EntryMetrics, opts: AddGaugesOptions): void => {
     const { state } = opts;
@@ -45,6 +49,21 @@
         "Time since the registrations were known to be current.",
         () => (opts.nowMs() - state().view.registrationReading.confirmedAtMs) / MS_PER_SECOND,
     );
+    metrics.addGauge(
+        "marigoldstall_configuration_age_seconds",
+        "Time since the configuration was known to be the newest.",
+        () => selectConfigurationAgeMs(state().view, opts.nowMs()) / MS_PER_SECOND,
+    );
+    metrics.addGauge(
+        "marigoldstall_tenants_metered",
+        "Tenants whose requests a hub grants one by one.",
+        () => countMetered(state()),
+    );
+    metrics.addGauge(
+        "marigoldstall_quota_pending",
+        "Requests that wait for a hub to tell whether they are within the quota of their tenant.",
+        () => state().quotas.pending.size,
+    );
     metrics.addGauge(
         "marigoldstall_store_era",
         "Restores of the store from a copy that this VM knows of, as numbered by the store.",
--- a/daemon/entry/src/create-entry-state.ts
+++ b/daemon/entry/src/create-entry-state.ts
@@ -2,6 +2,7 @@
 import { createHubState } from "@marigoldstall/fleet.hubs";
 import { createViewState } from "@marigoldstall/fleet.view";
 import { createDispatchState } from "@marigoldstall/routing.dispatch";
+import { createQuotaState } from "@marigoldstall/routing.quotas";
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import { toVmInfo } from "./to-vm-info.js";
@@ -27,6 +28,12 @@
     }),
     hub: createHubState(toVmInfo(settings), opts),
     dispatch: createDispatchState(settings),
+    quotas: createQuotaState({
+        bounds: settings.quotaBounds,
+        reporterId: `${settings.vmId}/${opts.incarnation}`,
+        availabilityZone: settings.availabilityZone,
+        atMs: opts.atMs,
+    }),
     isProber: false,
     zoneServerCount: 0,
     lastViewTickAtMs: -Infinity,
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -1,11 +1,12 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
 import { selectLiveHub } from "@marigoldstall/fleet.hubs";
-import { StoreClient } from "@marigoldstall/platform.adapter";
+import { decodeApiKey, StoreClient } from "@marigoldstall/platform.adapter";
 import { setTimeout as sleep } from "node:timers/promises";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
 import { CallerListener } from "./caller-listener.js";
+import { canServeCallers } from "./can-serve-callers.js";
 import { createEntryState } from "./create-entry-state.js";
 import { createIncarnation } from "./create-incarnation.js";
 import { EffectRunner } from "./effect-runner.js";
@@ -172,6 +173,7 @@
                     receivedAtMs,
                     deadlineMs,
                     fingerprint: fingerprintRequest(message, request.body),
+                    apiKey: decodeApiKey(message.rawHeaders),
                 });
             },
             onCallerLeft: requestKey => {
@@ -317,7 +319,7 @@
 
     private get isReady(): boolean {
         return this.isListening && this.stopRequestedAtMs === undefined
-            && this.state.view.configuration !== undefined && this.state.view.servers.size > 0;
+            && canServeCallers(this.state, this.clock.atMs());
     }
 
     private controlAddressOf(host: string): string {
--- a/daemon/entry/src/entry-draft.ts
+++ b/daemon/entry/src/entry-draft.ts
@@ -1,5 +1,6 @@
 import type { Transition } from "@marigoldstall/core.types";
 import {
+    type FleetMessage,
     type HubEvent,
     reduceHub,
     selectLiveHub,
@@ -13,8 +14,11 @@
     RandomSequence,
     reduceDispatch,
 } from "@marigoldstall/routing.dispatch";
+import { type QuotaEvent, reduceQuotas } from "@marigoldstall/routing.quotas";
+import { describeMetering } from "./describe-metering.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryState } from "./entry-state.js";
+import { selectQuotas } from "./select-quotas.js";
 
 /**
  * Applies one event to the slices of the state and passes the effects of a slice on to the slices that depend on it.
@@ -54,6 +58,11 @@
                 this.applyDispatchEvent({ type: "servers-changed", ...this.eventContext, changes: effect.changes });
             }
             else if (effect.type === "configuration-adopted") {
+                this.applyQuotaEvent({
+                    type: "quotas-configured",
+                    atMs: this.atMs,
+                    quotas: selectQuotas(effect.configuration),
+                });
                 this.applyDispatchEvent({
                     type: "configuration-adopted",
                     ...this.eventContext,
@@ -67,6 +76,12 @@
         const { state, effects } = reduceHub(this.current.hub, event);
         this.current = { ...this.current, hub: state };
         this.effects.push(...effects);
+        const hasReported = effects.some(effect =>
+            effect.type === "send-message" && effect.message.type === "updates" && effect.message.usage !== undefined
+        );
+        if (hasReported) {
+            this.applyQuotaEvent({ type: "usage-reported", atMs: this.atMs });
+        }
     }
 
     applyDispatchEvent(event: DispatchEvent): void {
@@ -90,6 +105,17 @@
                 case "answer-permit":
                     this.answerPermit(effect);
                     break;
+                case "request-admission":
+                    this.applyQuotaEvent({
+                        ...effect,
+                        type: "admission-requested",
+                        atMs: this.atMs,
+                        hubHost: this.hubHost,
+                    });
+                    break;
+                case "release-admission":
+                    this.applyQuotaEvent({ ...effect, type: "admission-released", atMs: this.atMs });
+                    break;
                 case "findings-changed":
                     // A member tells its hub only what servers told it; the hub tells everyone else.
                     if (effect.source === "response" || this.current.hub.isHub) {
@@ -102,6 +128,46 @@
         }
     }
 
+    applyQuotaEvent(event: QuotaEvent): void {
+        const { state, effects } = reduceQuotas(this.current.quotas, event);
+        this.current = { ...this.current, quotas: state };
+        for (const effect of effects) {
+            switch (effect.type) {
+                case "admission-decided":
+                    this.applyDispatchEvent({ ...effect, ...this.eventContext });
+                    break;
+                case "query-quota":
+                    this.sendTo(effect.host, {
+                        type: "quota-query",
+                        reporterId: state.reporterId,
+                        requestKey: effect.requestKey,
+                        tenantName: effect.tenantName,
+                    });
+                    break;
+                case "answer-quota": {
+                    const { host, requestKey, verdict, retryAfterMs } = effect;
+                    this.sendTo(host, { type: "quota-answer", requestKey, verdict, retryAfterMs });
+                    break;
+                }
+                case "usage-changed":
+                    this.applyHubEvent({ type: "usage-changed", atMs: this.atMs });
+                    break;
+                case "log-metering":
+                    this.effects.push({ type: "log-decision", decision: describeMetering(effect) });
+                    break;
+            }
+        }
+    }
+
+    /** Host of this VM's hub, if it is another VM and heard. */
+    get hubHost(): string | undefined {
+        return selectLiveHub(this.current.hub, this.atMs)?.host;
+    }
+
+    private sendTo(host: string, message: FleetMessage): void {
+        this.effects.push({ type: "send-message", hosts: [host], message });
+    }
+
     /** Grants or refuses a permit if this VM counts the requests to the server, and refuses it otherwise. */
     decidePermit(query: {
         readonly attemptId: string;
@@ -130,8 +196,7 @@
             this.decidePermit({ attemptId, instanceId, availabilityZone, replyHost: undefined });
             return;
         }
-        const message = { type: "permit-query" as const, attemptId, instanceId };
-        this.effects.push({ type: "send-message", hosts: [authority.host], message });
+        this.sendTo(authority.host, { type: "permit-query", attemptId, instanceId });
     }
 
     private answerPermit(effect: Extract<DispatchEffect, { readonly type: "answer-permit"; }>): void {
@@ -141,19 +206,14 @@
             this.applyDispatchEvent({ type: "permit-answered", ...this.eventContext, ...answer });
             return;
         }
-        this.effects.push({
-            type: "send-message",
-            hosts: [replyHost],
-            message: { type: "permit-answer", ...answer },
-        });
+        this.sendTo(replyHost, { type: "permit-answer", ...answer });
     }
 
     private queryLoads(effect: Extract<DispatchEffect, { readonly type: "query-loads"; }>): void {
         const { hub } = this.current;
         const asked = selectLiveHub(hub, this.atMs);
         if (asked !== undefined) {
-            const message = { ...effect, type: "load-query" as const, vmId: hub.self.vmId };
-            this.effects.push({ type: "send-message", hosts: [asked.host], message });
+            this.sendTo(asked.host, { ...effect, type: "load-query", vmId: hub.self.vmId });
         }
     }
 
--- a/daemon/entry/src/entry-event.ts
+++ b/daemon/entry/src/entry-event.ts
@@ -5,6 +5,8 @@
     LoadQuery,
     PermitAnswer,
     PermitQuery,
+    QuotaAnswer,
+    QuotaQuery,
     StatusMessage,
     UpdatesMessage,
 } from "@marigoldstall/fleet.hubs";
@@ -32,6 +34,9 @@
     | { readonly type: "findings-received"; readonly findings: Findings; }
     | { readonly type: "permit-query-received"; readonly query: PermitQuery; readonly host: string; }
     | { readonly type: "permit-answer-received"; readonly answer: PermitAnswer; }
+    | { readonly type: "quota-query-received"; readonly query: QuotaQuery; readonly host: string; }
+    | { readonly type: "quota-answer-received"; readonly answer: QuotaAnswer; }
+    | Omit<SliceEvent<DispatchEvent, "request-arrived">, "configurationAgeMs">
     | SliceEvent<HubEvent, "vms-found">
     | SliceEvent<
         ViewEvent,
@@ -44,7 +49,6 @@
     >
     | SliceEvent<
         DispatchEvent,
-        | "request-arrived"
         | "caller-left"
         | "server-checked"
         | "attempt-answered"
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -182,6 +182,7 @@
 
     async fetchConfiguration(peerAddress: string): Promise<boolean> {
         const params = { acceptsCompressed: true };
+        const startedAtMs = this.opts.nowMs();
         const rawResult = await this.call(peerAddress, "view.configuration", params);
         const result = Option.getOrUndefined(decodePeerConfiguration(rawResult));
         const text = result === undefined ? "" : await this.readText(result, peerAddress);
@@ -189,7 +190,9 @@
         if (result === undefined || text === "") {
             return false;
         }
-        const { ageMs, confirmation } = result;
+        const { confirmation } = result;
+        // The peer may have answered at any time since the call, for example before this process was paused.
+        const ageMs = result.ageMs + this.opts.nowMs() - startedAtMs;
         const configuration = this.opts.parseConfiguration(text);
         if (configuration !== undefined) {
             this.opts.dispatch({ type: "peer-configuration-received", configuration, ageMs, confirmation });
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -7,11 +7,13 @@
     selectLiveHub,
     selectLoadQueryIntervalMs,
     selectProbeAssignment,
+    selectQuotaShare,
     selectReadDelayMs,
     type UpdatesMessage,
 } from "@marigoldstall/fleet.hubs";
-import { selectViewSummary } from "@marigoldstall/fleet.view";
+import { selectConfigurationAgeMs, selectViewSummary } from "@marigoldstall/fleet.view";
 import { type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
+import { selectUsageReport } from "@marigoldstall/routing.quotas";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
@@ -76,6 +78,28 @@
     };
 };
 
+const updateMetering = (draft: EntryDraft): void => {
+    const { atMs, state: { hub, quotas } } = draft;
+    if (quotas.isHub && quotas.quotas.size > 0) {
+        draft.applyQuotaEvent({ type: "metering-tick", atMs, share: selectQuotaShare(hub, atMs) });
+    }
+};
+
+const expireQuotaQueries = (draft: EntryDraft): void => {
+    if (draft.state.quotas.pending.size > 0) {
+        draft.applyQuotaEvent({ type: "query-tick", atMs: draft.atMs, hubHost: draft.hubHost });
+    }
+};
+
+// Undefined where there are no quotas, so that heartbeats are as they were.
+const selectMetered = ({ state: { quotas } }: EntryDraft): readonly string[] | "all" | undefined => {
+    const { bounds, metered } = quotas;
+    if (bounds === undefined || quotas.quotas.size === 0) {
+        return undefined;
+    }
+    return metered === "all" ? metered : [...metered];
+};
+
 const onTick = (draft: EntryDraft): void => {
     const { atMs } = draft;
     if (atMs - draft.state.lastViewTickAtMs >= ENTRY_TIMINGS.viewTickIntervalMs) {
@@ -83,7 +107,9 @@
         updateLoadSource(draft);
         updateProber(draft);
         draft.applyViewEvent({ type: "view-tick", atMs, readDelayMs: selectReadDelayMs(draft.state.hub, atMs) });
+        updateMetering(draft);
     }
+    expireQuotaQueries(draft);
     draft.applyDispatchEvent({
         type: "dispatch-tick",
         ...draft.eventContext,
@@ -94,7 +120,12 @@
         atMs,
         summarize: since => selectViewSummary(draft.state.view, { atMs, since }),
         listFindings: () => selectFindings(draft.state, atMs),
+        reportUsage: () => selectUsageReport(draft.state.quotas, atMs),
+        metered: selectMetered(draft),
     });
+    if (draft.state.hub.isHub !== draft.state.quotas.isHub) {
+        draft.applyQuotaEvent({ type: "hub-role-changed", atMs, isHub: draft.state.hub.isHub });
+    }
 };
 
 const onStatus = (
@@ -104,6 +135,10 @@
     const { atMs } = draft;
     const { message, peerAddress } = event;
     draft.applyHubEvent({ type: "status-received", atMs, message });
+    if (message.isHub) {
+        const { vmId, availabilityZone } = message.sender;
+        draft.applyQuotaEvent({ type: "hub-heard", atMs, vmId, availabilityZone, metered: message.quotas?.metered });
+    }
     draft.applyViewEvent({ type: "view-summary-received", atMs, peerAddress, summary: message.summary });
     if (message.vms.length > 0) {
         // VMs that stopped responding may return after using part of the retry budget, so the count never decreases
@@ -112,9 +147,20 @@
     }
 };
 
+const receiveUsage = (draft: EntryDraft, { vmId, usage }: UpdatesMessage): void => {
+    const { atMs, state: { hub } } = draft;
+    const sender = hub.vms.get(vmId);
+    if (usage !== undefined && sender !== undefined) {
+        const { availabilityZone } = sender.info;
+        const zone = availabilityZone === hub.self.availabilityZone ? undefined : availabilityZone;
+        draft.applyQuotaEvent({ type: "usage-received", atMs, report: usage, zone });
+    }
+};
+
 const onUpdates = (draft: EntryDraft, message: UpdatesMessage): void => {
     const { atMs } = draft;
     draft.applyHubEvent({ type: "updates-received", atMs, message });
+    receiveUsage(draft, message);
     draft.applyDispatchEvent({
         type: "loads-received",
         ...draft.eventContext,
@@ -229,6 +275,16 @@
         case "load-answer-received":
             onLoadAnswer(draft, event);
             return;
+        case "quota-query-received": {
+            const { query: { reporterId, requestKey, tenantName }, host: replyHost } = event;
+            draft.applyQuotaEvent({ type: "quota-queried", atMs, reporterId, requestKey, tenantName, replyHost });
+            return;
+        }
+        case "quota-answer-received": {
+            const { requestKey, verdict, retryAfterMs } = event.answer;
+            draft.applyQuotaEvent({ type: "quota-answered", atMs, requestKey, verdict, retryAfterMs });
+            return;
+        }
         case "findings-received":
             onFindings(draft, event.findings);
             return;
@@ -264,6 +320,12 @@
             return;
         }
         case "request-arrived":
+            draft.applyDispatchEvent({
+                ...event,
+                ...draft.eventContext,
+                configurationAgeMs: selectConfigurationAgeMs(draft.state.view, atMs),
+            });
+            return;
         case "caller-left":
         case "attempt-failed":
         case "probe-failed":
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -8,6 +8,7 @@
     limitInterimResponses,
 } from "@marigoldstall/daemon.connections";
 import {
+    CALLER_IDENTITY_HEADERS,
     decodeServerResponseHead,
     encodeAttemptHeaders,
     INTERNAL_HEADERS,
@@ -138,7 +139,7 @@
     }
 
     private createRequest(connection: BackendConnection, remainingMs: number): ClientRequest {
-        const { effect, request: { message, body } } = this.opts;
+        const { request: { message, body }, effect: { instanceId, tenantName, hidesApiKey } } = this.opts;
         return httpRequest({
             agent: connection.agent,
             method: message.method,
@@ -146,9 +147,14 @@
             headers: [
                 ...endToEndHeaders(message.rawHeaders, {
                     connection: message.headers.connection,
-                    excluded: INTERNAL_HEADERS,
+                    excluded: hidesApiKey ? CALLER_IDENTITY_HEADERS : INTERNAL_HEADERS,
+                }),
+                ...encodeAttemptHeaders({
+                    remainingMs,
+                    instanceId,
+                    bodyBytes: body?.length,
+                    tenantName: hidesApiKey ? tenantName : undefined,
                 }),
-                ...encodeAttemptHeaders({ remainingMs, instanceId: effect.instanceId, bodyBytes: body?.length }),
             ],
             setHost: false,
         });
--- a/daemon/entry/src/to-entry-event.ts
+++ b/daemon/entry/src/to-entry-event.ts
@@ -25,5 +25,9 @@
             return { type: "permit-query-received", query: message, host: sender.host };
         case "permit-answer":
             return { type: "permit-answer-received", answer: message };
+        case "quota-query":
+            return { type: "quota-query-received", query: message, host: sender.host };
+        case "quota-answer":
+            return { type: "quota-answer-received", answer: message };
     }
 };
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, EntrySettings, LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BackendServer, EntrySettings, LoadReport, RoutingConfiguration, Tenant } from "@marigoldstall/core.types";
 import {
     createEntryState,
     type EntryEffect,
@@ -14,6 +14,7 @@
 import { createModelSettings } from "./create-model-settings.js";
 import type { ModelReply } from "./model-reply.js";
 import { MODEL_ROUTE } from "./model-route.js";
+import { selectNewest } from "./select-newest.js";
 
 const TICK_MS = 10;
 const STORE_LATENCY_MS = 5;
@@ -29,6 +30,10 @@
     /** One-way delay of datagrams. */
     readonly delayMs?: number;
     readonly slotsPerServer?: number;
+    /** Settings of all VMs that differ from the usual ones. */
+    readonly settings?: Partial<EntrySettings>;
+    /** Tenants of the first configuration by API key. Without them, requests need no key. */
+    readonly tenantsByKey?: ReadonlyMap<string, Tenant>;
 }
 
 /** Content of the store at a time, from which it can be restored. */
@@ -81,6 +86,7 @@
         this.settings = [...Array(opts.vmCount).keys()].map(index => ({
             ...createModelSettings(index, index % zones),
             ...opts.maxProbesPerSecond === undefined ? {} : { maxProbesPerSecond: opts.maxProbesPerSecond },
+            ...opts.settings,
         }));
         for (const one of this.settings) {
             this.states.set(one.vmId, createEntryState(one, { atMs: this.atMs, incarnation: "1" }));
@@ -89,7 +95,7 @@
             const server = createModelServer(`i-${index}`, index % zones);
             this.register({ ...server, slots: opts.slotsPerServer ?? server.slots });
         }
-        this.publishConfiguration(1);
+        this.publishConfiguration(1, opts.tenantsByKey);
         const vms = this.settings.map(one => this.state(one.vmId).hub.self);
         for (const vmId of this.states.keys()) {
             this.dispatch(vmId, { type: "vms-found", vms });
@@ -174,7 +180,7 @@
         return this.configurations.at(-1)?.configuration.version ?? 0;
     }
 
-    publishConfiguration(version: number): void {
+    publishConfiguration(version: number, tenantsByKey?: ReadonlyMap<string, Tenant>): void {
         this.configurations.push({
             text: String(version),
             configuration: {
@@ -182,6 +188,7 @@
                 limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
                 routesByHost: new Map([["parks.example", [MODEL_ROUTE]]]),
                 services: new Map([["one", { name: "one", healthPath: "/health", maxConnections: 220 }]]),
+                tenantsByKey,
             },
         });
     }
@@ -232,7 +239,11 @@
     }
 
     /** Sends a request to a VM. Without a path, it differs from all others. */
-    arrive(vmId: string, opts: { readonly path?: string; readonly onKey?: (requestKey: string) => void; } = {}): void {
+    arrive(vmId: string, opts: {
+        readonly path?: string;
+        readonly apiKey?: string;
+        readonly onKey?: (requestKey: string) => void;
+    } = {}): void {
         this.requestCount += 1;
         const requestKey = String(this.requestCount);
         const path = opts.path ?? `${MODEL_ROUTE.pathPrefix}${requestKey}`;
@@ -246,6 +257,7 @@
             receivedAtMs: this.atMs,
             deadlineMs: 1_200,
             fingerprint: path,
+            apiKey: opts.apiKey,
         });
     }
 
@@ -385,7 +397,3 @@
                 : { type: "registrations-read", startedAtMs, era, from, changes, nextOffset, endOffset: nextOffset });
     }
 }
-
-const selectNewest = (changes: readonly RegistrationChange[]): readonly RegistrationChange[] =>
-    [...new Map(changes.map(change => [change.instanceId, change])).values()]
-        .filter(change => change.server !== undefined);
--- a/daemon/entry/test/model-servers.ts
+++ b/daemon/entry/test/model-servers.ts
@@ -19,6 +19,7 @@
     readonly vmId: string;
     readonly instanceId: string;
     readonly atMs: number;
+    readonly tenantName?: string | undefined;
 }
 
 interface Run {
@@ -66,8 +67,8 @@
                 };
             }
             case "start-attempt": {
-                const { instanceId, attemptId } = effect;
-                this.arrivals.push({ vmId, instanceId, atMs });
+                const { instanceId, attemptId, tenantName } = effect;
+                this.arrivals.push({ vmId, instanceId, atMs, tenantName });
                 const delayMs = this.run(instanceId);
                 return {
                     delayMs: delayMs + ROUND_TRIP_MS,
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -63,6 +63,8 @@
             new ServerAttempt({
                 effect: {
                     type: "start-attempt",
+                    tenantName: undefined,
+                    hidesApiKey: false,
                     attemptId: "1",
                     requestKey: "1",
                     instanceId: "i-1",
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -1,4 +1,5 @@
 import { type Confirmation, type RegistrationChange, UNKNOWN_ERA, type ViewSummary } from "@marigoldstall/fleet.view";
+import type { UsageReport } from "@marigoldstall/routing.quotas";
 import { decode } from "@msgpack/msgpack";
 import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
@@ -10,6 +11,9 @@
 import type { LoadUpdate } from "./load-update.js";
 import type { PermitAnswer } from "./permit-answer.js";
 import type { PermitQuery } from "./permit-query.js";
+import type { QuotaAnswer } from "./quota-answer.js";
+import type { QuotaQuery } from "./quota-query.js";
+import type { QuotaStatus } from "./quota-status.js";
 import type { SentRequest } from "./sent-request.js";
 import type { ServerFailure } from "./server-failure.js";
 import type { StatusMessage } from "./status-message.js";
@@ -137,8 +141,26 @@
     };
 };
 
+const decodeQuotaStatus = (value: unknown): QuotaStatus => {
+    const [heardVms, metered] = asRow(value);
+    return { heardVms: asNumber(heardVms), metered: metered === "all" ? metered : asRow(metered).map(asString) };
+};
+
+const decodeUsage = (value: unknown): UsageReport => {
+    const [reporterId, sequence, tenants] = asRow(value);
+    return {
+        reporterId: asString(reporterId),
+        sequence: asNumber(sequence),
+        tenants: asRow(tenants).map(tenant => {
+            const [name, total, recent] = asRow(tenant);
+            return { name: asString(name), total: asNumber(total), recent: asNumber(recent) };
+        }),
+    };
+};
+
 const decodeStatus = (row: Row): StatusMessage => {
-    const [sender, isHub, view, vms, fleetSize] = row;
+    // VMs of earlier releases, and those without quotas, do not send the last column.
+    const [sender, isHub, view, vms, fleetSize, quotas] = row;
     return {
         type: "status",
         sender: decodeVm(sender),
@@ -146,17 +168,19 @@
         summary: decodeSummary(view),
         vms: asRow(vms).map(decodeVmLiveness),
         fleetSize: asNumber(fleetSize),
+        quotas: quotas === undefined ? undefined : decodeQuotaStatus(quotas),
     };
 };
 
 const decodeUpdates = (row: Row): UpdatesMessage => {
-    const [vmId, loads, sentRequests, failures] = row;
+    const [vmId, loads, sentRequests, failures, usage] = row;
     return {
         type: "updates",
         vmId: asString(vmId),
         loads: asRow(loads).map(decodeLoadUpdate),
         sentRequests: asRow(sentRequests).map(decodeSentRequest),
         failures: asRow(failures).map(decodeFailure),
+        usage: usage === undefined ? undefined : decodeUsage(usage),
     };
 };
 
@@ -247,6 +271,26 @@
     };
 };
 
+const decodeQuotaQuery = (row: Row): QuotaQuery => {
+    const [reporterId, requestKey, tenantName] = row;
+    return {
+        type: "quota-query",
+        reporterId: asString(reporterId),
+        requestKey: asString(requestKey),
+        tenantName: asString(tenantName),
+    };
+};
+
+const decodeQuotaAnswer = (row: Row): QuotaAnswer => {
+    const [requestKey, verdict, retryAfterMs] = row;
+    return {
+        type: "quota-answer",
+        requestKey: asString(requestKey),
+        verdict: verdict === "admitted" || verdict === "exceeded" ? verdict : "unknown",
+        retryAfterMs: asNumber(retryAfterMs),
+    };
+};
+
 const decodeMessage = (value: unknown): FleetMessage | undefined => {
     const [version, type, ...row] = asRow(value);
     if (version !== FLEET_MESSAGE_VERSION) {
@@ -267,6 +311,10 @@
             return decodePermitQuery(row);
         case "permit-answer":
             return decodePermitAnswer(row);
+        case "quota-query":
+            return decodeQuotaQuery(row);
+        case "quota-answer":
+            return decodeQuotaAnswer(row);
         default:
             return undefined;
     }
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -1,4 +1,5 @@
 import type { Confirmation } from "@marigoldstall/fleet.view";
+import type { UsageReport } from "@marigoldstall/routing.quotas";
 import { encode } from "@msgpack/msgpack";
 import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
@@ -58,14 +59,22 @@
         ],
         message.vms.map(vm => [encodeVm(vm.info), encodeAgeMs(vm.ageMs)]),
         message.fleetSize,
+        ...message.quotas === undefined ? [] : [[message.quotas.heardVms, message.quotas.metered]],
     ];
 };
 
+const encodeUsage = ({ reporterId, sequence, tenants }: UsageReport): readonly unknown[] => [
+    reporterId,
+    sequence,
+    tenants.map(({ name, total, recent }) => [name, total, recent]),
+];
+
 const encodeUpdates = (message: UpdatesMessage): readonly unknown[] => [
     message.vmId,
     message.loads.map(encodeLoad),
     message.sentRequests.map(({ instanceId, ageMs }) => [instanceId, encodeAgeMs(ageMs)]),
     message.failures.map(({ instanceId, weight }) => [instanceId, weight]),
+    ...message.usage === undefined ? [] : [encodeUsage(message.usage)],
 ];
 
 const encodeQuery = (query: LoadQuery): readonly unknown[] => [
@@ -119,6 +128,10 @@
             return [message.attemptId, message.instanceId];
         case "permit-answer":
             return [message.attemptId, message.instanceId, message.isGranted, Math.ceil(message.retryAfterMs)];
+        case "quota-query":
+            return [message.reporterId, message.requestKey, message.tenantName];
+        case "quota-answer":
+            return [message.requestKey, message.verdict, Math.ceil(message.retryAfterMs)];
     }
 };
 
--- a/fleet/hubs/src/fleet-message.ts
+++ b/fleet/hubs/src/fleet-message.ts
@@ -3,6 +3,8 @@
 import type { LoadQuery } from "./load-query.js";
 import type { PermitAnswer } from "./permit-answer.js";
 import type { PermitQuery } from "./permit-query.js";
+import type { QuotaAnswer } from "./quota-answer.js";
+import type { QuotaQuery } from "./quota-query.js";
 import type { StatusMessage } from "./status-message.js";
 import type { UpdatesMessage } from "./updates-message.js";
 
@@ -14,4 +16,6 @@
     | LoadAnswer
     | FindingsMessage
     | PermitQuery
-    | PermitAnswer;
+    | PermitAnswer
+    | QuotaQuery
+    | QuotaAnswer;
--- a/fleet/hubs/src/hub-limits.ts
+++ b/fleet/hubs/src/hub-limits.ts
@@ -43,6 +43,8 @@
     // member, of those that it heard within the second one.
     permitLivenessMs: 1_200,
     forgottenVmMs: 60_000,
+    // After this time without a message of its hub, the VMs of another zone count as out of reach. Three heartbeats fit in.
+    zoneHubTimeoutMs: 700,
     // Share of a server's limit that its health checks may use on top of the permits.
     limitedProbeShare: 0.25,
     // A member with waiting requests repeats its query at this interval, plus one millisecond per VM of its zone, which
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -11,6 +11,8 @@
     readonly failures: readonly ServerFailure[];
     /** Whether the findings changed since they were last sent. */
     readonly hasChangedFindings: boolean;
+    /** Whether there are counts of tenants' requests to report. */
+    readonly hasChangedUsage: boolean;
     /** When the oldest update was queued, or undefined if the outbox is empty. */
     readonly queuedSinceMs: number | undefined;
 }
@@ -49,6 +51,8 @@
     readonly findingsSentAtMs: number;
     /** Number of live VMs in the fleet according to this VM's hub. */
     readonly reportedFleetSize: number;
+    /** How many VMs of each other zone its hub hears, by zone. */
+    readonly zoneReach: ReadonlyMap<string, number>;
     /** Registration changes before this position were repeated long enough and are left out of messages. */
     readonly announced: StorePosition | undefined;
     /** Value that `announced` takes when the current repeat window ends. */
--- a/fleet/hubs/src/known-vm.ts
+++ b/fleet/hubs/src/known-vm.ts
@@ -5,6 +5,8 @@
     readonly info: VmInfo;
     /** When this VM or a hub last received a message from it. */
     readonly lastSeenAtMs: number;
+    /** When this VM itself last received a heartbeat from it. */
+    readonly lastHeardAtMs: number;
     /** When this VM last received a message that it sent as a hub. */
     readonly lastSeenAsHubAtMs: number;
 }
--- a/fleet/hubs/src/reduce-hub.ts
+++ b/fleet/hubs/src/reduce-hub.ts
@@ -7,6 +7,7 @@
 import { queueFindings } from "./queue-findings.js";
 import { queueLoadUpdates } from "./queue-load-updates.js";
 import { queueSentRequest } from "./queue-sent-request.js";
+import { queueUsage } from "./queue-usage.js";
 import { receiveStatus } from "./receive-status.js";
 import { receiveUpdates } from "./receive-updates.js";
 import { tickHub } from "./tick-hub.js";
@@ -18,7 +19,12 @@
     const vms = new Map(state.vms);
     for (const info of event.vms) {
         if (info.vmId !== state.self.vmId && !vms.has(info.vmId)) {
-            vms.set(info.vmId, { info, lastSeenAtMs: event.atMs, lastSeenAsHubAtMs: -Infinity });
+            vms.set(info.vmId, {
+                info,
+                lastSeenAtMs: event.atMs,
+                lastHeardAtMs: -Infinity,
+                lastSeenAsHubAtMs: -Infinity,
+            });
         }
     }
     return { ...markJoined(state, event.atMs), vms };
@@ -31,6 +37,8 @@
             return tickHub(state, event);
         case "findings-changed":
             return { state: queueFindings(state, event.atMs), effects: [] };
+        case "usage-changed":
+            return { state: queueUsage(state, event.atMs), effects: [] };
         case "vms-found":
             return { state: addVms(state, event), effects: [] };
         case "status-received":
--- a/fleet/hubs/src/status-message.ts
+++ b/fleet/hubs/src/status-message.ts
@@ -1,4 +1,5 @@
 import type { ViewSummary } from "@marigoldstall/fleet.view";
+import type { QuotaStatus } from "./quota-status.js";
 import type { VmInfo } from "./vm-info.js";
 import type { VmLiveness } from "./vm-liveness.js";
 
@@ -15,4 +16,6 @@
     readonly vms: readonly VmLiveness[];
     /** Number of live VMs of all zones that the sender knows. */
     readonly fleetSize: number;
+    /** What a hub tells of quotas. Undefined without quotas, and from VMs of earlier releases. */
+    readonly quotas?: QuotaStatus | undefined;
 }
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -1,6 +1,8 @@
 import type { Transition } from "@marigoldstall/core.types";
 import type { StorePosition, ViewSummary } from "@marigoldstall/fleet.view";
+import type { UsageReport } from "@marigoldstall/routing.quotas";
 import { compareHubPriority } from "./compare-hub-priority.js";
+import { countHeardVms } from "./count-heard-vms.js";
 import type { Findings } from "./findings.js";
 import type { HubEffect } from "./hub-effect.js";
 import { HUB_LIMITS } from "./hub-limits.js";
@@ -23,6 +25,8 @@
     readonly atMs: number;
     readonly summarize: (since: StorePosition | undefined) => ViewSummary;
     readonly listFindings: () => Findings;
+    readonly reportUsage?: () => UsageReport | undefined;
+    readonly metered?: readonly string[] | "all" | undefined;
 }
 
 // Time since the last message of a hub in this VM's zone with a higher priority.
@@ -72,9 +76,12 @@
     summary: opts.summarize(state.announced),
     vms: opts.includesVms ? selectAnnouncedVms(state, opts.atMs) : [],
     fleetSize: selectFleetSize(state, opts.atMs),
+    quotas: opts.metered === undefined || !state.isHub
+        ? undefined
+        : { heardVms: countHeardVms(state, opts.atMs), metered: opts.metered },
 });
 
-const createUpdates = (state: HubState, atMs: number): UpdatesMessage => ({
+const createUpdates = (state: HubState, atMs: number, usage: UsageReport | undefined): UpdatesMessage => ({
     type: "updates",
     vmId: state.self.vmId,
     loads: [...state.outbox.loads].map(([instanceId, load]) => ({ instanceId, load, ageMs: atMs - load.measuredAtMs })),
@@ -83,6 +90,7 @@
         ageMs: atMs - sentAtMs,
     })),
     failures: state.outbox.failures,
+    usage,
 });
 
 const selectMembers = (state: HubState, atMs: number): readonly string[] =>
@@ -100,16 +108,18 @@
     if (queuedSinceMs === undefined || atMs - queuedSinceMs < selectBatchDelayMs(state)) {
         return state;
     }
-    const { loads, sentRequests, failures, hasChangedFindings } = state.outbox;
+    const { loads, sentRequests, failures, hasChangedFindings, hasChangedUsage } = state.outbox;
     const hosts = selectReceivers(state, atMs);
-    if (hosts.length > 0 && loads.size + sentRequests.length + failures.length > 0) {
-        effects.push({ type: "send-message", hosts, message: createUpdates(state, atMs) });
+    const usage = hasChangedUsage && hosts.length > 0 ? opts.reportUsage?.() : undefined;
+    if (hosts.length > 0 && (usage !== undefined || loads.size + sentRequests.length + failures.length > 0)) {
+        effects.push({ type: "send-message", hosts, message: createUpdates(state, atMs, usage) });
     }
     const outbox = {
         loads: new Map(),
         sentRequests: [],
         failures: [],
         hasChangedFindings: false,
+        hasChangedUsage: false,
         queuedSinceMs: undefined,
     };
     if (!hasChangedFindings) {
--- a/fleet/hubs/src/updates-message.ts
+++ b/fleet/hubs/src/updates-message.ts
@@ -1,3 +1,4 @@
+import type { UsageReport } from "@marigoldstall/routing.quotas";
 import type { LoadUpdate } from "./load-update.js";
 import type { SentRequest } from "./sent-request.js";
 import type { ServerFailure } from "./server-failure.js";
@@ -12,4 +13,6 @@
     readonly loads: readonly LoadUpdate[];
     readonly sentRequests: readonly SentRequest[];
     readonly failures: readonly ServerFailure[];
+    /** Counts of tenants' requests. */
+    readonly usage?: UsageReport | undefined;
 }
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -1,12 +1,13 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import type { DispatchState } from "./dispatch-state.js";
+import { selectKeyLeaseMs } from "./select-key-lease-ms.js";
 
 // Until the size of the fleet is known, a high count keeps this VM's part of the retry budget small.
 const INITIAL_VM_COUNT = 16;
 
 /** Initial state, without a configuration or backend servers. */
 export const createDispatchState = (
-    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget">,
+    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget" | "keyRevocationMs" | "quotaBounds">,
 ): DispatchState => ({
     availabilityZone: opts.availabilityZone,
     retryBudget: opts.retryBudget,
@@ -14,6 +15,8 @@
     loadQueryIntervalMs: undefined,
     roundTripMsByZone: new Map(),
     configuration: undefined,
+    keyLeaseMs: selectKeyLeaseMs(opts.keyRevocationMs),
+    limitsTenants: opts.quotaBounds !== undefined,
     services: new Map(),
     requests: new Map(),
     requestKeysByAttempt: new Map(),
--- a/routing/dispatch/src/dispatch-effect.ts
+++ b/routing/dispatch/src/dispatch-effect.ts
@@ -9,6 +9,10 @@
         readonly instanceId: string;
         readonly address: string;
         readonly deadlineAtMs: number;
+        /** Name of the caller's tenant. */
+        readonly tenantName: string | undefined;
+        /** Whether the server is told the tenant in place of the caller's API key. */
+        readonly hidesApiKey: boolean;
     }
     | {
         /** Sends a preflight check: a health check right before a request is sent to the server. */
@@ -26,6 +30,17 @@
         readonly address: string;
         readonly healthPath: string;
     }
+    | {
+        /** Asks whether a request is within the quota of its tenant. */
+        readonly type: "request-admission";
+        readonly requestKey: string;
+        readonly tenantName: string;
+    }
+    | {
+        /** A request that was within the quota of its tenant has certainly not run. */
+        readonly type: "release-admission";
+        readonly tenantName: string;
+    }
     | { readonly type: "cancel-attempt"; readonly attemptId: string; }
     | { readonly type: "relay-response"; readonly requestKey: string; readonly attemptId: string; }
     | { readonly type: "discard-response"; readonly attemptId: string; }
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -25,6 +25,18 @@
             readonly deadlineMs: number | undefined;
             /** Equal for requests that are the same but for their id. */
             readonly fingerprint: string;
+            /** API key of the caller. Empty if it cannot be one; undefined if there is none. */
+            readonly apiKey?: string | undefined;
+            /** Time since the configuration was known to be the newest. Default: 0. */
+            readonly configurationAgeMs?: number | undefined;
+        }
+        | {
+            /** Whether a request is within the quota of its tenant. `unknown`: nobody answered who could tell. */
+            readonly type: "admission-decided";
+            readonly requestKey: string;
+            readonly tenantName: string;
+            readonly verdict: "admitted" | "exceeded" | "unknown";
+            readonly retryAfterMs: number;
         }
         | { readonly type: "caller-left"; readonly requestKey: string; }
         | {
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -148,6 +148,10 @@
     // Retry-After of rejected requests is spread over this range, so that callers do not return at the same time.
     minRetryAfterMs: 150,
     retryAfterJitterMs: 250,
+    // The same for a request that servers turned away while others have room. A caller that waited longer would miss the
+    // latency targets of about 300 ms.
+    shedRetryAfterMs: 10,
+    shedRetryAfterJitterMs: 40,
     // Half of the window before the last moment at which a hedge can be in time. Ticks come every 10 ms, so at least
     // one of them falls into the window.
     hedgeHalfWindowMs: 15,
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -17,6 +17,10 @@
     /** Measured round trip to the backend servers of each zone. */
     readonly roundTripMsByZone: ReadonlyMap<string, number>;
     readonly configuration: RoutingConfiguration | undefined;
+    /** Age of the configuration up to which API keys count; undefined if its age does not matter. */
+    readonly keyLeaseMs: number | undefined;
+    /** Whether the quotas of tenants are kept over all VMs. */
+    readonly limitsTenants: boolean;
     readonly services: ReadonlyMap<string, DispatchService>;
     readonly requests: ReadonlyMap<string, RequestState>;
     /** Attempts in progress only. */
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -1,18 +1,19 @@
 import { rollingCounts } from "@marigoldstall/routing.state";
+import { authorizeRequest } from "./authorize-request.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEvent } from "./dispatch-event.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
-import { drainQueue } from "./drain-queue.js";
 import { matchRoute } from "./match-route.js";
 import { pickDestination } from "./pick-destination.js";
-import { rejectHeldBack } from "./reject-held-back.js";
-import { rejectTooLateForStop } from "./reject-too-late-for-stop.js";
-import { requestLoads } from "./request-loads.js";
+import { queueRequest } from "./queue-request.js";
+import { REJECT_REASONS } from "./reject-reasons.js";
 
 type RequestArrived = Extract<DispatchEvent, { readonly type: "request-arrived"; }>;
 
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
+const MAX_LOGGED_AGE_MS = 1e6;
 
 const rejectUnrouted = (
     draft: DispatchDraft,
@@ -32,11 +33,12 @@
             host: event.host,
             path: event.path,
             configurationVersion: draft.state.configuration?.version ?? 0,
+            configurationAgeMs: Math.round(Math.min(event.configurationAgeMs ?? 0, MAX_LOGGED_AGE_MS)),
         },
     });
 };
 
-/** Handles a completely received request: finds its route and service, and sends or queues it. */
+/** Handles a completely received request: finds its route, tenant and service, and sends or queues it. */
 export const onRequestArrived = (draft: DispatchDraft, event: RequestArrived): void => {
     const { configuration } = draft.state;
     if (configuration === undefined) {
@@ -48,6 +50,14 @@
         rejectUnrouted(draft, event, { statusCode: STATUS_NOT_FOUND, reason: "no-route" });
         return;
     }
+    const { keyLeaseMs } = draft.state;
+    const { apiKey, configurationAgeMs = 0 } = event;
+    const { tenant, rejectReason } = authorizeRequest(configuration, route, { apiKey, configurationAgeMs, keyLeaseMs });
+    if (rejectReason !== undefined) {
+        const statusCode = rejectReason === REJECT_REASONS.unknownApiKey ? STATUS_UNAUTHORIZED : STATUS_UNAVAILABLE;
+        rejectUnrouted(draft, event, { statusCode, reason: rejectReason });
+        return;
+    }
     const picked = pickDestination(route.destinations, {
         credits: draft.state.splitCreditsByRoute.get(route.name),
         random: event.random,
@@ -62,12 +72,17 @@
     const { requestKey, requestId, receivedAtMs, deadlineMs } = event;
     const name = picked.destination.service;
     const service = draft.service(name);
+    const usesQuota = draft.state.limitsTenants && tenant?.quota !== undefined ? undefined : false;
     draft.setRequest({
         requestKey,
         requestId,
         path: event.path,
         fingerprint: event.fingerprint,
         route,
+        tenant,
+        hidesApiKey: configuration.tenantsByKey !== undefined,
+        usesQuota,
+        priority: tenant?.priority ?? route.priority,
         service: name,
         arrivedAtMs: receivedAtMs,
         targetAtMs: receivedAtMs + route.latencyTargetMs - DISPATCH_LIMITS.callerRoundTripMs,
@@ -80,17 +95,10 @@
         mayHaveRun: false,
         callerLeft: false,
     });
-    draft.setService({
-        ...service,
-        queue: [...service.queue, requestKey],
-        requests: rollingCounts.add(service.requests, draft.atMs),
-    });
-    const request = draft.request(requestKey);
-    if (request !== undefined && (rejectHeldBack(draft, request) || rejectTooLateForStop(draft, request))) {
+    draft.setService({ ...service, requests: rollingCounts.add(service.requests, draft.atMs) });
+    if (usesQuota === undefined && tenant !== undefined) {
+        draft.emit({ type: "request-admission", requestKey, tenantName: tenant.name });
         return;
     }
-    if (draft.atMs - service.loadsAnsweredAtMs > DISPATCH_LIMITS.loadsFreshForMs) {
-        requestLoads(draft, name, { route, minIntervalMs: DISPATCH_LIMITS.loadAnswerTimeoutMs });
-    }
-    drainQueue(draft, name);
+    queueRequest(draft, requestKey);
 };
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -5,6 +5,7 @@
 import type { DispatchEvent } from "./dispatch-event.js";
 import type { DispatchState } from "./dispatch-state.js";
 import { drainQueue } from "./drain-queue.js";
+import { onAdmissionDecided } from "./on-admission-decided.js";
 import { onAttemptAnswered } from "./on-attempt-answered.js";
 import { onAttemptFailed } from "./on-attempt-failed.js";
 import { onCallerLeft } from "./on-caller-left.js";
@@ -41,6 +42,9 @@
         case "request-arrived":
             onRequestArrived(draft, event);
             return;
+        case "admission-decided":
+            onAdmissionDecided(draft, event);
+            return;
         case "caller-left":
             onCallerLeft(draft, event.requestKey);
             return;
--- a/routing/dispatch/src/reject-reasons.ts
+++ b/routing/dispatch/src/reject-reasons.ts
@@ -1,5 +1,9 @@
 /** Reasons for responses that the daemon itself generates. */
 export const REJECT_REASONS = {
+    configurationUnconfirmed: "configuration-unconfirmed",
+    unknownApiKey: "unknown-api-key",
+    quotaExceeded: "quota-exceeded",
+    quotaUnknown: "quota-unknown",
     crashesServers: "servers-ended-under-it",
     noServer: "no-usable-server",
     tooLate: "deadline-unreachable",
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -2,8 +2,10 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { endAttempt } from "./end-attempt.js";
+import { REJECT_REASONS } from "./reject-reasons.js";
 import type { RequestState } from "./request-state.js";
 import { selectRemainingMs } from "./select-remaining-ms.js";
+import { selectRetryDelay } from "./select-retry-delay.js";
 
 const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
@@ -19,6 +21,8 @@
     opts: {
         readonly reason: string;
         readonly waitMs?: number;
+        /** Status of a request that has certainly not run. Default: 503. */
+        readonly notRunStatusCode?: number | undefined;
         /** Further values for the log. */
         readonly inputs?: DecisionRecord["inputs"];
     },
@@ -32,13 +36,20 @@
     const mayHaveRun = request.mayHaveRun || request.attempts.some(attempt => attempt.phase === "sent");
     const isOverdue = selectRemainingMs(request, atMs) <= 0;
     const statusCode = !mayHaveRun
-        ? STATUS_UNAVAILABLE
+        ? opts.notRunStatusCode ?? STATUS_UNAVAILABLE
         : isOverdue
         ? STATUS_GATEWAY_TIMEOUT
         : STATUS_BAD_GATEWAY;
-    const minMs = Math.max(DISPATCH_LIMITS.minRetryAfterMs, opts.waitMs ?? 0);
-    const spreadMs = minMs + draft.nextRandom() * DISPATCH_LIMITS.retryAfterJitterMs;
+    const { minMs, jitterMs } = selectRetryDelay(draft.service(request.service), {
+        atMs,
+        waitMs: opts.waitMs ?? 0,
+        isShed: opts.reason === REJECT_REASONS.shed,
+    });
+    const spreadMs = minMs + draft.nextRandom() * jitterMs;
     const retryAfterMs = mayHaveRun ? undefined : Math.min(DISPATCH_LIMITS.maxRetryAfterMs, spreadMs);
+    if (request.usesQuota === true && request.tenant !== undefined && !mayHaveRun) {
+        draft.emit({ type: "release-admission", tenantName: request.tenant.name });
+    }
     if (!request.callerLeft) {
         draft.emit({
             type: "reject-request",
--- a/routing/dispatch/src/request-state.ts
+++ b/routing/dispatch/src/request-state.ts
@@ -1,4 +1,4 @@
-import type { Route } from "@marigoldstall/core.types";
+import type { Route, Tenant } from "@marigoldstall/core.types";
 import type { AttemptState } from "./attempt-state.js";
 
 /** A request without a response so far. */
@@ -10,6 +10,14 @@
     /** Equal for requests that are the same but for their id. */
     readonly fingerprint: string;
     readonly route: Route;
+    /** Tenant of the caller's API key. */
+    readonly tenant: Tenant | undefined;
+    /** Whether servers are told the tenant in place of the key that the caller sent. */
+    readonly hidesApiKey: boolean;
+    /** Whether it counts against the quota of its tenant; undefined until that is decided. */
+    readonly usesQuota: boolean | undefined;
+    /** 0 is the most urgent. */
+    readonly priority: number;
     readonly service: string;
     readonly arrivedAtMs: number;
     /** A response up to this time meets the latency target. */
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -63,6 +63,8 @@
         requestKey: request.requestKey,
         instanceId,
         address: server.address,
+        tenantName: request.tenant?.name,
+        hidesApiKey: request.hidesApiKey,
         // The server stops its work in time for its response to leave the process.
         deadlineAtMs: Math.min(
             request.deadlineAtMs - DISPATCH_LIMITS.deadlineMarginMs,
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -15,6 +15,7 @@
     readonly slots?: number;
     readonly route?: Partial<Route>;
     readonly budgetExtra?: number;
+    readonly keyRevocationMs?: number;
     /** Seed of the random sequence, from 0 to 1. */
     readonly random?: number;
 }
@@ -48,6 +49,7 @@
         this.state = createDispatchState({
             availabilityZone: "east",
             retryBudget: { ratio: 0.2, windowMs: 10_000, extra: opts.budgetExtra ?? 58 },
+            keyRevocationMs: opts.keyRevocationMs,
         });
         this.send({ type: "vm-count-changed", vmCount: 1 });
         this.configure([{ ...DEFAULT_ROUTE, ...opts.route }]);
