fix(hubs): leave out what a datagram does not contain

Decoded status and updates messages named fields for quotas that they did not contain, so they differed from what was encoded (two tests of fleet-message).

--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -168,7 +168,7 @@
         summary: decodeSummary(view),
         vms: asRow(vms).map(decodeVmLiveness),
         fleetSize: asNumber(fleetSize),
-        quotas: quotas === undefined ? undefined : decodeQuotaStatus(quotas),
+        ...quotas === undefined ? {} : { quotas: decodeQuotaStatus(quotas) },
     };
 };
 
@@ -180,7 +180,7 @@
         loads: asRow(loads).map(decodeLoadUpdate),
         sentRequests: asRow(sentRequests).map(decodeSentRequest),
         failures: asRow(failures).map(decodeFailure),
-        usage: usage === undefined ? undefined : decodeUsage(usage),
+        ...usage === undefined ? {} : { usage: decodeUsage(usage) },
     };
 };
 
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -82,6 +82,34 @@
         }
     });
 
+    it("decodes what hubs and members tell of quotas to equal messages", () => {
+        const status = {
+            type: "status" as const,
+            sender: createVm("1", "a"),
+            isHub: true,
+            summary: { ...SUMMARY, next: { era: 2, offset: 6 }, base: { era: 2, offset: 4 } },
+            vms: [],
+            fleetSize: 3,
+        };
+        const messages: readonly FleetMessage[] = [
+            { ...status, quotas: { heardVms: 7, metered: "all" } },
+            { ...status, quotas: { heardVms: 7, metered: ["gardens", "ponds"] } },
+            {
+                type: "updates",
+                vmId: "1",
+                loads: [],
+                sentRequests: [],
+                failures: [],
+                usage: { reporterId: "1/5#2", sequence: 9, tenants: [{ name: "gardens", total: 40, recent: 12.5 }] },
+            },
+            { type: "quota-query", reporterId: "1/5", requestKey: "17", tenantName: "gardens" },
+            { type: "quota-answer", requestKey: "17", verdict: "exceeded", retryAfterMs: 120 },
+        ];
+        for (const message of messages) {
+            expect(decodeFleetMessage(encodeFleetMessage(message))).to.deep.equal(message);
+        }
+    });
+
     // During a rolling upgrade, VMs of both releases belong to the same fleet.
     it("decodes encoded findings, a permit query and its answer to equal ones", () => {
         const messages: readonly FleetMessage[] = [
