perf(connections): parse the body of an exchange only when it is asked for

A hub spent 0.33 ms of processor time on each health check. Health checks have no JSON body, and the entry daemon reads only their headers, but each body was parsed: an empty one made a SyntaxError with its stack trace, which was the largest single item of JavaScript in the profile of a hub (800 ms of 8,350 ms busy time at 1,040 checks a second).

The result of an exchange now parses its body on demand. Only the other daemon asks, for load reports and cancellations.

Ruled out: a client of our own in place of http.request, as it would have to be as strict as the parser of Node.js about what a server sends.

--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -15,6 +15,15 @@
 const EXTRA_CONNECTIONS = 2;
 const MAX_EXCHANGE_BODY_BYTES = 4_096;
 
+const parseJson = (body: Buffer): unknown => {
+    try {
+        return JSON.parse(body.toString("utf8")) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+};
+
 interface AcquireOptions {
     /** `any` and `fresh` reuse an idle connection, `fresh` only a recently active one; `new` always opens one. */
     readonly mode: "any" | "fresh" | "new";
@@ -189,13 +198,7 @@
                 finish(undefined);
             });
             response.on("end", () => {
-                let body: unknown;
-                try {
-                    body = JSON.parse(collector.complete().toString("utf8"));
-                }
-                catch {
-                    body = undefined;
-                }
+                const body = collector.complete();
                 const instanceId = singleHeader(response.headers[this.instanceIdHeader]);
                 if (opts.expectsInstanceId === true && instanceId === undefined) {
                     // A late copy of an earlier response. The response to this request is still to come.
@@ -205,7 +208,7 @@
                 const { statusCode = 0, headers } = response;
                 // Node.js frees the connection in a callback that it queued before this one.
                 process.nextTick(() => {
-                    finish({ statusCode, instanceId, headers, body });
+                    finish({ statusCode, instanceId, headers, parseBody: () => parseJson(body) });
                 });
             });
         });
--- a/daemon/connections/src/exchange-result.ts
+++ b/daemon/connections/src/exchange-result.ts
@@ -5,5 +5,9 @@
     readonly statusCode: number;
     readonly instanceId: string | undefined;
     readonly headers: IncomingHttpHeaders;
-    readonly body: unknown;
+    /**
+     * Parses the body as JSON; undefined if it is none. Most callers need no body, and an error for each health check
+     * without one costs more than the check itself.
+     */
+    readonly parseBody: () => unknown;
 }
--- a/daemon/runtime/src/attempt.ts
+++ b/daemon/runtime/src/attempt.ts
@@ -382,7 +382,7 @@
             timeoutMs: CANCELLATION_TIMEOUT_MS,
             mode,
         }, result => {
-            const state = (result?.body as { readonly state?: unknown; } | undefined)?.state;
+            const state = (result?.parseBody() as { readonly state?: unknown; } | undefined)?.state;
             callback(
                 result?.statusCode === 200 && instanceIdAtSend !== undefined
                     && result.instanceId === instanceIdAtSend
--- a/daemon/runtime/src/request-forwarder.ts
+++ b/daemon/runtime/src/request-forwarder.ts
@@ -184,7 +184,7 @@
             shouldSend: () => this.clock.atMs() <= effect.notAfterAtMs && this.clock.wallMs() < effect.beforeWallMs,
         }, result => {
             this.metrics.probes.inc({ result: result?.statusCode === 200 ? "answered" : "failed" });
-            const body = (result?.statusCode === 200 ? result.body : undefined) as
+            const body = (result?.statusCode === 200 ? result.parseBody() : undefined) as
                 | Partial<Record<"status" | "inFlight" | "queued" | "slots", unknown>>
                 | undefined;
             const { inFlight, queued, slots } = body ?? {};
