perf(dispatch): copy the servers of a service as one array

Each event that changes a server copied the map of all servers of its service: two for the idle connections and one for the report of each health check.

ServerMap keeps the servers in an array, and the index by id is shared between copies until a server joins or leaves. States stay immutable for those who hold an earlier one. A persistent tree was ruled out: it loses the order of the servers, in which random numbers are drawn.

--- a/routing/dispatch/src/create-service.ts
+++ b/routing/dispatch/src/create-service.ts
@@ -1,11 +1,12 @@
 import { rollingCounts } from "@marigoldstall/routing.state";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { DispatchService } from "./dispatch-service.js";
+import { ServerMap } from "./server-map.js";
 
 /** Creates the state of a service before anything but its name is known. */
 export const createService = (name: string): DispatchService => ({
     name,
-    servers: new Map(),
+    servers: new ServerMap(),
     queue: [],
     running: new Set(),
     workMs: new Map(),
--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -8,6 +8,7 @@
 import type { FormerServer } from "./former-server.js";
 import { RandomSequence } from "./random-sequence.js";
 import type { RequestState } from "./request-state.js";
+import { ServerMap } from "./server-map.js";
 import type { ServerState } from "./server-state.js";
 
 /** Working copy of the state during one event. Its maps are copied on first write. */
@@ -17,7 +18,7 @@
     private current: DispatchState;
     private readonly randomSequence: RandomSequence;
     private readonly copiedMaps = new Set<keyof DispatchState>();
-    private readonly copiedServerMaps = new Map<string, Map<string, ServerState>>();
+    private readonly copiedServerMaps = new Map<string, ServerMap>();
 
     constructor(state: DispatchState, opts: { readonly atMs: number; readonly random: number; }) {
         this.current = state;
@@ -141,13 +142,13 @@
     }
 
     // An event can carry the load reports of many servers, so their map is copied once per event.
-    private writableServers(name: string): Map<string, ServerState> {
+    private writableServers(name: string): ServerMap {
         const { servers } = this.service(name);
         const copied = this.copiedServerMaps.get(name);
         if (copied !== undefined && copied === servers) {
             return copied;
         }
-        const copy = new Map(servers);
+        const copy = new ServerMap(servers);
         this.copiedServerMaps.set(name, copy);
         this.updateService(name, { servers: copy });
         return copy;
--- a/routing/dispatch/src/dispatch-service.ts
+++ b/routing/dispatch/src/dispatch-service.ts
@@ -1,10 +1,10 @@
 import type { RollingCount } from "@marigoldstall/routing.state";
-import type { ServerState } from "./server-state.js";
+import type { ServerMap } from "./server-map.js";
 
 /** State of one service. */
 export interface DispatchService {
     readonly name: string;
-    readonly servers: ReadonlyMap<string, ServerState>;
+    readonly servers: ServerMap;
     /** Keys of waiting requests. */
     readonly queue: readonly string[];
     /** Keys of requests with an attempt in progress. */
--- a/routing/dispatch/src/index.ts
+++ b/routing/dispatch/src/index.ts
@@ -14,5 +14,6 @@
 export { selectAttempt } from "./select-attempt.js";
 export { selectHold } from "./select-hold.js";
 export { selectLoads } from "./select-loads.js";
+export { ServerMap } from "./server-map.js";
 export type { ServerState } from "./server-state.js";
 export type { SuspectRequest } from "./suspect-request.js";
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -44,8 +44,7 @@
     if (known === undefined) {
         return;
     }
-    const servers = new Map(draft.service(known.server.service).servers);
-    servers.delete(instanceId);
+    const servers = draft.service(known.server.service).servers.without(instanceId);
     draft.updateService(known.server.service, { servers });
     draft.setServiceOfServer(instanceId, undefined);
     const { startedAtUnixMs, service } = known.server;
--- a/routing/dispatch/src/probe-servers.ts
+++ b/routing/dispatch/src/probe-servers.ts
@@ -20,7 +20,7 @@
         if (healthPath === undefined) {
             continue;
         }
-        for (const [instanceId, serverState] of service.servers) {
+        for (const serverState of service.servers.values()) {
             const { server, probedAtMs, measuredAtMs, requestLimit, isLeaving, backoffUntilMs } = serverState;
             const dueAgeMs = probeDueAgeMs(server, requestLimit.perSecond);
             const maxPendingMs = requestLimit.perSecond === undefined
@@ -29,6 +29,7 @@
             const isPending = probedAtMs !== undefined && atMs - probedAtMs < maxPendingMs;
             const mayProbe = !server.isDraining && !isLeaving && backoffUntilMs <= atMs && !isPending;
             if (mayProbe && atMs - measuredAtMs >= dueAgeMs) {
+                const { instanceId } = server;
                 draft.updateServer(instanceId, { probedAtMs: atMs });
                 draft.emit({ type: "probe-server", instanceId, address: server.address, healthPath });
             }
