perf(hubs): evaluate the role of a VM without looking at every VM it knows

At each tick a VM counted the live VMs of its zone, compared the zone and the priority of every VM it knows, and at every fourth one counted the servers of its zone.

VMs that were not seen as hub are passed over before any text is compared. Expired registrations are looked for without a copy of the list.

Ruled out: ticks only when something is due. A takeover would come at another moment, which the intervals of the protocol exclude.

--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -12,6 +12,7 @@
 } from "@marigoldstall/fleet.hubs";
 import { selectViewSummary } from "@marigoldstall/fleet.view";
 import { type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
+import { countZoneServers } from "./count-zone-servers.js";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
@@ -37,19 +38,8 @@
     }
 };
 
-const countZoneServers = (draft: EntryDraft): number => {
-    const { self } = draft.state.hub;
-    let count = 0;
-    for (const { server } of draft.state.view.servers.values()) {
-        if (server.availabilityZone === self.availabilityZone) {
-            count += 1;
-        }
-    }
-    return count;
-};
-
 const updateProber = (draft: EntryDraft): void => {
-    const zoneServerCount = countZoneServers(draft);
+    const zoneServerCount = countZoneServers(draft.state);
     const isProber = selectProbeAssignment(draft.state.hub, { atMs: draft.atMs, zoneServerCount }) !== undefined;
     draft.update({ zoneServerCount, isProber });
 };
--- a/fleet/hubs/src/index.ts
+++ b/fleet/hubs/src/index.ts
@@ -17,6 +17,7 @@
 export type { PermitQuery } from "./permit-query.js";
 export { reduceHub } from "./reduce-hub.js";
 export { selectFleetSize } from "./select-fleet-size.js";
+export { selectHeartbeatIntervalMs } from "./select-heartbeat-interval-ms.js";
 export { selectLimitedProbeIntervalMs } from "./select-limited-probe-interval-ms.js";
 export { selectLiveHub } from "./select-live-hub.js";
 export { selectLiveVms } from "./select-live-vms.js";
--- a/fleet/hubs/src/select-live-hub.ts
+++ b/fleet/hubs/src/select-live-hub.ts
@@ -8,7 +8,7 @@
     const heardSinceMs = atMs - selectHubTimeoutMs(state, atMs);
     let hub: VmInfo | undefined;
     for (const { info, lastSeenAsHubAtMs } of state.vms.values()) {
-        const isHeard = info.availabilityZone === state.self.availabilityZone && lastSeenAsHubAtMs >= heardSinceMs;
+        const isHeard = lastSeenAsHubAtMs >= heardSinceMs && info.availabilityZone === state.self.availabilityZone;
         if (isHeard && (hub === undefined || compareHubPriority(info, hub) < 0)) {
             hub = info;
         }
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -29,9 +29,11 @@
 const selectHubSilenceMs = (state: HubState, atMs: number): number => {
     let lastHubSeenAtMs = state.expectsHubSinceMs;
     for (const { info, lastSeenAsHubAtMs } of state.vms.values()) {
-        const hasPriority = info.availabilityZone === state.self.availabilityZone
-            && compareHubPriority(info, state.self) < 0;
-        if (hasPriority && lastSeenAsHubAtMs > lastHubSeenAtMs) {
+        // Few VMs were ever seen as hub, so this comes before the comparisons of text.
+        const isLater = lastSeenAsHubAtMs > lastHubSeenAtMs;
+        if (
+            isLater && info.availabilityZone === state.self.availabilityZone && compareHubPriority(info, state.self) < 0
+        ) {
             lastHubSeenAtMs = lastSeenAsHubAtMs;
         }
     }
--- a/fleet/view/src/end-retention.ts
+++ b/fleet/view/src/end-retention.ts
@@ -1,4 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
+import type { KnownServer } from "./known-server.js";
 import type { RegistrationChange } from "./registration-change.js";
 import { selectWithheldUntilMs } from "./select-withheld-until-ms.js";
 import { toDepartedServer } from "./to-departed-server.js";
@@ -7,9 +8,12 @@
 import type { ViewState } from "./view-state.js";
 
 const removeExpired = (state: ViewState, atMs: number, effects: ViewEffect[]): ViewState => {
-    const expired = [...state.servers.values()].filter(({ retainedUntilMs }) =>
-        retainedUntilMs !== undefined && retainedUntilMs <= atMs
-    );
+    const expired: KnownServer[] = [];
+    for (const known of state.servers.values()) {
+        if (known.retainedUntilMs !== undefined && known.retainedUntilMs <= atMs) {
+            expired.push(known);
+        }
+    }
     if (expired.length === 0) {
         return state;
     }
