perf(dispatch): leave out work that changes nothing in estimates

Each load report of a server with own requests also copied every running request of the service, whether it was affected or not.

--- a/routing/dispatch/src/count-occupied.ts
+++ b/routing/dispatch/src/count-occupied.ts
@@ -7,10 +7,12 @@
     const isValid = load !== undefined && atMs - measuredAtMs <= DISPATCH_LIMITS.reportValidForMs;
     const reported = isValid ? load.inFlight + load.queued : 0;
     const sinceAtMs = isValid ? measuredAtMs - DISPATCH_LIMITS.sendTransitMs : -Infinity;
-    const unreported =
-        server.unreportedSends.filter(({ sentAtMs, expectedUntilMs = Infinity }) =>
-            sentAtMs > sinceAtMs && atMs - sentAtMs <= DISPATCH_LIMITS.unreportedSendValidForMs
-            && atMs <= expectedUntilMs
-        ).length;
+    let unreported = 0;
+    for (const { sentAtMs, expectedUntilMs = Infinity } of server.unreportedSends) {
+        const isCurrent = sentAtMs > sinceAtMs && atMs - sentAtMs <= DISPATCH_LIMITS.unreportedSendValidForMs;
+        if (isCurrent && atMs <= expectedUntilMs) {
+            unreported += 1;
+        }
+    }
     return Math.max(server.ownInFlight, reported + unreported);
 };
--- a/routing/dispatch/src/update-slow-chances.ts
+++ b/routing/dispatch/src/update-slow-chances.ts
@@ -1,4 +1,5 @@
 import type { LoadReport } from "@marigoldstall/core.types";
+import type { AttemptState } from "./attempt-state.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { ServerState } from "./server-state.js";
@@ -19,12 +20,16 @@
         return;
     }
     const slowness = slownessPercent / PERCENT;
+    const { instanceId } = server.server;
+    const isAffected = (attempt: AttemptState): boolean =>
+        attempt.instanceId === instanceId && attempt.awaitsReport && attempt.startedAtMs <= report.measuredAtMs;
     for (const requestKey of draft.service(server.server.service).running) {
         const request = draft.request(requestKey);
-        const attempts = request?.attempts.map(attempt => {
-            const isAffected = attempt.instanceId === server.server.instanceId && attempt.awaitsReport
-                && attempt.startedAtMs <= report.measuredAtMs;
-            if (!isAffected) {
+        if (request?.attempts.some(isAffected) !== true) {
+            continue;
+        }
+        const attempts = request.attempts.map(attempt => {
+            if (!isAffected(attempt)) {
                 return attempt;
             }
             const becameSlow = slowness >= attempt.slowness * DISPATCH_LIMITS.slowFactor;
@@ -32,8 +37,6 @@
             const slowChance = becameSlow ? attempt.reportAgeMs / Math.max(1, betweenReportsMs) : 0;
             return { ...attempt, awaitsReport: false, slowChance };
         });
-        if (request !== undefined && attempts !== undefined) {
-            draft.setRequest({ ...request, attempts });
-        }
+        draft.setRequest({ ...request, attempts });
     }
 };
