--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -1,4 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
+import { copyServerState } from "./copy-server-state.js";
 import { createService } from "./create-service.js";
 import type { DecisionRecord } from "./decision-record.js";
 import type { DispatchEffect } from "./dispatch-effect.js";
@@ -60,7 +61,7 @@
         const name = this.current.servicesByInstance.get(instanceId);
         const server = this.server(instanceId);
         if (name !== undefined && server !== undefined) {
-            this.setServer(name, { ...server, ...fields });
+            this.setServer(name, Object.assign(copyServerState(server), fields));
         }
     }
 
