perf(dispatch): select the servers of a load answer without sorting all of them

CheapestServers keeps the best ones in order while the servers are estimated, with the same result for equal costs.

--- a/routing/dispatch/src/index.ts
+++ b/routing/dispatch/src/index.ts
@@ -1,4 +1,7 @@
+export { CheapestServers } from "./cheapest-servers.js";
+export { countOccupied } from "./count-occupied.js";
 export { createDispatchState } from "./create-dispatch-state.js";
+export { decayFailures } from "./decay-failures.js";
 export type { DecisionRecord } from "./decision-record.js";
 export type { DispatchEffect } from "./dispatch-effect.js";
 export type { DispatchEvent } from "./dispatch-event.js";
--- a/routing/dispatch/src/select-loads.ts
+++ b/routing/dispatch/src/select-loads.ts
@@ -1,3 +1,4 @@
+import { CheapestServers } from "./cheapest-servers.js";
 import { countOccupied } from "./count-occupied.js";
 import { decayFailures } from "./decay-failures.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
@@ -39,14 +40,13 @@
     opts: { readonly question: LoadQuestion; readonly atMs: number; readonly random: () => number; },
 ): readonly ServerState[] => {
     const { atMs, question: { workMs, responseBytes } } = opts;
-    return selectEligibleServers(service, { atMs })
-        .map(server => {
-            const { commonCostMs } = estimateServer(service, server, { atMs, zones: state, workMs, responseBytes });
-            return { server, costMs: commonCostMs + opts.random() * DISPATCH_LIMITS.costJitterMs };
-        })
-        .sort((a, b) => a.costMs - b.costMs)
-        .slice(0, DISPATCH_LIMITS.answeredServers)
-        .map(({ server }) => server);
+    const best = new CheapestServers({ maxCount: DISPATCH_LIMITS.answeredServers });
+    const estimateOpts = { atMs, zones: state, workMs, responseBytes };
+    for (const server of selectEligibleServers(service, { atMs })) {
+        const { commonCostMs } = estimateServer(service, server, estimateOpts);
+        best.add(server, commonCostMs + opts.random() * DISPATCH_LIMITS.costJitterMs);
+    }
+    return best.servers;
 };
 
 /**
