--- a/daemon/entry/src/entry-draft.ts
+++ b/daemon/entry/src/entry-draft.ts
@@ -25,7 +25,8 @@
  */
 export class EntryDraft {
     readonly atMs: number;
-    private readonly random: number;
+    /** Random number of the event. */
+    readonly random: number;
     private readonly randomSequence: RandomSequence;
     private current: EntryState;
     private readonly effects: EntryEffect[] = [];
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -14,6 +14,7 @@
 import { selectConfigurationAgeMs, selectViewSummary } from "@marigoldstall/fleet.view";
 import { type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
 import { selectUsageReport } from "@marigoldstall/routing.quotas";
+import { countZoneServers } from "./count-zone-servers.js";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
@@ -39,19 +40,8 @@
     }
 };
 
-const countZoneServers = (draft: EntryDraft): number => {
-    const { self } = draft.state.hub;
-    let count = 0;
-    for (const { server } of draft.state.view.servers.values()) {
-        if (server.availabilityZone === self.availabilityZone) {
-            count += 1;
-        }
-    }
-    return count;
-};
-
 const updateProber = (draft: EntryDraft): void => {
-    const zoneServerCount = countZoneServers(draft);
+    const zoneServerCount = countZoneServers(draft.state);
     const isProber = selectProbeAssignment(draft.state.hub, { atMs: draft.atMs, zoneServerCount }) !== undefined;
     draft.update({ zoneServerCount, isProber });
 };
@@ -316,7 +306,13 @@
             if (event.load !== undefined && instanceId !== undefined) {
                 draft.applyHubEvent({ type: "load-reported", atMs, instanceId, load: event.load });
             }
-            draft.applyDispatchEvent({ ...event, ...draft.eventContext });
+            draft.applyDispatchEvent({ ...event, atMs, random: draft.random });
+            return;
+        }
+        case "idle-connections-changed": {
+            // The most frequent event: two for each exchange with a server.
+            const { type, instanceId, idleConnections } = event;
+            draft.applyDispatchEvent({ type, atMs, random: draft.random, instanceId, idleConnections });
             return;
         }
         case "request-arrived":
@@ -330,7 +326,6 @@
         case "attempt-failed":
         case "probe-failed":
         case "server-verified":
-        case "idle-connections-changed":
         case "process-stopping":
         case "process-ending":
             draft.applyDispatchEvent({ ...event, ...draft.eventContext });
--- a/fleet/hubs/src/index.ts
+++ b/fleet/hubs/src/index.ts
@@ -20,6 +20,7 @@
 export type { QuotaStatus } from "./quota-status.js";
 export { reduceHub } from "./reduce-hub.js";
 export { selectFleetSize } from "./select-fleet-size.js";
+export { selectHeartbeatIntervalMs } from "./select-heartbeat-interval-ms.js";
 export { selectLimitedProbeIntervalMs } from "./select-limited-probe-interval-ms.js";
 export { selectLiveHub } from "./select-live-hub.js";
 export { selectLiveVms } from "./select-live-vms.js";
--- a/routing/dispatch/src/dispatch-draft.ts
+++ b/routing/dispatch/src/dispatch-draft.ts
@@ -1,4 +1,5 @@
 import type { Transition } from "@marigoldstall/core.types";
+import { copyServerState } from "./copy-server-state.js";
 import { createService } from "./create-service.js";
 import type { DecisionRecord } from "./decision-record.js";
 import type { DispatchEffect } from "./dispatch-effect.js";
@@ -8,6 +9,7 @@
 import type { FormerServer } from "./former-server.js";
 import { RandomSequence } from "./random-sequence.js";
 import type { RequestState } from "./request-state.js";
+import { ServerMap } from "./server-map.js";
 import type { ServerState } from "./server-state.js";
 
 /** Working copy of the state during one event. Its maps are copied on first write. */
@@ -17,7 +19,7 @@
     private current: DispatchState;
     private readonly randomSequence: RandomSequence;
     private readonly copiedMaps = new Set<keyof DispatchState>();
-    private readonly copiedServerMaps = new Map<string, Map<string, ServerState>>();
+    private readonly copiedServerMaps = new Map<string, ServerMap>();
 
     constructor(state: DispatchState, opts: { readonly atMs: number; readonly random: number; }) {
         this.current = state;
@@ -59,7 +61,7 @@
         const name = this.current.servicesByInstance.get(instanceId);
         const server = this.server(instanceId);
         if (name !== undefined && server !== undefined) {
-            this.setServer(name, { ...server, ...fields });
+            this.setServer(name, Object.assign(copyServerState(server), fields));
         }
     }
 
@@ -141,13 +143,13 @@
     }
 
     // An event can carry the load reports of many servers, so their map is copied once per event.
-    private writableServers(name: string): Map<string, ServerState> {
+    private writableServers(name: string): ServerMap {
         const { servers } = this.service(name);
         const copied = this.copiedServerMaps.get(name);
         if (copied !== undefined && copied === servers) {
             return copied;
         }
-        const copy = new Map(servers);
+        const copy = new ServerMap(servers);
         this.copiedServerMaps.set(name, copy);
         this.updateService(name, { servers: copy });
         return copy;
--- a/routing/dispatch/src/index.ts
+++ b/routing/dispatch/src/index.ts
@@ -1,4 +1,7 @@
+export { CheapestServers } from "./cheapest-servers.js";
+export { countOccupied } from "./count-occupied.js";
 export { createDispatchState } from "./create-dispatch-state.js";
+export { decayFailures } from "./decay-failures.js";
 export type { DecisionRecord } from "./decision-record.js";
 export type { DispatchEffect } from "./dispatch-effect.js";
 export type { DispatchEvent } from "./dispatch-event.js";
@@ -14,5 +17,6 @@
 export { selectAttempt } from "./select-attempt.js";
 export { selectHold } from "./select-hold.js";
 export { selectLoads } from "./select-loads.js";
+export { ServerMap } from "./server-map.js";
 export type { ServerState } from "./server-state.js";
 export type { SuspectRequest } from "./suspect-request.js";
