--- a/routing/quotas/src/expire-queries.ts
+++ b/routing/quotas/src/expire-queries.ts
@@ -10,16 +10,18 @@
     opts: { readonly atMs: number; readonly hubHost: string | undefined; },
 ): Transition<QuotaState, QuotaEffect> => {
     const { atMs, hubHost } = opts;
+    const awaitsFirstHub = hubHost === undefined && state.hubs.size === 0;
+    const timeoutMs = awaitsFirstHub ? QUOTA_LIMITS.firstHubTimeoutMs : QUOTA_LIMITS.queryTimeoutMs;
     const effects: QuotaEffect[] = [];
     let next = state;
     for (const { requestKey, tenantName, askedAtMs, queries } of state.pending.values()) {
-        if (!state.isHub && atMs - askedAtMs <= QUOTA_LIMITS.queryTimeoutMs) {
+        if (!state.isHub && atMs - askedAtMs <= timeoutMs) {
             continue;
         }
         const pending = new Map(next.pending);
         pending.delete(requestKey);
         next = { ...next, pending };
-        if (state.isHub || queries < QUOTA_LIMITS.maxQueries) {
+        if (state.isHub || (queries < QUOTA_LIMITS.maxQueries && !awaitsFirstHub)) {
             const repeated = requestAdmission(next, { atMs, requestKey, tenantName, hubHost, queries });
             next = repeated.state;
             effects.push(...repeated.effects);
--- a/routing/quotas/src/quota-limits.ts
+++ b/routing/quotas/src/quota-limits.ts
@@ -15,6 +15,9 @@
     // A query without an answer is repeated once after this time, then the request is rejected.
     queryTimeoutMs: 60,
     maxQueries: 2,
+    // After all VMs have restarted, the first hub acts after half a second. Until a process has heard one, its requests
+    // wait for it: other VMs would tell their callers nothing else.
+    firstHubTimeoutMs: 800,
     // Each count is reported again within this time, so that a lost datagram is repaired by the next one.
     repeatReportMs: 200,
     maxReportedTenants: 100,
--- a/routing/quotas/test/reduce-quotas.test.ts
+++ b/routing/quotas/test/reduce-quotas.test.ts
@@ -56,6 +56,23 @@
             expect(member.send(late)).to.deep.equal([]);
         });
 
+        // All VMs restart at once, and callers use up their retries before the first hub acts.
+        it("keeps requests for the first hub that it hears after its start", () => {
+            const member = new QuotaHarness();
+            member.request(undefined);
+            member.atMs += 500;
+            expect(member.send({ type: "query-tick", hubHost: undefined })).to.deep.equal([]);
+            const [query] = member.send({ type: "query-tick", hubHost: "hub" });
+            expect(query?.type).to.equal("query-quota");
+        });
+
+        it("rejects requests after its start when no hub is heard", () => {
+            const member = new QuotaHarness();
+            member.request(undefined);
+            member.atMs += 801;
+            expect(verdictOf(member.send({ type: "query-tick", hubHost: undefined }))).to.equal("unknown");
+        });
+
         it("does not limit a tenant without a quota", () => {
             const member = new QuotaHarness();
             const request = { requestKey: "1", tenantName: "ponds", hubHost: undefined };
