feat(cli): check a configuration before it is stored

Operators learned from the log of a daemon that a configuration was refused, and not at all that a route could never match or that a quota admits nothing.

marigoldstall check FILE [--against FILE] [--json] decodes the text with the daemons' decoder and reports findings as data: severity, stable code, path and details.

Exit status 1 is new in the tool.

--- a/tool/cli/src/build-program.ts
+++ b/tool/cli/src/build-program.ts
@@ -13,6 +13,7 @@
 const EXIT_CODES_HELP = `
 Exit codes:
   0  success
+  1  check: the configuration has errors or warnings
   2  usage error or invalid file
   3  conflict with a version published by another operator
   4  outcome unknown
--- a/tool/cli/src/commands.ts
+++ b/tool/cli/src/commands.ts
@@ -1,4 +1,5 @@
 import type { CommandDefinition } from "./command-definition.js";
+import { check } from "./commands/check.js";
 import { explain } from "./commands/explain.js";
 import { status } from "./commands/status.js";
 import { targetsDiff } from "./commands/targets-diff.js";
@@ -9,6 +10,7 @@
 
 /** Commands of the tool, in the order of the `--help` output. */
 export const COMMANDS: readonly CommandDefinition[] = [
+    check,
     targetsValidate,
     targetsDiff,
     targetsPublish,
--- a/tool/cli/src/exit-code.ts
+++ b/tool/cli/src/exit-code.ts
@@ -1,6 +1,7 @@
 /** Process exit codes. The `--help` output explains them. */
 export enum ExitCode {
     Success = 0,
+    Findings = 1,
     UsageOrInvalidFile = 2,
     Conflict = 3,
     OutcomeUnknown = 4,
