test(entry): connect to a port that was just closed

The test of an unreachable server timed out twice (20 s) while test suites of other checkouts ran on this machine, and passed alone. It connects to the fixed port 18743, which any other process may have; what held it then is not traced. It now uses a port that the test itself has closed, and checks the same.

--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -223,7 +223,10 @@
     });
 
     it("reports the request as unsent when the server is unreachable", async () => {
-        harness.pool = new BackendPool({ address: "127.0.0.1:18743", maxConnections: 4, clock: harness.clock });
+        // A port that was open until now: another process may listen on a fixed one.
+        const { address } = harness.pool;
+        await harness.stop();
+        harness.pool = new BackendPool({ address, maxConnections: 4, clock: harness.clock });
         expect((await run()).result).to.equal("unsent: connect-failed");
     });
 
--- a/daemon/entry/test/support/attempt-harness.ts
+++ b/daemon/entry/test/support/attempt-harness.ts
@@ -57,7 +57,7 @@
                     attemptId: "1",
                     requestKey: "1",
                     instanceId: "i-1",
-                    address: this.address,
+                    address: this.pool.address,
                     deadlineAtMs: this.clock.atMs() + remainingMs,
                 },
                 request: { requestKey: "1", requestId: "abc", message, body: undefined, hasFollowers: () => false },
