feat(dispatch): limit hedges to a share of the requests

What callers saw: a few slow answers spoil the figures of a service. Today's hedges are limited by the retry budget alone, so operators cannot choose how much extra work they accept.

Cause of the limits of today's rule: it compares with one constant multiple of an estimated duration, and sends up to the whole retry budget when all servers are slow alike.

Change: with a `hedgeShare` above 0, a token bucket (cap 4, no credit at the start) and the count of the budget window limit hedges of each service, and decided but unsent retries and hedges are set aside in the retry budget. A hedge is decided by the measured distribution of durations of the service and route, the chance that it answers first, the free slots of the candidates, and whether other servers answer at their usual speed. With 0 nothing changes.

Ruled out: the ratio of measured to expected duration. In the model, the estimate of the work of a route swings between 50 and 250 ms for a true 100 ms at 200 requests a second on one VM, as a response corrects the estimate of now by the error of the estimate at its start. Plain durations do not depend on it.

No hedge when all servers are slow alike or in an overload.

--- a/routing/dispatch/src/create-service.ts
+++ b/routing/dispatch/src/create-service.ts
@@ -1,4 +1,5 @@
 import { rollingCounts } from "@marigoldstall/routing.state";
+import { createHedgingState } from "./create-hedging-state.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { DispatchService } from "./dispatch-service.js";
 
@@ -18,4 +19,5 @@
     loadsAnsweredAtMs: -Infinity,
     requests: rollingCounts.empty,
     resends: rollingCounts.empty,
+    hedging: createHedgingState(),
 });
--- a/routing/dispatch/src/dispatch-service.ts
+++ b/routing/dispatch/src/dispatch-service.ts
@@ -1,4 +1,5 @@
 import type { RollingCount } from "@marigoldstall/routing.state";
+import type { HedgingState } from "./hedging-state.js";
 import type { ServerState } from "./server-state.js";
 
 /** State of one service. */
@@ -27,4 +28,5 @@
     readonly requests: RollingCount;
     /** Sends beyond the first of each request: retries and hedges. */
     readonly resends: RollingCount;
+    readonly hedging: HedgingState;
 }
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -10,6 +10,8 @@
 export interface DispatchState {
     readonly availabilityZone: string;
     readonly retryBudget: EntrySettings["retryBudget"];
+    /** Hedges that are allowed, as a share of the requests. With 0, hedges are limited by the retry budget alone. */
+    readonly hedgeShare: number;
     /** Number of VMs that share the retry budget. */
     readonly vmCount: number;
     /** Minimum time between two load queries for a service; undefined while this VM has no hub to ask. */
--- a/routing/dispatch/src/has-retry-budget.ts
+++ b/routing/dispatch/src/has-retry-budget.ts
@@ -1,4 +1,5 @@
 import { rollingCounts } from "@marigoldstall/routing.state";
+import { countPendingResends } from "./count-pending-resends.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { DispatchService } from "./dispatch-service.js";
@@ -14,5 +15,7 @@
     const windowSeconds = Math.ceil(windowMs / MS_PER_SECOND);
     const earned = ratio * rollingCounts.sum(service.requests, draft.atMs, windowSeconds);
     const allowed = (extra / draft.state.vmCount + earned) * DISPATCH_LIMITS.retryBudgetShare;
-    return rollingCounts.sum(service.resends, draft.atMs, windowSeconds + 1) + 1 <= allowed;
+    const sent = rollingCounts.sum(service.resends, draft.atMs, windowSeconds + 1);
+    const pending = draft.state.hedgeShare > 0 ? countPendingResends(draft, service, { onlyHedges: false }) : 0;
+    return sent + pending + 1 <= allowed;
 };
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -6,7 +6,9 @@
 import { endAttempt } from "./end-attempt.js";
 import { promisesNotRun } from "./promises-not-run.js";
 import { recordCompletion } from "./record-completion.js";
+import { recordDuration } from "./record-duration.js";
 import { recordFailure } from "./record-failure.js";
+import { recordHedgeResult } from "./record-hedge-result.js";
 import { recordLoad } from "./record-load.js";
 import { recordSuccess } from "./record-success.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
@@ -42,6 +44,10 @@
         return;
     }
     for (const other of request.attempts) {
+        if (other.phase === "sent" && !other.isHedge) {
+            recordDuration(draft, request, { attempt: other, isCancelled: true });
+        }
+        recordHedgeResult(draft, request, { attempt: other, result: "lost" });
         endAttempt(draft, request, other);
         draft.emit({ type: "cancel-attempt", attemptId: other.attemptId });
     }
@@ -92,6 +98,7 @@
     }
     else {
         recordSuccess(draft, attempt.instanceId);
+        recordDuration(draft, request, { attempt, isCancelled: false });
         updateWorkEstimates(draft, request, { attempt, bodyBytes: event.bodyBytes });
     }
 };
@@ -129,6 +136,8 @@
     const request = endAttempt(draft, draft.request(found.request.requestKey) ?? found.request, attempt);
     const isServerError = event.statusCode >= MIN_SERVER_ERROR_STATUS;
     const cutsOtherRequests = event.cutsOtherRequests && request.route.isIdempotent;
+    const isUsable = !event.notRun && !isServerError && !cutsOtherRequests;
+    recordHedgeResult(draft, request, { attempt, result: isUsable ? "won" : "failed" });
     if (cutsOtherRequests && !event.notRun) {
         resendOrReject(draft, { ...request, mayHaveRun: true }, attempt);
     }
--- a/routing/dispatch/src/on-attempt-failed.ts
+++ b/routing/dispatch/src/on-attempt-failed.ts
@@ -5,6 +5,7 @@
 import { drainQueue } from "./drain-queue.js";
 import { endAttempt } from "./end-attempt.js";
 import { recordFailure } from "./record-failure.js";
+import { recordHedgeResult } from "./record-hedge-result.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
 import { selectAttempt } from "./select-attempt.js";
@@ -37,6 +38,7 @@
     if (event.isConnectionBroken === true) {
         trackBrokenAttempt(draft, found.request, attempt);
     }
+    recordHedgeResult(draft, found.request, { attempt, result: "failed" });
     const ended = endAttempt(draft, found.request, attempt);
     const isUnsent = event.failure === "unsent";
     const request = isUnsent
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -3,6 +3,7 @@
 import type { DispatchEvent } from "./dispatch-event.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { drainQueue } from "./drain-queue.js";
+import { earnHedgeCredit } from "./earn-hedge-credit.js";
 import { matchRoute } from "./match-route.js";
 import { pickDestination } from "./pick-destination.js";
 import { rejectHeldBack } from "./reject-held-back.js";
@@ -84,6 +85,7 @@
         ...service,
         queue: [...service.queue, requestKey],
         requests: rollingCounts.add(service.requests, draft.atMs),
+        hedging: earnHedgeCredit(service.hedging, draft.state.hedgeShare),
     });
     const request = draft.request(requestKey);
     if (request !== undefined && (rejectHeldBack(draft, request) || rejectTooLateForStop(draft, request))) {
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -2,6 +2,7 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { endAttempt } from "./end-attempt.js";
+import { recordHedgeResult } from "./record-hedge-result.js";
 import type { RequestState } from "./request-state.js";
 import { selectRemainingMs } from "./select-remaining-ms.js";
 
@@ -25,6 +26,7 @@
 ): void => {
     const { atMs } = draft;
     for (const attempt of request.attempts) {
+        recordHedgeResult(draft, request, { attempt, result: "cancelled" });
         endAttempt(draft, request, attempt);
         draft.emit({ type: "cancel-attempt", attemptId: attempt.attemptId });
     }
--- a/routing/dispatch/src/resume-request.ts
+++ b/routing/dispatch/src/resume-request.ts
@@ -7,7 +7,8 @@
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { rejectHeldBack } from "./reject-held-back.js";
 import type { RequestState } from "./request-state.js";
-import { sendAttempt } from "./send-attempt.js";
+import { resumeHedge } from "./resume-hedge.js";
+import { sendToCheckedServer } from "./send-to-checked-server.js";
 import type { ServerEstimate } from "./server-estimate.js";
 import { startAttempt } from "./start-attempt.js";
 
@@ -19,22 +20,6 @@
     draft.setService({ ...service, running, queue: [...service.queue, request.requestKey] });
 };
 
-// Reserves the slot again, now that the load report counts the requests of other VMs, and sends the request.
-const sendToCheckedServer = (draft: DispatchDraft, request: RequestState, opts: {
-    readonly attempt: AttemptState;
-    readonly estimate: ServerEstimate;
-    readonly candidateCount: number;
-}): void => {
-    const attempt = { ...opts.attempt, startedAtMs: draft.atMs };
-    const { attemptId, instanceId } = attempt;
-    const restored = { ...request, attempts: [...request.attempts, attempt] };
-    draft.setRequest(restored);
-    draft.setRequestOfAttempt(attemptId, request.requestKey);
-    const ownInFlight = draft.server(instanceId)?.ownInFlight ?? 0;
-    draft.updateServer(instanceId, { ownInFlight: ownInFlight + 1 });
-    sendAttempt(draft, restored, { ...opts, attempt });
-};
-
 const UNKNOWN = -1;
 
 // Logs why a server does not get the request after its preflight check.
@@ -72,7 +57,13 @@
     /** Whether the request may be sent to a server that limits its requests. */
     readonly hasPermit: boolean;
 }): void => {
-    const { attempt, hasPermit } = opts;
+    const { hasPermit } = opts;
+    if (opts.attempt.isHedge && draft.state.hedgeShare > 0 && request.sentCount > 0) {
+        resumeHedge(draft, request, opts.attempt);
+        return;
+    }
+    // A hedge whose first attempt turned out not to have been sent takes its place.
+    const attempt = draft.state.hedgeShare > 0 ? { ...opts.attempt, isHedge: false } : opts.attempt;
     const { instanceId, isHedge } = attempt;
     const { service: name } = request;
     draft.setRequest(request);
--- a/routing/dispatch/src/send-attempt.ts
+++ b/routing/dispatch/src/send-attempt.ts
@@ -2,6 +2,7 @@
 import type { AttemptState } from "./attempt-state.js";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { recordHedgeSent } from "./record-hedge-sent.js";
 import type { RequestState } from "./request-state.js";
 import type { ServerEstimate } from "./server-estimate.js";
 
@@ -56,6 +57,9 @@
     if (isResend) {
         const service = draft.service(request.service);
         draft.setService({ ...service, resends: rollingCounts.add(service.resends, atMs) });
+        if (attempt.isHedge) {
+            recordHedgeSent(draft, request.service);
+        }
     }
     draft.emit({
         type: "start-attempt",
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -4,6 +4,7 @@
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { estimateSlowChance } from "./estimate-slow-chance.js";
 import { hasRetryBudget } from "./has-retry-budget.js";
+import { hedgeWithinShare } from "./hedge-within-share.js";
 import { requestLoads } from "./request-loads.js";
 import type { RequestState } from "./request-state.js";
 import { selectRequestHold } from "./select-request-hold.js";
@@ -11,7 +12,8 @@
 
 /**
  * Sends an idempotent request to a second server when the first is likely to respond too late and another one is
- * expected to respond in time. It waits for the last moment at which that helps, when the most is known.
+ * expected to respond in time. It waits for the last moment at which that helps, when the most is known. Where a share of
+ * hedges is configured, the measured durations decide instead.
  */
 export const tryHedge = (draft: DispatchDraft, request: RequestState): void => {
     const { atMs } = draft;
@@ -21,6 +23,10 @@
     if (attempt?.phase !== "sent" || !mayHedge) {
         return;
     }
+    if (draft.state.hedgeShare > 0) {
+        hedgeWithinShare(draft, request);
+        return;
+    }
     const seemsSlow = atMs < request.targetAtMs
         && estimateSlowChance(attempt, atMs) >= DISPATCH_LIMITS.minHedgeSlowChance;
     const seemsHung = atMs - attempt.startedAtMs > DISPATCH_LIMITS.hungFactor * attempt.reportBasedMs;
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -15,6 +15,8 @@
     readonly slots?: number;
     readonly route?: Partial<Route>;
     readonly budgetExtra?: number;
+    readonly budgetRatio?: number;
+    readonly hedgeShare?: number | undefined;
     /** Seed of the random sequence, from 0 to 1. */
     readonly random?: number;
 }
@@ -47,7 +49,8 @@
         this.random = opts.random ?? 0.37;
         this.state = createDispatchState({
             availabilityZone: "east",
-            retryBudget: { ratio: 0.2, windowMs: 10_000, extra: opts.budgetExtra ?? 58 },
+            retryBudget: { ratio: opts.budgetRatio ?? 0.2, windowMs: 10_000, extra: opts.budgetExtra ?? 58 },
+            hedgeShare: opts.hedgeShare,
         });
         this.send({ type: "vm-count-changed", vmCount: 1 });
         this.configure([{ ...DEFAULT_ROUTE, ...opts.route }]);
