--- a/daemon/entry/src/create-entry-state.ts
+++ b/daemon/entry/src/create-entry-state.ts
@@ -16,7 +16,7 @@
 /** Creates the initial state of the daemon. */
 export const createEntryState = (
     settings: EntrySettings,
-    opts: { readonly atMs: number; readonly incarnation: string; },
+    opts: { readonly atMs: number; readonly incarnation: string; readonly hedgeShare?: number | undefined; },
 ): EntryState => ({
     view: createViewState({
         readerId: `${settings.vmId}/${opts.incarnation}`,
@@ -26,7 +26,7 @@
         firstReadAtMs: settings.isFirstStart ? opts.atMs + FIRST_READ_DELAY_MS : Infinity,
     }),
     hub: createHubState(toVmInfo(settings), opts),
-    dispatch: createDispatchState(settings),
+    dispatch: createDispatchState({ ...settings, hedgeShare: opts.hedgeShare }),
     isProber: false,
     zoneServerCount: 0,
     lastViewTickAtMs: -Infinity,
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -37,6 +37,8 @@
     readonly settings: EntrySettings;
     /** Port that serves `/metrics`. If absent, metrics are not served. */
     readonly metricsPort?: number | undefined;
+    /** Hedges that are allowed, as a share of the requests of each service. Default: 0. */
+    readonly hedgeShare?: number | undefined;
     /** Destination of the log. Default: standard output as a file. */
     readonly output?: LogOutput;
     readonly clock?: Clock;
@@ -76,7 +78,7 @@
     private shutdownPromise: Promise<void> | undefined;
 
     constructor(opts: EntryDaemonOptions) {
-        const { settings } = opts;
+        const { settings, hedgeShare } = opts;
         this.settings = settings;
         this.metricsPort = opts.metricsPort;
         this.clock = opts.clock ?? createClock();
@@ -90,7 +92,8 @@
         const { log } = this;
         this.refusedInputs = new RefusedInputs({ metrics: this.metrics, log, nowMs: clock.atMs });
         const { refusedInputs } = this;
-        this.state = createEntryState(settings, { atMs: clock.atMs(), incarnation: createIncarnation(clock) });
+        const incarnation = createIncarnation(clock);
+        this.state = createEntryState(settings, { atMs: clock.atMs(), incarnation, hedgeShare });
         this.store = new StoreClient({ address: settings.storeAddress });
         this.storeReader = new StoreReader({ store: this.store, log, refusedInputs, nowMs: clock.atMs, dispatch });
         this.peerRpc = new PeerRpc({
--- a/daemon/entry/src/entry-metrics.ts
+++ b/daemon/entry/src/entry-metrics.ts
@@ -28,6 +28,12 @@
         labelNames: ["result"],
         registers: [this.registry],
     });
+    readonly hedges = new Counter({
+        name: "marigoldstall_hedges_total",
+        help: "Hedges sent under --hedge-share that have ended, by result.",
+        labelNames: ["result"],
+        registers: [this.registry],
+    });
     readonly probes = new Counter({
         name: "marigoldstall_probes_total",
         help: "Health checks of backend servers, by result.",
--- a/daemon/entry/src/log-decision.ts
+++ b/daemon/entry/src/log-decision.ts
@@ -15,5 +15,8 @@
     if (kind === "answer" && typeof inputs["totalMs"] === "number") {
         metrics.requestDurations.observe({ service: service ?? "" }, inputs["totalMs"] / MS_PER_SECOND);
     }
+    if (kind === "hedge-ended") {
+        metrics.hedges.inc({ result: reason ?? "" });
+    }
     log.write(kind, { requestId, service, instanceId, reason, ...inputs });
 };
--- a/daemon/entry/src/run-entry-program.ts
+++ b/daemon/entry/src/run-entry-program.ts
@@ -7,6 +7,7 @@
 import { EntryDaemon } from "./entry-daemon.js";
 import { JsonLogger } from "./json-logger.js";
 import type { LogOutput } from "./log-output.js";
+import { parseHedgeShare } from "./parse-hedge-share.js";
 import { readSettings } from "./read-settings.js";
 import { SettingsReloader } from "./settings-reloader.js";
 import { waitForSettings } from "./wait-for-settings.js";
@@ -15,6 +16,7 @@
 
 interface EntryFlags {
     readonly metricsPort?: string;
+    readonly hedgeShare?: string;
 }
 
 interface RunEntryProgramOptions {
@@ -30,6 +32,10 @@
 };
 
 const run = async (flags: EntryFlags, opts: RunEntryProgramOptions): Promise<void> => {
+    const hedgeShare = parseHedgeShare(flags.hedgeShare ?? "0");
+    if (hedgeShare.isErr()) {
+        return fail(hedgeShare.error);
+    }
     const file = process.env[SETTINGS_VARIABLE] ?? "";
     if (file === "") {
         return fail(
@@ -50,7 +56,7 @@
         log.write("settings-defaulted", { file, fields: defaultedFields });
     }
     const metricsPort = flags.metricsPort === undefined ? undefined : Number(flags.metricsPort);
-    const daemon = new EntryDaemon({ settings, metricsPort, output: opts.stdout });
+    const daemon = new EntryDaemon({ settings, metricsPort, hedgeShare: hedgeShare.value, output: opts.stdout });
     process.on("SIGTERM", () => {
         daemon.countSignal("SIGTERM");
         void daemon.stop().then(() => {
@@ -95,6 +101,10 @@
     await new Command("marigoldstall-entry")
         .description("Runs the load balancer on an entry VM of the users' platform.")
         .option("--metrics-port <port>", "port of the VM's address that serves /metrics")
+        .option(
+            "--hedge-share <number>",
+            "hedges that are allowed, as a share of the requests, from 0 to 1 (default: 0)",
+        )
         .action((flags: EntryFlags) => run(flags, opts))
         .parseAsync();
 };
--- a/daemon/entry/test/process-environment.test.ts
+++ b/daemon/entry/test/process-environment.test.ts
@@ -7,6 +7,7 @@
 const PROGRAM = resolve("target/marigoldstall-entry.cjs");
 const DAEMON_FILE = "marigoldstall-entry-program.cjs";
 const EXIT_START_FAILED = 2;
+const EXIT_USAGE = 2;
 const MAX_MESSAGE_BYTES = 2_000;
 const CUT_OFF_AT = 300_000;
 const TEST_TIMEOUT_MS = 60_000;
@@ -24,6 +25,19 @@
         rmSync(directory, { recursive: true, force: true });
     });
 
+    // The process must not run with another limit than the operator meant.
+    it("ends at once with the reason if the share of hedges is no number from 0 to 1", async () => {
+        copyFileSync(resolve("target", DAEMON_FILE), join(directory, DAEMON_FILE));
+        const daemon = new ManagedProcess({
+            name: "vm-0",
+            command: [process.execPath, join(directory, "marigoldstall-entry.cjs"), "--hedge-share", "5%"],
+            logFile: join(directory, "vm-0.log"),
+        });
+        expect(await daemon.exited).to.equal(EXIT_USAGE);
+        const log = readFileSync(join(directory, "vm-0.log"), "utf8");
+        expect(log).to.contain("ERR_MARIGOLDSTALL_HEDGE_SHARE_INVALID").and.to.contain("--hedge-share is \"5%\"");
+    }).timeout(TEST_TIMEOUT_MS);
+
     // A process whose daemon could not be loaded ended with a bare stack trace. If the file was cut off, the trace came
     // after a line of the bundle with 19 KB.
     for (
