--- a/routing/dispatch/test/hedges.test.ts
+++ b/routing/dispatch/test/hedges.test.ts
@@ -331,6 +331,45 @@
         });
     });
 
+    // What is decided is counted when it is sent. Several decisions during one preflight check exceeded the retry budget.
+    describe("with a retry budget for one more attempt", () => {
+        const createLimited = (): {
+            readonly harness: DispatchHarness;
+            readonly keys: readonly string[];
+            readonly countNewChecks: () => number;
+        } => {
+            // A VM uses 0.8 of the budget.
+            const harness = createMeasured({ slots: 1, budgetRatio: 0, budgetExtra: 1.25 });
+            const keys = [harness.arrive(), harness.arrive()];
+            harness.answersChecks = false;
+            harness.atMs += 20;
+            const countChecks = (): number => harness.effectsOf("check-server").length;
+            const before = countChecks();
+            return { harness, keys, countNewChecks: () => countChecks() - before };
+        };
+
+        it("retries one of two requests that fail at the same moment", () => {
+            const { harness, keys, countNewChecks } = createLimited();
+            for (const requestKey of keys) {
+                harness.fail(harness.lastAttempt(requestKey).attemptId, "lost");
+            }
+            expect(countNewChecks()).to.equal(1);
+            expect(keys.map(requestKey => harness.rejectionOf(requestKey)?.statusCode)).to.deep.equal([undefined, 502]);
+        });
+
+        it("does not retry another request while the server of a hedge is checked", () => {
+            const { harness, keys: [slow = "", other = ""], countNewChecks } = createLimited();
+            harness.answer(harness.lastAttempt(other).attemptId);
+            harness.advance(2 * USUAL_MS);
+            expect(countNewChecks()).to.equal(1);
+            expect(harness.attemptsOf(slow).length).to.equal(1);
+            harness.answersChecks = true;
+            const failing = harness.arrive();
+            harness.fail(harness.lastAttempt(failing).attemptId, "lost");
+            expect(harness.rejectionOf(failing)?.statusCode).to.equal(502);
+        });
+    });
+
     describe("on a member that asks its hub for loads", () => {
         // By loads from before the first send, the hedge goes to a server that others have filled since.
         it("asks for the loads first, and hedges without an answer if the hub is silent", () => {
