--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -1,7 +1,7 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { type Clock, createClock } from "@marigoldstall/daemon.connections";
 import { selectLiveHub } from "@marigoldstall/fleet.hubs";
-import { decodeApiKey, StoreClient } from "@marigoldstall/platform.adapter";
+import { StoreClient } from "@marigoldstall/platform.adapter";
 import { setTimeout as sleep } from "node:timers/promises";
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
@@ -14,7 +14,6 @@
 import { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
-import { fingerprintRequest } from "./fingerprint-request.js";
 import { FleetJoiner } from "./fleet-joiner.js";
 import { FleetSocket } from "./fleet-socket.js";
 import { HealthChecks } from "./health-checks.js";
@@ -30,6 +29,7 @@
 import { ServerAttempts } from "./server-attempts.js";
 import { StoreReader } from "./store-reader.js";
 import { toEntryEvent } from "./to-entry-event.js";
+import { toRequestEvent } from "./to-request-event.js";
 
 // Answer to a request whose event could not be handled. It was not sent to any server.
 const UNHANDLED_REJECTION = { statusCode: 503, reason: "internal-error", retryAfterMs: 200 };
@@ -38,6 +38,8 @@
     readonly settings: EntrySettings;
     /** Port that serves `/metrics`. If absent, metrics are not served. */
     readonly metricsPort?: number | undefined;
+    /** Hedges that are allowed, as a share of the requests of each service. Default: 0. */
+    readonly hedgeShare?: number | undefined;
     /** Destination of the log. Default: standard output as a file. */
     readonly output?: LogOutput;
     readonly clock?: Clock;
@@ -77,7 +79,7 @@
     private shutdownPromise: Promise<void> | undefined;
 
     constructor(opts: EntryDaemonOptions) {
-        const { settings } = opts;
+        const { settings, hedgeShare } = opts;
         this.settings = settings;
         this.metricsPort = opts.metricsPort;
         this.clock = opts.clock ?? createClock();
@@ -91,7 +93,8 @@
         const { log } = this;
         this.refusedInputs = new RefusedInputs({ metrics: this.metrics, log, nowMs: clock.atMs });
         const { refusedInputs } = this;
-        this.state = createEntryState(settings, { atMs: clock.atMs(), incarnation: createIncarnation(clock) });
+        const incarnation = createIncarnation(clock);
+        this.state = createEntryState(settings, { atMs: clock.atMs(), incarnation, hedgeShare });
         this.store = new StoreClient({ address: settings.storeAddress });
         this.storeReader = new StoreReader({ store: this.store, log, refusedInputs, nowMs: clock.atMs, dispatch });
         this.peerRpc = new PeerRpc({
@@ -163,18 +166,7 @@
             // A request that the reducer does not know any more has been answered.
             isIdempotent: requestKey => this.state.dispatch.requests.get(requestKey)?.route.isIdempotent ?? true,
             onRequest: (request, receivedAtMs, deadlineMs) => {
-                const { requestKey, requestId, message } = request;
-                dispatch({
-                    type: "request-arrived",
-                    requestKey,
-                    requestId,
-                    host: message.headers.host ?? "",
-                    path: message.url ?? "",
-                    receivedAtMs,
-                    deadlineMs,
-                    fingerprint: fingerprintRequest(message, request.body),
-                    apiKey: decodeApiKey(message.rawHeaders),
-                });
+                dispatch(toRequestEvent(request, { receivedAtMs, deadlineMs }));
             },
             onCallerLeft: requestKey => {
                 dispatch({ type: "caller-left", requestKey });
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -7,10 +7,13 @@
 
 /** Initial state, without a configuration or backend servers. */
 export const createDispatchState = (
-    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget" | "keyRevocationMs" | "quotaBounds">,
+    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget" | "keyRevocationMs" | "quotaBounds"> & {
+        readonly hedgeShare?: number | undefined;
+    },
 ): DispatchState => ({
     availabilityZone: opts.availabilityZone,
     retryBudget: opts.retryBudget,
+    hedgeShare: opts.hedgeShare ?? 0,
     vmCount: INITIAL_VM_COUNT,
     loadQueryIntervalMs: undefined,
     roundTripMsByZone: new Map(),
--- a/routing/dispatch/src/on-request-arrived.ts
+++ b/routing/dispatch/src/on-request-arrived.ts
@@ -3,6 +3,7 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchEvent } from "./dispatch-event.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { earnHedgeCredit } from "./earn-hedge-credit.js";
 import { matchRoute } from "./match-route.js";
 import { pickDestination } from "./pick-destination.js";
 import { queueRequest } from "./queue-request.js";
@@ -95,7 +96,11 @@
         mayHaveRun: false,
         callerLeft: false,
     });
-    draft.setService({ ...service, requests: rollingCounts.add(service.requests, draft.atMs) });
+    draft.setService({
+        ...service,
+        requests: rollingCounts.add(service.requests, draft.atMs),
+        hedging: earnHedgeCredit(service.hedging, draft.state.hedgeShare),
+    });
     if (usesQuota === undefined && tenant !== undefined) {
         draft.emit({ type: "request-admission", requestKey, tenantName: tenant.name });
         return;
