fix(view): do not confirm a configuration by a page that ends before the end of the topic

A VM that read a long operator topic in several pages took the first page as proof that the store had no later configuration: it did not read on for 700 ms and told its peers that its configuration was the latest. Registrations were handled correctly, configurations were not, because the event did not carry the end of the topic. It now does; an incomplete page confirms nothing, and the next page is read at once unless the page was empty. A list is always complete.

--- a/daemon/entry/src/store-reader.ts
+++ b/daemon/entry/src/store-reader.ts
@@ -3,10 +3,13 @@
     CONFIGURATION_KEY,
     decodeConfiguration,
     decodeRegistration,
+    type LogPage,
+    type NewestList,
     type StoreClient,
     type StoreFailure,
     type StoreRecord,
 } from "@marigoldstall/platform.adapter";
+import type { Result } from "neverthrow";
 import type { EntryEvent } from "./entry-event.js";
 import type { JsonLogger } from "./json-logger.js";
 import type { RefusedInputs } from "./refused-inputs.js";
@@ -66,17 +69,17 @@
     async readConfiguration(from: StorePosition | undefined): Promise<void> {
         const { store, nowMs, dispatch } = this.opts;
         const startedAtMs = nowMs();
-        const read = from === undefined
+        const read: Result<NewestList & Partial<Pick<LogPage, "endOffset">>, StoreFailure> = from === undefined
             ? await store.listNewest("configuration")
             : await store.read("configuration", from.offset);
         if (read.isErr()) {
             this.handleReadFailure("configuration", read.error);
             return;
         }
-        const { era, records, nextOffset } = read.value;
+        const { era, records, nextOffset, endOffset } = read.value;
         const text = records.filter(record => record.key === CONFIGURATION_KEY).at(-1)?.value;
         const configuration = text === undefined ? undefined : this.parseConfiguration(text);
-        dispatch({ type: "configuration-read", startedAtMs, era, from, nextOffset, configuration });
+        dispatch({ type: "configuration-read", startedAtMs, era, from, nextOffset, endOffset, configuration });
     }
 
     /** Decodes a configuration. Logs a malformed one and returns undefined, so that the last valid one stays active. */
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -124,11 +124,18 @@
         // The store was restored in between, so records before this response may be missing.
         return { state: { ...state, configurationReading: { ...finished, startedAtMs: -Infinity } }, effects };
     }
+    const next = selectLaterPosition({ era, offset: event.nextOffset }, reading.next);
+    if (event.nextOffset < (event.endOffset ?? event.nextOffset)) {
+        // A page that ends before the end of the topic does not prove that the view is current. The next page is read at
+        // once, unless the store sent no record.
+        const hasProgress = from === undefined || event.nextOffset > from.offset;
+        const startedAtMs = hasProgress ? -Infinity : finished.startedAtMs;
+        return { state: { ...state, configurationReading: { ...finished, next, startedAtMs } }, effects };
+    }
     const confirmed = confirmReading(finished, {
         confirmedAtMs: event.startedAtMs,
         confirmation: nextConfirmation(state, reading),
     });
-    const next = selectLaterPosition({ era, offset: event.nextOffset }, reading.next);
     return { state: { ...state, configurationReading: { ...confirmed, next } }, effects };
 };
 
--- a/fleet/view/src/view-event.ts
+++ b/fleet/view/src/view-event.ts
@@ -46,6 +46,8 @@
         readonly from: StorePosition | undefined;
         readonly configuration: KnownConfiguration | undefined;
         readonly nextOffset: number;
+        /** End of the topic when it was read. Undefined if the topic was listed, as a list is always complete. */
+        readonly endOffset?: number | undefined;
     }
     | {
         readonly type: "store-read-failed";
--- a/fleet/view/test/reduce-view.test.ts
+++ b/fleet/view/test/reduce-view.test.ts
@@ -206,6 +206,35 @@
             expect(read).to.deep.equal([]);
         });
 
+        // A page that ended before the end of the topic counted as proof that no later configuration existed, so a VM behind
+        // a long topic did not read on for 700 ms, and told others that its configuration was the latest.
+        it("is not confirmed by a page that ends before the end of the topic, which is read on at once", () => {
+            const view = new ViewHarness();
+            view.readConfiguration(0, 1, 6);
+            const { confirmedAtMs, confirmation } = view.state.configurationReading;
+            view.tick(1_000);
+            view.readConfiguration(1_010, 5, 7, { endOffset: 9 });
+            expect(view.version).to.equal(7);
+            expect(view.state.configurationReading).to.include({ confirmedAtMs, confirmation });
+            const from = { era: 0, offset: 5 };
+            expect(view.tick(1_020)).to.deep.include({ type: "read-store", topic: "configuration", from });
+            view.readConfiguration(1_030, 9, undefined, { endOffset: 9 });
+            expect(view.state.configurationReading.confirmedAtMs).to.equal(1_025);
+        });
+
+        // A store that sends empty pages must not be called in a loop.
+        it("is not read on at once after a page without any record", () => {
+            const view = new ViewHarness();
+            view.readConfiguration(0, 1, 6);
+            view.tick(1_000);
+            view.readConfiguration(1_010, 1, undefined, { endOffset: 9 });
+            expect(view.tick(1_020)).not.to.deep.include({
+                type: "read-store",
+                topic: "configuration",
+                from: { era: 0, offset: 1 },
+            });
+        });
+
         it("is never replaced by an older version", () => {
             const view = new ViewHarness();
             view.apply({
--- a/fleet/view/test/view-harness.ts
+++ b/fleet/view/test/view-harness.ts
@@ -71,7 +71,12 @@
         return this.apply({ type: "store-read-failed", atMs, topic: "registrations", isExpired: false });
     }
 
-    readConfiguration(atMs: number, nextOffset: number, version: number | undefined): readonly ViewEffect[] {
+    readConfiguration(
+        atMs: number,
+        nextOffset: number,
+        version: number | undefined,
+        fields: Partial<Extract<ViewEvent, { readonly type: "configuration-read"; }>> = {},
+    ): readonly ViewEffect[] {
         return this.apply({
             type: "configuration-read",
             atMs,
@@ -80,6 +85,7 @@
             from: this.state.configurationReading.next,
             configuration: version === undefined ? undefined : ViewHarness.configuration(version),
             nextOffset,
+            ...fields,
         });
     }
 
