feat(entry): send no requests to the servers of evacuated zones

An operator who wrote op/evacuate/ZONE saw requests go on to that zone: the topic was read, but only its key of the configuration was kept. One position for the whole set was ruled out: after a restore of the store, a VM that listed the copy would have replaced the set of one that knows the evacuation. Without any record, messages are the same bytes as before.

--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -1,3 +1,4 @@
+import { selectEvacuatedZones } from "@marigoldstall/fleet.view";
 import { type DispatchState, selectHold, type ServerState } from "@marigoldstall/routing.dispatch";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
@@ -55,6 +56,11 @@
         "Registrations of a restored copy that are not used, as they are older than what is known.",
         () => state().view.withheld.size,
     );
+    metrics.addGauge(
+        "marigoldstall_zones_evacuated",
+        "Zones to whose servers no request is sent, as the operator has evacuated them.",
+        () => selectEvacuatedZones(state().view).length,
+    );
     metrics.addGauge(
         "marigoldstall_servers_limited",
         "Backend servers that state a limit on their requests.",
--- a/daemon/entry/src/effect-runner.ts
+++ b/daemon/entry/src/effect-runner.ts
@@ -99,6 +99,14 @@
                 callerListener.applyLimits(effect.configuration.limits);
                 log.write("configuration-in-force", { version: effect.configuration.version });
                 return;
+            case "evacuations-changed":
+                for (const zone of effect.evacuatedZones) {
+                    log.write("zone-evacuated", { zone, source: effect.source });
+                }
+                for (const zone of effect.restoredZones) {
+                    log.write("zone-restored", { zone, source: effect.source });
+                }
+                return;
             case "store-restored":
                 log.write("store-restored", { era: effect.era, previousEra: effect.previousEra });
                 this.runAsync(effect, this.rejoin());
--- a/daemon/entry/src/entry-draft.ts
+++ b/daemon/entry/src/entry-draft.ts
@@ -53,6 +53,9 @@
             if (effect.type === "servers-changed") {
                 this.applyDispatchEvent({ type: "servers-changed", ...this.eventContext, changes: effect.changes });
             }
+            else if (effect.type === "evacuations-changed") {
+                this.applyDispatchEvent({ type: "zones-evacuated", ...this.eventContext, zones: effect.zones });
+            }
             else if (effect.type === "configuration-adopted") {
                 this.applyDispatchEvent({
                     type: "configuration-adopted",
--- a/daemon/entry/src/peer-rpc.ts
+++ b/daemon/entry/src/peer-rpc.ts
@@ -1,7 +1,7 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { type Findings, selectLiveVms, type VmInfo } from "@marigoldstall/fleet.hubs";
 import { RpcClient, RpcServer } from "@marigoldstall/fleet.rpc";
-import { selectViewSnapshot, UNKNOWN_ERA, type ViewSnapshot } from "@marigoldstall/fleet.view";
+import { listEvacuations, selectViewSnapshot, UNKNOWN_ERA, type ViewSnapshot } from "@marigoldstall/fleet.view";
 import * as Option from "effect/Option";
 import * as Schema from "effect/Schema";
 import { decompressText } from "./decompress-text.js";
@@ -30,6 +30,11 @@
         warmUpMs: Schema.Finite,
     }),
 };
+const EvacuationsSchema = Schema.Array(Schema.Struct({
+    zone: NameSchema,
+    position: Schema.Struct({ era: Schema.Int, offset: Schema.Int }),
+    isEvacuated: Schema.Boolean,
+}));
 const FindingsSchema = Schema.Struct({
     limits: Schema.Array(Schema.Struct({
         instanceId: Schema.String,
@@ -74,6 +79,8 @@
         ageMs: Schema.Finite,
     }))),
     findings: Schema.optional(FindingsSchema),
+    // Sent only if the operator has evacuated a zone.
+    evacuations: Schema.optional(EvacuationsSchema),
 }));
 const decodeVms = Schema.decodeUnknownOption(Schema.Array(VmSchema));
 const decodePeerConfiguration = Schema.decodeUnknownOption(Schema.Struct({
@@ -82,6 +89,7 @@
     compressedText: Schema.optional(Schema.String),
     ageMs: Schema.Finite,
     confirmation: Schema.optional(ConfirmationSchema),
+    evacuations: Schema.optional(EvacuationsSchema),
 }));
 
 const decodeConfigurationParams = Schema.decodeUnknownOption(Schema.Struct({ acceptsCompressed: Schema.Boolean }));
@@ -189,24 +197,32 @@
         if (result === undefined || text === "") {
             return false;
         }
-        const { ageMs, confirmation } = result;
+        const { ageMs, confirmation, evacuations } = result;
         const configuration = this.opts.parseConfiguration(text);
         if (configuration !== undefined) {
-            this.opts.dispatch({ type: "peer-configuration-received", configuration, ageMs, confirmation });
+            this.opts.dispatch({
+                type: "peer-configuration-received",
+                configuration,
+                ageMs,
+                confirmation,
+                evacuations,
+            });
         }
         return configuration !== undefined;
     }
 
     // A large configuration in JSON exceeds the limit of a call, and takes the link of a small VM for seconds.
     private async describeConfiguration(params: unknown): Promise<unknown> {
-        const { configuration, configurationReading } = this.opts.state().view;
+        const { view } = this.opts.state();
+        const { configuration, configurationReading } = view;
         const { confirmation, confirmedAtMs } = configurationReading;
+        const evacuations = listEvacuations(view);
         const ageMs = Math.min(MAX_AGE_MS, this.opts.nowMs() - confirmedAtMs);
         const text = configuration?.text ?? "";
         const acceptsCompressed = Option.getOrUndefined(decodeConfigurationParams(params))?.acceptsCompressed === true;
         return acceptsCompressed && text !== ""
-            ? { compressedText: await this.compressor.compress(text), ageMs, confirmation }
-            : { text, ageMs, confirmation };
+            ? { compressedText: await this.compressor.compress(text), ageMs, confirmation, ...evacuations }
+            : { text, ageMs, confirmation, ...evacuations };
     }
 
     /** Returns an empty text if the peer's one cannot be read. */
--- a/daemon/entry/src/store-reader.ts
+++ b/daemon/entry/src/store-reader.ts
@@ -1,7 +1,7 @@
 import type { RegistrationChange, StorePosition } from "@marigoldstall/fleet.view";
 import {
-    CONFIGURATION_KEY,
     decodeConfiguration,
+    decodeOperatorRecords,
     decodeRegistration,
     type LogPage,
     type NewestList,
@@ -77,9 +77,18 @@
             return;
         }
         const { era, records, nextOffset, endOffset } = read.value;
-        const text = records.filter(record => record.key === CONFIGURATION_KEY).at(-1)?.value;
+        const { configurationText: text, evacuations } = decodeOperatorRecords(records);
         const configuration = text === undefined ? undefined : this.parseConfiguration(text);
-        dispatch({ type: "configuration-read", startedAtMs, era, from, nextOffset, endOffset, configuration });
+        dispatch({
+            type: "configuration-read",
+            startedAtMs,
+            era,
+            from,
+            nextOffset,
+            endOffset,
+            configuration,
+            evacuations,
+        });
     }
 
     /** Decodes a configuration. Logs a malformed one and returns undefined, so that the last valid one stays active. */
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, EntrySettings, LoadReport, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BackendServer, EntrySettings, LoadReport } from "@marigoldstall/core.types";
 import {
     createEntryState,
     type EntryEffect,
@@ -9,9 +9,10 @@
     toEntryEvent,
 } from "@marigoldstall/daemon.entry";
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
-import { type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
+import { listEvacuations, type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
 import { createModelServer } from "./create-model-server.js";
 import { createModelSettings } from "./create-model-settings.js";
+import { ModelOperatorTopic } from "./model-operator-topic.js";
 import type { ModelReply } from "./model-reply.js";
 import { MODEL_ROUTE } from "./model-route.js";
 
@@ -34,12 +35,7 @@
 /** Content of the store at a time, from which it can be restored. */
 interface ModelStoreCopy {
     readonly records: readonly RegistrationChange[];
-    readonly configurations: readonly ModelConfiguration[];
-}
-
-interface ModelConfiguration {
-    readonly text: string;
-    readonly configuration: RoutingConfiguration;
+    readonly operatorTopic: ModelOperatorTopic;
 }
 
 /** Simulation of VMs, a store and backend servers that exchange events in virtual time. */
@@ -68,7 +64,7 @@
     private readonly settings: readonly EntrySettings[];
     private readonly delayMs: number;
     private records: RegistrationChange[] = [];
-    private configurations: ModelConfiguration[] = [];
+    private operatorTopic = new ModelOperatorTopic();
     private storeEra = 1;
     private readonly scheduled = new Map<number, (() => void)[]>();
     private incarnation = 1;
@@ -150,17 +146,17 @@
     }
 
     get configurationEndOffset(): number {
-        return this.configurations.length;
+        return this.operatorTopic.endOffset;
     }
 
     takeCopy(): ModelStoreCopy {
-        return { records: [...this.records], configurations: [...this.configurations] };
+        return { records: [...this.records], operatorTopic: this.operatorTopic };
     }
 
     /** Restores the store from a copy. What was written since is lost, and offsets are given out again. */
     restore(copy: ModelStoreCopy): void {
         this.records = [...copy.records];
-        this.configurations = [...copy.configurations];
+        this.operatorTopic = copy.operatorTopic;
         this.storeEra += 1;
     }
 
@@ -171,11 +167,16 @@
 
     /** The version of the configuration in the store. */
     storedVersion(): number {
-        return this.configurations.at(-1)?.configuration.version ?? 0;
+        return this.operatorTopic.configuration?.configuration.version ?? 0;
+    }
+
+    /** The operator evacuates a zone, or takes it back. */
+    evacuate(zone: string, isEvacuated = true): void {
+        this.operatorTopic = this.operatorTopic.with({ zone, isEvacuated });
     }
 
     publishConfiguration(version: number): void {
-        this.configurations.push({
+        this.operatorTopic = this.operatorTopic.with({
             text: String(version),
             configuration: {
                 version,
@@ -324,13 +325,15 @@
                 return;
             case "fetch-peer-configuration":
                 this.schedule(RPC_LATENCY_MS, vmId, () => {
-                    const { configuration, configurationReading } = this.state(effect.peerAddress).view;
+                    const { view } = this.state(effect.peerAddress);
+                    const { configuration, configurationReading } = view;
                     if (configuration === undefined || this.silent.has(effect.peerAddress)) {
                         return undefined;
                     }
                     const { confirmation, confirmedAtMs } = configurationReading;
                     const ageMs = this.atMs - confirmedAtMs;
-                    return { type: "peer-configuration-received", configuration, ageMs, confirmation };
+                    const evacuations = listEvacuations(view);
+                    return { type: "peer-configuration-received", configuration, ageMs, confirmation, ...evacuations };
                 });
                 return;
             case "probe-server": {
@@ -364,18 +367,14 @@
         }
         const latencyMs = this.storeLatencyMs + (this.extraAnswerDelayMs.get(vmId) ?? 0);
         const era = this.storeEra;
-        const nextOffset = topic === "configuration" ? this.configurations.length : this.records.length;
+        const nextOffset = topic === "configuration" ? this.operatorTopic.endOffset : this.records.length;
         if (from !== undefined && from.offset > nextOffset) {
             this.schedule(latencyMs, vmId, () => ({ type: "store-read-failed", topic, isExpired: true, era }));
             return;
         }
         if (topic === "configuration") {
-            const configuration = nextOffset > (from?.offset ?? 0) ? this.configurations.at(-1) : undefined;
-            this.schedule(
-                latencyMs,
-                vmId,
-                () => ({ type: "configuration-read", startedAtMs, era, from, configuration, nextOffset }),
-            );
+            const page = this.operatorTopic.read(from?.offset);
+            this.schedule(latencyMs, vmId, () => ({ type: "configuration-read", startedAtMs, era, from, ...page }));
             return;
         }
         const changes = this.records.slice(from?.offset ?? 0);
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -1,4 +1,10 @@
-import { type Confirmation, type RegistrationChange, UNKNOWN_ERA, type ViewSummary } from "@marigoldstall/fleet.view";
+import {
+    type Confirmation,
+    type RegistrationChange,
+    UNKNOWN_ERA,
+    type ViewSummary,
+    type ZoneEvacuation,
+} from "@marigoldstall/fleet.view";
 import { decode } from "@msgpack/msgpack";
 import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
@@ -110,6 +116,15 @@
     return { instanceId: asString(instanceId), weight: asNumber(weight) };
 };
 
+const decodeEvacuation = (value: unknown): ZoneEvacuation => {
+    const [zone, era, offset, isEvacuated] = asRow(value);
+    return {
+        zone: asString(zone),
+        position: { era: asNumber(era), offset: asNumber(offset) },
+        isEvacuated: asBoolean(isEvacuated),
+    };
+};
+
 const decodeSummary = (value: unknown): ViewSummary => {
     const [
         nextOffset,
@@ -122,6 +137,8 @@
         changes,
         // VMs of earlier releases send no era.
         eraColumn = UNKNOWN_ERA,
+        // Sent only if the operator has evacuated a zone, and not by VMs of earlier releases.
+        evacuations,
     ] = asRow(value);
     const offset = asNumber(nextOffset);
     const era = asNumber(eraColumn);
@@ -134,6 +151,7 @@
         configurationVersion: asNumber(configurationVersion),
         configurationAgeMs: asAgeMs(configurationAgeMs),
         changes: asRow(changes).map(decodeRegistrationChange),
+        ...evacuations === undefined ? {} : { evacuations: asRow(evacuations).map(decodeEvacuation) },
     };
 };
 
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -1,4 +1,4 @@
-import type { Confirmation } from "@marigoldstall/fleet.view";
+import type { Confirmation, ZoneEvacuation } from "@marigoldstall/fleet.view";
 import { encode } from "@msgpack/msgpack";
 import type { FindingsMessage } from "./findings-message.js";
 import { FLEET_MESSAGE_VERSION } from "./fleet-message-version.js";
@@ -19,6 +19,13 @@
 const encodeConfirmation = (confirmation: Confirmation | undefined): readonly unknown[] =>
     confirmation === undefined ? [] : [confirmation.readerId, confirmation.number];
 
+const encodeEvacuation = ({ zone, position, isEvacuated }: ZoneEvacuation): readonly unknown[] => [
+    zone,
+    position.era,
+    position.offset,
+    isEvacuated,
+];
+
 const encodeLoad = ({ instanceId, load, ageMs }: LoadUpdate): readonly unknown[] => [
     instanceId,
     load.inFlight,
@@ -55,6 +62,7 @@
                 ]
             ),
             summary.next?.era ?? 0,
+            ...summary.evacuations === undefined ? [] : [summary.evacuations.map(encodeEvacuation)],
         ],
         message.vms.map(vm => [encodeVm(vm.info), encodeAgeMs(vm.ageMs)]),
         message.fleetSize,
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -20,6 +20,7 @@
                 ...SUMMARY,
                 next: { era: 2, offset: 6 },
                 base: { era: 2, offset: 4 },
+                evacuations: [{ zone: "b", position: { era: 2, offset: 9 }, isEvacuated: true }],
                 changes: [
                     { offset: 4, instanceId: "i-1", server: undefined },
                     {
--- a/fleet/view/src/apply-peer-summary.ts
+++ b/fleet/view/src/apply-peer-summary.ts
@@ -4,6 +4,7 @@
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
+import { mergeEvacuations } from "./merge-evacuations.js";
 import { selectNewChanges } from "./select-new-changes.js";
 import { selectPeerEra } from "./select-peer-era.js";
 import type { StorePosition } from "./store-position.js";
@@ -97,7 +98,11 @@
 
 /** Applies the changes in a peer's summary, or requests the data that is too large for a datagram. */
 export const applyPeerSummary = (state: ViewState, event: SummaryReceived): Transition<ViewState, ViewEffect> => {
-    const effects: ViewEffect[] = [];
-    const next = applyPeerConfiguration(applyPeerRegistrations(state, event, effects), event, effects);
+    const { state: merged, effects: evacuations } = mergeEvacuations(state, {
+        records: event.summary.evacuations ?? [],
+        source: event.peerAddress,
+    });
+    const effects: ViewEffect[] = [...evacuations];
+    const next = applyPeerConfiguration(applyPeerRegistrations(merged, event, effects), event, effects);
     return { state: next, effects };
 };
--- a/fleet/view/src/create-view-state.ts
+++ b/fleet/view/src/create-view-state.ts
@@ -31,6 +31,7 @@
         withheld: new Map(),
         departed: new Map(),
         configuration: undefined,
+        evacuations: new Map(),
         registrationReading: reading,
         configurationReading: reading,
         recentChanges: [],
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -1,5 +1,6 @@
 import type { Transition } from "@marigoldstall/core.types";
 import { adoptConfiguration } from "./adopt-configuration.js";
+import { applyEvacuationRecords } from "./apply-evacuation-records.js";
 import { applyPeerSummary } from "./apply-peer-summary.js";
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
 import { applyRegistrationList } from "./apply-registration-list.js";
@@ -7,6 +8,7 @@
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
+import { mergeEvacuations } from "./merge-evacuations.js";
 import { nextConfirmation } from "./next-confirmation.js";
 import { observeEra } from "./observe-era.js";
 import { onResumed } from "./on-resumed.js";
@@ -111,7 +113,9 @@
 ): Transition<ViewState, ViewEffect> => {
     const { era, from } = event;
     // Versions only rise, so a newer version counts even in a response from before a restore.
-    const { state: adopted, effects: adoptions } = adoptConfiguration(before, event.configuration);
+    const { state: withConfiguration, effects: configurations } = adoptConfiguration(before, event.configuration);
+    const { state: adopted, effects: evacuations } = applyEvacuationRecords(withConfiguration, event);
+    const adoptions = [...configurations, ...evacuations];
     if (isOutdatedEra(before, era)) {
         const ignored = ignoreOutdatedRead(adopted, { topic: "configuration", era });
         return { state: ignored.state, effects: [...adoptions, ...ignored.effects] };
@@ -140,14 +144,19 @@
 };
 
 const onViewSnapshotReceived = (
-    before: ViewState,
+    unmerged: ViewState,
     event: Extract<ViewEvent, { readonly type: "view-snapshot-received"; }>,
 ): Transition<ViewState, ViewEffect> => {
     const { atMs } = event;
+    // Each record has its own position, so it counts also if the list of registrations is out of date.
+    const { state: before, effects: evacuations } = mergeEvacuations(unmerged, {
+        records: event.snapshot.evacuations ?? [],
+        source: "peer",
+    });
     const snapshot = { ...event.snapshot, era: selectPeerEra(before, event.snapshot.era) };
     const { era, nextOffset } = snapshot;
     if (isBeforeOwnPosition(before, { era, offset: nextOffset }) || isOutdatedEra(before, era)) {
-        return { state: before, effects: [] };
+        return { state: before, effects: evacuations };
     }
     const { state, effects: restored } = observeEra(before, era);
     const confirmed = confirmRegistrations(state, {
@@ -158,7 +167,7 @@
     const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
     return {
         state: { ...next, isListUnchecked: false },
-        effects: [...restored, ...serversChangedEffects(applied, "peer")],
+        effects: [...restored, ...evacuations, ...serversChangedEffects(applied, "peer")],
     };
 };
 
@@ -220,15 +229,19 @@
         case "view-snapshot-received":
             return onViewSnapshotReceived(state, event);
         case "peer-configuration-received": {
-            const { state: next, effects } = adoptConfiguration(state, event.configuration);
+            const { state: merged, effects: evacuations } = mergeEvacuations(state, {
+                records: event.evacuations ?? [],
+                source: "peer",
+            });
+            const { state: next, effects } = adoptConfiguration(merged, event.configuration);
             if (effects.length === 0) {
-                return { state, effects };
+                return { state: merged, effects: evacuations };
             }
             const configurationReading = confirmReading(next.configurationReading, {
                 confirmedAtMs: event.atMs - event.ageMs,
                 confirmation: event.confirmation,
             });
-            return { state: { ...next, configurationReading }, effects };
+            return { state: { ...next, configurationReading }, effects: [...evacuations, ...effects] };
         }
     }
 };
--- a/fleet/view/src/select-view-snapshot.ts
+++ b/fleet/view/src/select-view-snapshot.ts
@@ -1,3 +1,4 @@
+import { listEvacuations } from "./list-evacuations.js";
 import { selectWithheldUntilMs } from "./select-withheld-until-ms.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewState } from "./view-state.js";
@@ -32,5 +33,6 @@
         })),
         ageMs: atMs - confirmedAtMs,
         confirmation,
+        ...listEvacuations(state),
     };
 };
--- a/fleet/view/src/select-view-summary.ts
+++ b/fleet/view/src/select-view-summary.ts
@@ -1,4 +1,5 @@
 import { comparePositions } from "./compare-positions.js";
+import { listEvacuations } from "./list-evacuations.js";
 import { selectLaterPosition } from "./select-later-position.js";
 import type { StorePosition } from "./store-position.js";
 import type { ViewState } from "./view-state.js";
@@ -23,5 +24,6 @@
         configurationVersion: state.configuration?.configuration.version ?? 0,
         configurationAgeMs: opts.atMs - state.configurationReading.confirmedAtMs,
         configurationConfirmation: state.configurationReading.confirmation,
+        ...listEvacuations(state),
     };
 };
--- a/fleet/view/src/view-effect.ts
+++ b/fleet/view/src/view-effect.ts
@@ -13,6 +13,15 @@
     | { readonly type: "fetch-view-snapshot"; readonly peerAddress: string; }
     | { readonly type: "fetch-peer-configuration"; readonly peerAddress: string; }
     | { readonly type: "servers-changed"; readonly changes: readonly RegistrationChange[]; readonly source: string; }
+    | {
+        /** Zones were evacuated or are back in service. */
+        readonly type: "evacuations-changed";
+        /** All zones that are evacuated now. */
+        readonly zones: readonly string[];
+        readonly evacuatedZones: readonly string[];
+        readonly restoredZones: readonly string[];
+        readonly source: string;
+    }
     | { readonly type: "configuration-adopted"; readonly configuration: RoutingConfiguration; }
     /** The store was restored from an older copy, so what it had accepted since the copy is lost. */
     | { readonly type: "store-restored"; readonly era: number; readonly previousEra: number; }
--- a/fleet/view/src/view-event.ts
+++ b/fleet/view/src/view-event.ts
@@ -4,6 +4,7 @@
 import type { StorePosition } from "./store-position.js";
 import type { ViewSnapshot } from "./view-snapshot.js";
 import type { ViewSummary } from "./view-summary.js";
+import type { ZoneEvacuation } from "./zone-evacuation.js";
 
 /** Events of the view reducer. `atMs` is the daemon's monotonic clock. */
 export type ViewEvent =
@@ -45,6 +46,12 @@
         /** Undefined if the topic was listed. */
         readonly from: StorePosition | undefined;
         readonly configuration: KnownConfiguration | undefined;
+        /** Records on zones, in the order of their offsets. */
+        readonly evacuations?: readonly {
+            readonly zone: string;
+            readonly offset: number;
+            readonly isEvacuated: boolean;
+        }[];
         readonly nextOffset: number;
         /** End of the topic when it was read. Undefined if the topic was listed, as a list is always complete. */
         readonly endOffset?: number | undefined;
@@ -72,4 +79,5 @@
         /** How long ago the read identified by `confirmation` showed that the store had nothing newer. */
         readonly ageMs: number;
         readonly confirmation: Confirmation | undefined;
+        readonly evacuations?: readonly ZoneEvacuation[] | undefined;
     };
--- a/fleet/view/src/view-snapshot.ts
+++ b/fleet/view/src/view-snapshot.ts
@@ -1,6 +1,7 @@
 import type { Confirmation } from "./confirmation.js";
 import type { DepartedServer } from "./departed-server.js";
 import type { RegistrationChange } from "./registration-change.js";
+import type { ZoneEvacuation } from "./zone-evacuation.js";
 
 /** A registration that the sender withholds after a restore of the store. */
 interface WithheldRegistration extends RegistrationChange {
@@ -25,4 +26,6 @@
     /** Time since the last read that showed that the store had nothing newer. */
     readonly ageMs: number;
     readonly confirmation: Confirmation | undefined;
+    /** The latest known record on each zone. Undefined if there is none, or the sender is of an earlier release. */
+    readonly evacuations?: readonly ZoneEvacuation[] | undefined;
 }
--- a/fleet/view/src/view-state.ts
+++ b/fleet/view/src/view-state.ts
@@ -5,6 +5,7 @@
 import type { RegistrationChange } from "./registration-change.js";
 import type { StorePosition } from "./store-position.js";
 import type { WithheldServer } from "./withheld-server.js";
+import type { ZoneEvacuation } from "./zone-evacuation.js";
 
 /** Read progress of a topic. */
 interface TopicReading {
@@ -43,6 +44,8 @@
     readonly withheld: ReadonlyMap<string, WithheldServer>;
     readonly departed: ReadonlyMap<string, DepartedServer>;
     readonly configuration: KnownConfiguration | undefined;
+    /** Latest known record of the operator on each zone, also of zones that are back in service. */
+    readonly evacuations: ReadonlyMap<string, ZoneEvacuation>;
     readonly registrationReading: TopicReading;
     readonly configurationReading: TopicReading;
     /** The latest changes for the summaries sent to peers, oldest first. */
--- a/fleet/view/src/view-summary.ts
+++ b/fleet/view/src/view-summary.ts
@@ -1,6 +1,7 @@
 import type { Confirmation } from "./confirmation.js";
 import type { RegistrationChange } from "./registration-change.js";
 import type { StorePosition } from "./store-position.js";
+import type { ZoneEvacuation } from "./zone-evacuation.js";
 
 /** Summary of the sender's view in a datagram. */
 export interface ViewSummary {
@@ -15,4 +16,6 @@
     readonly configurationVersion: number;
     readonly configurationAgeMs: number;
     readonly configurationConfirmation: Confirmation | undefined;
+    /** The latest known record on each zone. Undefined if there is none, or the sender is of an earlier release. */
+    readonly evacuations?: readonly ZoneEvacuation[] | undefined;
 }
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -14,6 +14,7 @@
     loadQueryIntervalMs: undefined,
     roundTripMsByZone: new Map(),
     configuration: undefined,
+    evacuatedZones: new Set(),
     services: new Map(),
     requests: new Map(),
     requestKeysByAttempt: new Map(),
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -147,6 +147,8 @@
         }
         | { readonly type: "servers-changed"; readonly changes: readonly RegistrationChange[]; }
         | { readonly type: "configuration-adopted"; readonly configuration: RoutingConfiguration; }
+        /** No request may be sent to a server of these zones, and of no others. */
+        | { readonly type: "zones-evacuated"; readonly zones: readonly string[]; }
         | { readonly type: "vm-count-changed"; readonly vmCount: number; }
         | {
             readonly type: "dispatch-tick";
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -17,6 +17,8 @@
     /** Measured round trip to the backend servers of each zone. */
     readonly roundTripMsByZone: ReadonlyMap<string, number>;
     readonly configuration: RoutingConfiguration | undefined;
+    /** Zones to whose servers no request is sent. */
+    readonly evacuatedZones: ReadonlySet<string>;
     readonly services: ReadonlyMap<string, DispatchService>;
     readonly requests: ReadonlyMap<string, RequestState>;
     /** Attempts in progress only. */
--- a/routing/dispatch/src/estimate-eligible-servers.ts
+++ b/routing/dispatch/src/estimate-eligible-servers.ts
@@ -37,6 +37,6 @@
         workMs: selectWorkMs(service, request.route),
         responseBytes: selectResponseBytes(service, request.route),
     };
-    const eligible = selectEligibleServers(service, { atMs, triedInstanceIds });
+    const eligible = selectEligibleServers(service, { atMs, state: draft.state, triedInstanceIds });
     return selectReportedServers(draft, eligible).map(server => estimateServer(service, server, opts));
 };
--- a/routing/dispatch/src/estimate-queue-wait-ms.ts
+++ b/routing/dispatch/src/estimate-queue-wait-ms.ts
@@ -1,5 +1,6 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import type { DispatchService } from "./dispatch-service.js";
+import { isInUse } from "./is-in-use.js";
 import type { RequestState } from "./request-state.js";
 import { selectBackoffMs } from "./select-backoff-ms.js";
 import { selectWorkMs } from "./select-work-ms.js";
@@ -19,8 +20,8 @@
 ): number => {
     const workMs = selectWorkMs(service, opts.request.route) * service.slowness;
     const slots = [...service.servers.values()]
-        .filter(({ server, isLeaving }) => !server.isDraining && !isLeaving)
+        .filter(server => isInUse(server, draft.state))
         .reduce((sum, server) => sum + countUsableSlots(server, workMs), 0);
-    const backoffMs = selectBackoffMs(service, draft.atMs);
+    const backoffMs = selectBackoffMs(service, draft);
     return slots === 0 ? Infinity : backoffMs + (opts.aheadCount + 0.5) * draft.state.vmCount * workMs / slots;
 };
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -144,7 +144,7 @@
         }
         else if (event.notRun) {
             draft.emit({ type: "discard-response", attemptId: event.attemptId });
-            const waitMs = selectBackoffMs(draft.service(updated.service), draft.atMs);
+            const waitMs = selectBackoffMs(draft.service(updated.service), draft);
             rejectRequest(draft, updated, { reason: REJECT_REASONS.shed, waitMs });
         }
         else {
--- a/routing/dispatch/src/reduce-dispatch.ts
+++ b/routing/dispatch/src/reduce-dispatch.ts
@@ -120,6 +120,10 @@
         case "configuration-adopted":
             draft.update({ configuration: event.configuration, splitCreditsByRoute: new Map() });
             return;
+        case "zones-evacuated":
+            draft.update({ evacuatedZones: new Set(event.zones) });
+            drainAllQueues(draft);
+            return;
         case "vm-count-changed":
             draft.update({ vmCount: event.vmCount });
             return;
--- a/routing/dispatch/src/request-loads.ts
+++ b/routing/dispatch/src/request-loads.ts
@@ -2,17 +2,19 @@
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import type { DispatchService } from "./dispatch-service.js";
+import type { DispatchState } from "./dispatch-state.js";
+import { isInUse } from "./is-in-use.js";
 import { selectResponseBytes } from "./select-response-bytes.js";
 import { selectWorkMs } from "./select-work-ms.js";
 
-const selectConnected = (service: DispatchService): readonly string[] => {
+const selectConnected = (service: DispatchService, state: DispatchState): readonly string[] => {
     const instanceIds: string[] = [];
-    for (const { server, idleConnections, isLeaving } of service.servers.values()) {
+    for (const server of service.servers.values()) {
         if (
-            idleConnections > 0 && !server.isDraining && !isLeaving
+            server.idleConnections > 0 && isInUse(server, state)
             && instanceIds.length < DISPATCH_LIMITS.maxConnectedServers
         ) {
-            instanceIds.push(server.instanceId);
+            instanceIds.push(server.server.instanceId);
         }
     }
     return instanceIds;
@@ -35,6 +37,6 @@
         service: name,
         workMs: selectWorkMs(service, opts.route),
         responseBytes: selectResponseBytes(service, opts.route),
-        connectedInstanceIds: selectConnected(service),
+        connectedInstanceIds: selectConnected(service, draft.state),
     });
 };
--- a/routing/dispatch/src/select-loads.ts
+++ b/routing/dispatch/src/select-loads.ts
@@ -39,7 +39,7 @@
     opts: { readonly question: LoadQuestion; readonly atMs: number; readonly random: () => number; },
 ): readonly ServerState[] => {
     const { atMs, question: { workMs, responseBytes } } = opts;
-    return selectEligibleServers(service, { atMs })
+    return selectEligibleServers(service, { atMs, state })
         .map(server => {
             const { commonCostMs } = estimateServer(service, server, { atMs, zones: state, workMs, responseBytes });
             return { server, costMs: commonCostMs + opts.random() * DISPATCH_LIMITS.costJitterMs };
@@ -65,7 +65,9 @@
     const { atMs } = opts;
     const { vmId, connectedInstanceIds } = question;
     const best = rankServers(state, service, { ...opts, question });
-    const connected = connectedInstanceIds.flatMap(instanceId => service.servers.get(instanceId) ?? []);
+    const connected = connectedInstanceIds
+        .flatMap(instanceId => service.servers.get(instanceId) ?? [])
+        .filter(({ server }) => !state.evacuatedZones.has(server.availabilityZone));
     const selected = new Set([...best, ...connected]);
     return {
         service: question.service,
