feat(dispatch): limit the requests to cold servers by permits

Servers that had just started, or became cold again, got their usual share from every VM at once and ended at rates well above what they tolerate while cold. A request to a cold server now needs a permit of the hub of its zone, which grants what the service's configuration states, within the bounds of the settings. A server is cold by its registration or by X-Warmup-Ms, which travels with the load reports and load answers. It is checked and probed as usual, the check comes before the permit, and nothing is hedged to it. A hub that does not know a server as cold grants the permit. A part of the rate for each VM was ruled out: 100 VMs could each send once in 10 s. Without the field in the configuration or the settings, messages and decisions are as before.

--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -1,4 +1,4 @@
-import type { Transition } from "@marigoldstall/core.types";
+import type { LoadReport, Transition } from "@marigoldstall/core.types";
 import {
     type Findings,
     HUB_LIMITS,
@@ -9,9 +9,16 @@
     selectProbeAssignment,
     selectReadDelayMs,
     type UpdatesMessage,
+    type WarmUpUpdate,
 } from "@marigoldstall/fleet.hubs";
 import { selectViewSummary } from "@marigoldstall/fleet.view";
-import { type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
+import {
+    isColdLimited,
+    type ProbeDueAge,
+    selectAttempt,
+    selectLoads,
+    type WarmUp,
+} from "@marigoldstall/routing.dispatch";
 import { EntryDraft } from "./entry-draft.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
@@ -112,13 +119,21 @@
     }
 };
 
+const toWarmUp = (update: WarmUpUpdate | undefined, atMs: number): WarmUp | undefined =>
+    update && { coldUntilMs: atMs + update.remainingMs, statedAtMs: atMs - update.ageMs };
+
 const onUpdates = (draft: EntryDraft, message: UpdatesMessage): void => {
     const { atMs } = draft;
     draft.applyHubEvent({ type: "updates-received", atMs, message });
     draft.applyDispatchEvent({
         type: "loads-received",
         ...draft.eventContext,
-        loads: message.loads.map(({ instanceId, load, ageMs }) => ({ instanceId, load, measuredAtMs: atMs - ageMs })),
+        loads: message.loads.map(({ instanceId, load, ageMs, warmUp }) => ({
+            instanceId,
+            load,
+            measuredAtMs: atMs - ageMs,
+            warmUp: toWarmUp(warmUp, atMs),
+        })),
         sentRequests: message.sentRequests.map(({ instanceId, ageMs }) => ({ instanceId, sentAtMs: atMs - ageMs })),
         failures: message.failures,
         vmId: message.vmId,
@@ -138,10 +153,14 @@
         return;
     }
     const { service, averageSlowness, bestInstanceId } = selection;
-    const servers = selection.servers.map(({ measuredAtMs, othersSentAtMs, ...server }) => ({
+    const servers = selection.servers.map(({ measuredAtMs, othersSentAtMs, warmUp, ...server }) => ({
         ...server,
         ageMs: atMs - measuredAtMs,
         sentRequestAgesMs: othersSentAtMs.map(sentAtMs => atMs - sentAtMs),
+        warmUp: warmUp && {
+            remainingMs: Math.max(0, warmUp.coldUntilMs - atMs),
+            ageMs: atMs - warmUp.statedAtMs,
+        },
     }));
     draft.emit({
         type: "send-message",
@@ -165,10 +184,11 @@
 ): void => {
     const { atMs } = draft;
     const { service, averageSlowness } = event.answer;
-    const servers = event.answer.servers.map(({ ageMs, sentRequestAgesMs, ...server }) => ({
+    const servers = event.answer.servers.map(({ ageMs, sentRequestAgesMs, warmUp, ...server }) => ({
         ...server,
         measuredAtMs: atMs - ageMs,
         othersSentAtMs: sentRequestAgesMs.map(sentAgeMs => atMs - sentAgeMs),
+        warmUp: toWarmUp(warmUp, atMs),
     }));
     draft.applyDispatchEvent({ type: "loads-answered", ...draft.eventContext, service, averageSlowness, servers });
 };
@@ -207,6 +227,14 @@
     });
 };
 
+// Other VMs are told of the warm-up only where it limits the requests.
+const selectToldLoad = (draft: EntryDraft, instanceId: string, load: LoadReport): LoadReport => {
+    const { coldForMs, ...others } = load;
+    const { dispatch } = draft.state;
+    const service = dispatch.servicesByInstance.get(instanceId) ?? "";
+    return coldForMs !== undefined && isColdLimited(dispatch, service) ? load : others;
+};
+
 const applyEvent = (draft: EntryDraft, event: EntryEvent): void => {
     const { atMs } = draft;
     switch (event.type) {
@@ -258,7 +286,12 @@
                 ? event.instanceId
                 : selectAttempt(draft.state.dispatch, event.attemptId)?.attempt.instanceId;
             if (event.load !== undefined && instanceId !== undefined) {
-                draft.applyHubEvent({ type: "load-reported", atMs, instanceId, load: event.load });
+                draft.applyHubEvent({
+                    type: "load-reported",
+                    atMs,
+                    instanceId,
+                    load: selectToldLoad(draft, instanceId, event.load),
+                });
             }
             draft.applyDispatchEvent({ ...event, ...draft.eventContext });
             return;
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -10,6 +10,7 @@
 } from "@marigoldstall/daemon.entry";
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
 import { listEvacuations, type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
+import { createModelConfiguration } from "./create-model-configuration.js";
 import { createModelServer } from "./create-model-server.js";
 import { createModelSettings } from "./create-model-settings.js";
 import { ModelOperatorTopic } from "./model-operator-topic.js";
@@ -30,6 +31,8 @@
     /** One-way delay of datagrams. */
     readonly delayMs?: number;
     readonly slotsPerServer?: number;
+    /** Requests per second that a cold server tolerates, within the bounds of the customers. */
+    readonly coldRequestsPerSecond?: number;
 }
 
 /** Content of the store at a time, from which it can be restored. */
@@ -63,6 +66,9 @@
     atMs = 1_000;
     private readonly settings: readonly EntrySettings[];
     private readonly delayMs: number;
+    private readonly coldRequestsPerSecond: number | undefined;
+    /** Probability that a datagram is lost. */
+    lossShare = 0;
     private records: RegistrationChange[] = [];
     private operatorTopic = new ModelOperatorTopic();
     private storeEra = 1;
@@ -74,10 +80,8 @@
     constructor(opts: ModelOptions) {
         const zones = opts.zones ?? 3;
         this.delayMs = opts.delayMs ?? 2;
-        this.settings = [...Array(opts.vmCount).keys()].map(index => ({
-            ...createModelSettings(index, index % zones),
-            ...opts.maxProbesPerSecond === undefined ? {} : { maxProbesPerSecond: opts.maxProbesPerSecond },
-        }));
+        this.coldRequestsPerSecond = opts.coldRequestsPerSecond;
+        this.settings = [...Array(opts.vmCount).keys()].map(index => createModelSettings(index, index % zones, opts));
         for (const one of this.settings) {
             this.states.set(one.vmId, createEntryState(one, { atMs: this.atMs, incarnation: "1" }));
         }
@@ -176,15 +180,8 @@
     }
 
     publishConfiguration(version: number): void {
-        this.operatorTopic = this.operatorTopic.with({
-            text: String(version),
-            configuration: {
-                version,
-                limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-                routesByHost: new Map([["parks.example", [MODEL_ROUTE]]]),
-                services: new Map([["one", { name: "one", healthPath: "/health", maxConnections: 220 }]]),
-            },
-        });
+        const { coldRequestsPerSecond } = this;
+        this.operatorTopic = this.operatorTopic.with(createModelConfiguration(version, { coldRequestsPerSecond }));
     }
 
     state(vmId: string): EntryState {
@@ -251,14 +248,23 @@
     }
 
     dispatch(vmId: string, event: EntryEvent): void {
-        this.random = (this.random * 9.73 + 0.31) % 1;
-        const { state, effects } = reduceEntry(this.state(vmId), event, { atMs: this.atMs, random: this.random });
+        const { state, effects } = reduceEntry(this.state(vmId), event, { atMs: this.atMs, random: this.drawRandom() });
         this.states.set(vmId, state);
         for (const effect of effects) {
             this.runEffect(vmId, effect);
         }
     }
 
+    private drawRandom(): number {
+        this.random = (this.random * 9.73 + 0.31) % 1;
+        return this.random;
+    }
+
+    private delivers(vmId: string, peerId: string): boolean {
+        return this.states.has(peerId) && !this.isolated.has(vmId) && !this.isolated.has(peerId)
+            && (this.lossShare === 0 || this.drawRandom() >= this.lossShare);
+    }
+
     private countDatagram(datagram: {
         readonly from: string;
         readonly to: string;
@@ -300,7 +306,7 @@
                 const message = decodeFleetMessage(bytes);
                 // In the model, the host of a VM is its id.
                 for (const peerId of effect.hosts) {
-                    if (this.states.has(peerId) && !this.isolated.has(vmId) && !this.isolated.has(peerId)) {
+                    if (this.delivers(vmId, peerId)) {
                         this.countDatagram({ from: vmId, to: peerId, bytes: bytes.length, message });
                         this.schedule(
                             this.delayMs,
--- a/daemon/entry/test/model-servers.ts
+++ b/daemon/entry/test/model-servers.ts
@@ -5,6 +5,7 @@
 
 const ROUND_TRIP_MS = 3;
 const RESPONSE_BYTES = 400;
+const COLD_FACTOR = 1.6;
 
 interface ModelServersOptions {
     readonly workMs: number;
@@ -34,6 +35,8 @@
     readonly checks: Arrival[] = [];
     /** Servers that say that they are leaving. */
     readonly leaving = new Set<string>();
+    /** Until when a server says that it is cold, by its id. Cold servers are slower. */
+    readonly coldUntilMs = new Map<string, number>();
     private runs: Run[] = [];
     private readonly model: FleetModel;
     private readonly opts: ModelServersOptions;
@@ -102,8 +105,10 @@
 
     /** Starts or queues a request and returns how long it takes. */
     private run(instanceId: string): number {
-        const { workMs, slots } = this.opts;
+        const { slots } = this.opts;
         const { atMs } = this.model;
+        const isCold = (this.coldUntilMs.get(instanceId) ?? -Infinity) > atMs;
+        const workMs = this.opts.workMs * (isCold ? COLD_FACTOR : 1);
         const ends = this.runsAt(instanceId).map(({ endsAtMs }) => endsAtMs).sort((a, b) => a - b);
         const startsAtMs = ends.length < slots ? atMs : ends[ends.length - slots] ?? atMs;
         this.runs.push({ instanceId, endsAtMs: startsAtMs + workMs });
@@ -113,6 +118,13 @@
     private loadOf(instanceId: string): LoadReport {
         const { slots } = this.opts;
         const count = this.runsAt(instanceId).length;
-        return { inFlight: Math.min(count, slots), queued: Math.max(0, count - slots), slots, slownessPercent: 100 };
+        const coldUntilMs = this.coldUntilMs.get(instanceId);
+        return {
+            inFlight: Math.min(count, slots),
+            queued: Math.max(0, count - slots),
+            slots,
+            slownessPercent: 100,
+            ...coldUntilMs === undefined ? {} : { coldForMs: Math.max(0, coldUntilMs - this.model.atMs) },
+        };
     }
 }
--- a/daemon/entry/test/peer-rpc.test.ts
+++ b/daemon/entry/test/peer-rpc.test.ts
@@ -96,7 +96,11 @@
                     },
                 } as unknown as RefusedInputs,
                 state: () => ({
-                    view: { configuration: { text }, configurationReading: { confirmedAtMs: 0 }, evacuations: new Map() },
+                    view: {
+                        configuration: { text },
+                        configurationReading: { confirmedAtMs: 0 },
+                        evacuations: new Map(),
+                    },
                 } as unknown as EntryState),
                 parseConfiguration: received => {
                     texts.push(received);
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -101,6 +101,15 @@
     };
 };
 
+// VMs of earlier releases, and those whose settings state no bounds for cold servers, send no such column.
+const decodeWarmUp = (value: unknown): Pick<LoadUpdate, "warmUp"> => {
+    if (value === undefined) {
+        return {};
+    }
+    const [remainingMs, ageMs] = asRow(value);
+    return { warmUp: { remainingMs: asNumber(remainingMs), ageMs: asAgeMs(ageMs) } };
+};
+
 const decodeSentRequest = (value: unknown): SentRequest => {
     const [instanceId, ageMs] = asRow(value);
     return { instanceId: asString(instanceId), ageMs: asAgeMs(ageMs) };
@@ -172,7 +181,10 @@
     return {
         type: "updates",
         vmId: asString(vmId),
-        loads: asRow(loads).map(decodeLoadUpdate),
+        loads: asRow(loads).map(load => ({
+            ...decodeLoadUpdate(load),
+            ...decodeWarmUp(asRow(load)[LOAD_COLUMNS]),
+        })),
         sentRequests: asRow(sentRequests).map(decodeSentRequest),
         failures: asRow(failures).map(decodeFailure),
     };
@@ -197,12 +209,13 @@
         service: asString(service),
         averageSlowness: asNumber(averageSlowness),
         servers: asRow(servers).map(server => {
-            const [sentRequestAgesMs, failures, isUnused] = asRow(server).slice(LOAD_COLUMNS);
+            const [sentRequestAgesMs, failures, isUnused, warmUp] = asRow(server).slice(LOAD_COLUMNS);
             return {
                 ...decodeLoadUpdate(server),
                 sentRequestAgesMs: asRow(sentRequestAgesMs).map(asAgeMs),
                 failures: asNumber(failures),
                 isUnused: asBoolean(isUnused),
+                ...decodeWarmUp(warmUp),
             };
         }),
     };
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -35,6 +35,10 @@
     encodeAgeMs(ageMs),
 ];
 
+// An optional last column.
+const encodeWarmUp = ({ warmUp }: LoadUpdate): readonly unknown[] =>
+    warmUp === undefined ? [] : [[Math.round(warmUp.remainingMs), encodeAgeMs(warmUp.ageMs)]];
+
 const encodeStatus = (message: StatusMessage): readonly unknown[] => {
     const { summary } = message;
     return [
@@ -71,7 +75,7 @@
 
 const encodeUpdates = (message: UpdatesMessage): readonly unknown[] => [
     message.vmId,
-    message.loads.map(encodeLoad),
+    message.loads.map(load => [...encodeLoad(load), ...encodeWarmUp(load)]),
     message.sentRequests.map(({ instanceId, ageMs }) => [instanceId, encodeAgeMs(ageMs)]),
     message.failures.map(({ instanceId, weight }) => [instanceId, weight]),
 ];
@@ -92,6 +96,7 @@
         server.sentRequestAgesMs.map(encodeAgeMs),
         Math.round(server.failures * FAILURES_PRECISION) / FAILURES_PRECISION,
         server.isUnused,
+        ...encodeWarmUp(server),
     ]),
 ];
 
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -21,6 +21,8 @@
     readonly slots: number;
     readonly slownessPercent: number | undefined;
     readonly measuredAtMs: number;
+    /** What the server stated last about its warm-up. */
+    readonly warmUp: { readonly coldUntilMs: number; readonly statedAtMs: number; } | undefined;
 }
 
 interface OutboxSentRequest {
--- a/fleet/hubs/src/index.ts
+++ b/fleet/hubs/src/index.ts
@@ -31,3 +31,4 @@
 export type { SuspectFinding } from "./suspect-finding.js";
 export type { UpdatesMessage } from "./updates-message.js";
 export type { VmInfo } from "./vm-info.js";
+export type { WarmUpUpdate } from "./warm-up-update.js";
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -77,7 +77,14 @@
 const createUpdates = (state: HubState, atMs: number): UpdatesMessage => ({
     type: "updates",
     vmId: state.self.vmId,
-    loads: [...state.outbox.loads].map(([instanceId, load]) => ({ instanceId, load, ageMs: atMs - load.measuredAtMs })),
+    loads: [...state.outbox.loads].map(([instanceId, { warmUp, ...load }]) => ({
+        instanceId,
+        load,
+        ageMs: atMs - load.measuredAtMs,
+        ...warmUp === undefined
+            ? {}
+            : { warmUp: { remainingMs: Math.max(0, warmUp.coldUntilMs - atMs), ageMs: atMs - warmUp.statedAtMs } },
+    })),
     sentRequests: state.outbox.sentRequests.map(({ instanceId, sentAtMs }) => ({
         instanceId,
         ageMs: atMs - sentAtMs,
--- a/fleet/hubs/test/fleet-message.test.ts
+++ b/fleet/hubs/test/fleet-message.test.ts
@@ -50,7 +50,10 @@
             {
                 type: "updates",
                 vmId: "1",
-                loads: [{ instanceId: "i-2", load: LOAD, ageMs: 12 }],
+                loads: [
+                    { instanceId: "i-2", load: LOAD, ageMs: 12 },
+                    { instanceId: "i-3", load: LOAD, ageMs: 12, warmUp: { remainingMs: 900, ageMs: 12 } },
+                ],
                 sentRequests: [{ instanceId: "i-2", ageMs: 3 }],
                 failures: [{ instanceId: "i-2", weight: 0.5 }],
             },
@@ -75,6 +78,15 @@
                         failures: 0.5,
                         isUnused: true,
                     },
+                    {
+                        instanceId: "i-3",
+                        load: LOAD,
+                        ageMs: 12,
+                        sentRequestAgesMs: [],
+                        failures: 0,
+                        isUnused: false,
+                        warmUp: { remainingMs: 0, ageMs: 12 },
+                    },
                 ],
             },
         ];
--- a/routing/dispatch/src/attempt-state.ts
+++ b/routing/dispatch/src/attempt-state.ts
@@ -4,7 +4,7 @@
     readonly instanceId: string;
     /**
      * `checking`: the preflight check right before the request is sent is pending. `awaiting-permit`: its server limits its
-     * requests, and the VM that counts them has not answered yet.
+     * requests or is cold, and the VM that counts them has not answered yet.
      */
     readonly phase: "checking" | "awaiting-permit" | "sent";
     readonly startedAtMs: number;
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -6,10 +6,11 @@
 
 /** Initial state, without a configuration or backend servers. */
 export const createDispatchState = (
-    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget">,
+    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget" | "coldBounds">,
 ): DispatchState => ({
     availabilityZone: opts.availabilityZone,
     retryBudget: opts.retryBudget,
+    coldBounds: opts.coldBounds,
     vmCount: INITIAL_VM_COUNT,
     loadQueryIntervalMs: undefined,
     roundTripMsByZone: new Map(),
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -3,6 +3,7 @@
 import type { LoadSelection } from "./load-selection.js";
 import type { ProbeDueAge } from "./probe-due-age.js";
 import type { SuspectRequest } from "./suspect-request.js";
+import type { WarmUp } from "./warm-up.js";
 
 interface Timed {
     readonly atMs: number;
@@ -67,6 +68,7 @@
                 readonly instanceId: string;
                 readonly load: LoadReport;
                 readonly measuredAtMs: number;
+                readonly warmUp?: WarmUp | undefined;
             }[];
             readonly sentRequests: readonly { readonly instanceId: string; readonly sentAtMs: number; }[];
             readonly failures: readonly { readonly instanceId: string; readonly weight: number; }[];
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -1,4 +1,4 @@
-import type { EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { ColdBounds, EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
 import type { BrokenAttempt } from "./broken-attempt.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { FormerServer } from "./former-server.js";
@@ -10,6 +10,8 @@
 export interface DispatchState {
     readonly availabilityZone: string;
     readonly retryBudget: EntrySettings["retryBudget"];
+    /** Undefined if requests to cold servers are not limited. */
+    readonly coldBounds: ColdBounds | undefined;
     /** Number of VMs that share the retry budget. */
     readonly vmCount: number;
     /** Minimum time between two load queries for a service; undefined while this VM has no hub to ask. */
--- a/routing/dispatch/src/load-selection.ts
+++ b/routing/dispatch/src/load-selection.ts
@@ -1,4 +1,5 @@
 import type { LoadReport } from "@marigoldstall/core.types";
+import type { WarmUp } from "./warm-up.js";
 
 /** What a hub knows about the servers of a service that suit a request best. */
 export interface LoadSelection {
@@ -17,4 +18,6 @@
     /** Recent failures that VMs have told of, decayed up to now. */
     readonly failures: number;
     readonly isUnused: boolean;
+    /** Undefined if the server has not stated any warm-up, or its requests are not limited while it is cold. */
+    readonly warmUp?: WarmUp | undefined;
 }
--- a/routing/dispatch/src/on-loads-answered.ts
+++ b/routing/dispatch/src/on-loads-answered.ts
@@ -10,8 +10,8 @@
     event: Extract<DispatchEvent, { readonly type: "loads-answered"; }>,
 ): void => {
     const { atMs } = draft;
-    for (const { instanceId, load, measuredAtMs, othersSentAtMs, failures, isUnused } of event.servers) {
-        recordLoad(draft, instanceId, { load, measuredAtMs });
+    for (const { instanceId, load, measuredAtMs, warmUp, othersSentAtMs, failures, isUnused } of event.servers) {
+        recordLoad(draft, instanceId, { load, measuredAtMs, warmUp });
         const server = draft.server(instanceId);
         if (server === undefined) {
             continue;
--- a/routing/dispatch/src/on-loads-received.ts
+++ b/routing/dispatch/src/on-loads-received.ts
@@ -8,8 +8,8 @@
     draft: DispatchDraft,
     event: Extract<DispatchEvent, { readonly type: "loads-received"; }>,
 ): void => {
-    for (const { instanceId, load, measuredAtMs } of event.loads) {
-        recordLoad(draft, instanceId, { load, measuredAtMs });
+    for (const { instanceId, ...report } of event.loads) {
+        recordLoad(draft, instanceId, report);
     }
     for (const { instanceId, sentAtMs } of event.sentRequests) {
         const server = draft.server(instanceId);
--- a/routing/dispatch/src/on-permit-answered.ts
+++ b/routing/dispatch/src/on-permit-answered.ts
@@ -6,12 +6,20 @@
 import type { RequestState } from "./request-state.js";
 import { resumeRequest } from "./resume-request.js";
 import { selectAttempt } from "./select-attempt.js";
+import { selectColdLimit } from "./select-cold-limit.js";
+import { selectPermitRate } from "./select-permit-rate.js";
 
 const delayPermitQueries = (draft: DispatchDraft, instanceId: string, retryAfterMs: number): void => {
     const minMs = DISPATCH_LIMITS.minPermitRetryPerVmMs * draft.state.vmCount;
     const delayMs = Math.min(DISPATCH_LIMITS.maxPermitRetryMs, Math.max(minMs, retryAfterMs));
     const jitter = 1 + draft.nextRandom() * DISPATCH_LIMITS.permitRetryJitterShare;
-    draft.updateServer(instanceId, { noPermitUntilMs: draft.atMs + delayMs * jitter });
+    const server = draft.server(instanceId);
+    // Once the server is warm, its requests need no permit.
+    const untilMs = server !== undefined && server.requestLimit.perSecond === undefined
+            && selectColdLimit(draft.state, server, draft.atMs) !== undefined
+        ? server.coldUntilMs
+        : Infinity;
+    draft.updateServer(instanceId, { noPermitUntilMs: Math.min(untilMs, draft.atMs + delayMs * jitter) });
 };
 
 const logRefusal = (draft: DispatchDraft, request: RequestState, opts: {
@@ -20,6 +28,7 @@
     readonly retryAfterMs: number;
 }): void => {
     const { attempt, reason, retryAfterMs } = opts;
+    const server = draft.server(attempt.instanceId);
     draft.log({
         kind: "permit-refused",
         requestId: request.requestId,
@@ -28,7 +37,7 @@
         reason,
         inputs: {
             attempt: attempt.attemptId,
-            limitPerSecond: draft.server(attempt.instanceId)?.requestLimit.perSecond ?? -1,
+            limitPerSecond: (server && selectPermitRate(draft.state, server, draft.atMs)) ?? -1,
             retryAfterMs: Math.round(retryAfterMs),
             attemptMs: Math.round(draft.atMs - attempt.startedAtMs),
         },
--- a/routing/dispatch/src/on-servers-changed.ts
+++ b/routing/dispatch/src/on-servers-changed.ts
@@ -31,6 +31,7 @@
     ejectedUntilMs: opts.former?.ejectedUntilMs ?? -Infinity,
     isUnhealthy: false,
     coldUntilMs: opts.atMs + server.warmUpMs,
+    warmUpStatedAtMs: -Infinity,
     probedAtMs: undefined,
     requestLimit: opts.former?.requestLimit ?? { perSecond: undefined, statedAtMs: -Infinity },
     isLeaving: opts.isLeaving,
--- a/routing/dispatch/src/record-load.ts
+++ b/routing/dispatch/src/record-load.ts
@@ -1,16 +1,30 @@
 import type { LoadReport } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
+import { recordWarmUp } from "./record-warm-up.js";
 import { updateSlowChances } from "./update-slow-chances.js";
+import type { WarmUp } from "./warm-up.js";
 
 const PERCENT = 100;
 
-/** Stores a load report unless a newer one is known. */
+/** Stores a load report, and what the server stated about its warm-up, unless something newer is known. */
 export const recordLoad = (
     draft: DispatchDraft,
     instanceId: string,
-    report: { readonly load: LoadReport; readonly measuredAtMs: number; },
+    report: {
+        readonly load: LoadReport;
+        readonly measuredAtMs: number;
+        /** What another VM tells of the warm-up. */
+        readonly warmUp?: WarmUp | undefined;
+    },
 ): void => {
+    const { coldForMs } = report.load;
+    const warmUp = coldForMs === undefined
+        ? report.warmUp
+        : { coldUntilMs: report.measuredAtMs + coldForMs, statedAtMs: report.measuredAtMs };
+    if (warmUp !== undefined) {
+        recordWarmUp(draft, instanceId, warmUp);
+    }
     const server = draft.server(instanceId);
     if (server === undefined || server.measuredAtMs >= report.measuredAtMs) {
         return;
--- a/routing/dispatch/src/resume-request.ts
+++ b/routing/dispatch/src/resume-request.ts
@@ -7,6 +7,7 @@
 import { estimateEligibleServers } from "./estimate-eligible-servers.js";
 import { rejectHeldBack } from "./reject-held-back.js";
 import type { RequestState } from "./request-state.js";
+import { selectPermitRate } from "./select-permit-rate.js";
 import { sendAttempt } from "./send-attempt.js";
 import type { ServerEstimate } from "./server-estimate.js";
 import { startAttempt } from "./start-attempt.js";
@@ -69,7 +70,7 @@
  */
 export const resumeRequest = (draft: DispatchDraft, request: RequestState, opts: {
     readonly attempt: AttemptState;
-    /** Whether the request may be sent to a server that limits its requests. */
+    /** Whether the request may be sent to a server whose requests need a permit. */
     readonly hasPermit: boolean;
 }): void => {
     const { attempt, hasPermit } = opts;
@@ -93,11 +94,11 @@
     const keepsServer = checked !== undefined && (hasPermit
         || (estimate !== undefined && checked.costMs <= estimate.costMs + DISPATCH_LIMITS.moveMarginMs));
     if (keepsServer) {
-        if (hasPermit || checked.server.requestLimit.perSecond === undefined) {
+        if (hasPermit || selectPermitRate(draft.state, checked.server, draft.atMs) === undefined) {
             sendToCheckedServer(draft, request, { attempt, estimate: checked, candidateCount });
         }
         else {
-            // The response to the check stated the limit.
+            // The response to the check stated the limit, or the server is cold.
             startAttempt(draft, request, { estimate: checked, candidateCount, isHedge });
         }
         drainQueue(draft, name);
--- a/routing/dispatch/src/select-loads.ts
+++ b/routing/dispatch/src/select-loads.ts
@@ -4,8 +4,10 @@
 import type { DispatchService } from "./dispatch-service.js";
 import type { DispatchState } from "./dispatch-state.js";
 import { estimateServer } from "./estimate-server.js";
+import { isColdLimited } from "./is-cold-limited.js";
 import type { LoadSelection } from "./load-selection.js";
 import { selectEligibleServers } from "./select-eligible-servers.js";
+import { selectPermitRate } from "./select-permit-rate.js";
 import type { ServerState } from "./server-state.js";
 
 interface LoadQuestion {
@@ -16,8 +18,12 @@
     readonly connectedInstanceIds: readonly string[];
 }
 
-const describeServer = (server: ServerState, opts: { readonly atMs: number; readonly vmId: string; }) => {
-    const { load, measuredAtMs, unreportedSends, isUsed } = server;
+const describeServer = (server: ServerState, opts: {
+    readonly atMs: number;
+    readonly vmId: string;
+    readonly tellsWarmUp: boolean;
+}) => {
+    const { load, measuredAtMs, unreportedSends, isUsed, coldUntilMs, warmUpStatedAtMs } = server;
     return load === undefined ? [] : [{
         instanceId: server.server.instanceId,
         load,
@@ -30,6 +36,9 @@
             .map(({ sentAtMs }) => sentAtMs),
         failures: decayFailures(server, opts.atMs),
         isUnused: !isUsed,
+        ...opts.tellsWarmUp && warmUpStatedAtMs > -Infinity
+            ? { warmUp: { coldUntilMs, statedAtMs: warmUpStatedAtMs } }
+            : {},
     }];
 };
 
@@ -64,6 +73,7 @@
     }
     const { atMs } = opts;
     const { vmId, connectedInstanceIds } = question;
+    const tellsWarmUp = isColdLimited(state, question.service);
     const best = rankServers(state, service, { ...opts, question });
     const connected = connectedInstanceIds
         .flatMap(instanceId => service.servers.get(instanceId) ?? [])
@@ -72,9 +82,9 @@
     return {
         service: question.service,
         bestInstanceId: best.find(server =>
-            server.requestLimit.perSecond === undefined && countOccupied(server, atMs) < server.server.slots
+            selectPermitRate(state, server, atMs) === undefined && countOccupied(server, atMs) < server.server.slots
         )?.server.instanceId,
         averageSlowness: service.slowness,
-        servers: [...selected].flatMap(server => describeServer(server, { atMs, vmId })),
+        servers: [...selected].flatMap(server => describeServer(server, { atMs, vmId, tellsWarmUp })),
     };
 };
--- a/routing/dispatch/src/server-state.ts
+++ b/routing/dispatch/src/server-state.ts
@@ -22,7 +22,10 @@
     readonly ejections: number;
     readonly ejectedUntilMs: number;
     readonly isUnhealthy: boolean;
+    /** Until when it is slower than usual, by its registration or by what it stated later. */
     readonly coldUntilMs: number;
+    /** When it last stated that in a response. */
+    readonly warmUpStatedAtMs: number;
     /** When the latest probe was sent or failed; undefined after it was answered. */
     readonly probedAtMs: number | undefined;
     readonly requestLimit: RequestLimit;
@@ -32,6 +35,6 @@
     readonly backoffUntilMs: number;
     /** Until when this VM sends it no request, because its limit leaves no room. */
     readonly noPermitUntilMs: number;
-    /** Permits that this VM can grant for its limited requests; undefined until the first one was asked for. */
+    /** Permits that this VM can grant while its requests are limited; undefined until the first one was asked for. */
     readonly permitBucket: PermitBucket | undefined;
 }
--- a/routing/dispatch/src/start-attempt.ts
+++ b/routing/dispatch/src/start-attempt.ts
@@ -3,13 +3,15 @@
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { requestPermit } from "./request-permit.js";
 import type { RequestState } from "./request-state.js";
+import { selectPermitRate } from "./select-permit-rate.js";
 import { sendAttempt } from "./send-attempt.js";
 import type { ServerEstimate } from "./server-estimate.js";
 
 /**
  * Starts an attempt and reserves a slot on its server. If the latest load report is not fresh enough, a preflight
  * check of the server, a health check right before the request is sent, comes first. It also detects broken connections
- * and servers before anything is sent. A server that limits its requests gets no check: a permit comes first.
+ * and servers before anything is sent. A server that limits its requests gets no check: a permit comes first. A cold
+ * server is checked like any other before the permit is asked for, as the check costs it no request.
  */
 export const startAttempt = (draft: DispatchDraft, request: RequestState, opts: {
     readonly estimate: ServerEstimate;
@@ -21,15 +23,16 @@
     const { server, unreportedSends, ownInFlight } = estimate.server;
     const { instanceId, address } = server;
     const healthPath = draft.state.configuration?.services.get(server.service)?.healthPath;
-    const needsPermit = estimate.server.requestLimit.perSecond !== undefined;
-    const needsCheck = !needsPermit && healthPath !== undefined && draft.service(server.service).reportsLoad
+    const needsPermit = selectPermitRate(draft.state, estimate.server, atMs) !== undefined;
+    const statesLimit = estimate.server.requestLimit.perSecond !== undefined;
+    const needsCheck = !statesLimit && healthPath !== undefined && draft.service(server.service).reportsLoad
         && estimate.reportAgeMs > DISPATCH_LIMITS.reportFreshForMs && request.checkCount < DISPATCH_LIMITS.maxChecks;
     const attemptId = String(draft.state.nextAttempt);
     draft.update({ nextAttempt: draft.state.nextAttempt + 1 });
     const attempt: AttemptState = {
         attemptId,
         instanceId,
-        phase: needsPermit ? "awaiting-permit" : "checking",
+        phase: needsPermit && !needsCheck ? "awaiting-permit" : "checking",
         startedAtMs: atMs,
         expectedMs: estimate.totalMs,
         reportBasedMs: estimate.reportBasedMs,
@@ -61,13 +64,13 @@
             { sentAtMs: atMs, vmId: undefined },
         ],
     });
-    if (needsPermit) {
-        requestPermit(draft, attempt, estimate.server);
-        return;
-    }
     if (needsCheck) {
         draft.emit({ type: "check-server", attemptId, instanceId, address, healthPath });
         return;
     }
+    if (needsPermit) {
+        requestPermit(draft, attempt, estimate.server);
+        return;
+    }
     sendAttempt(draft, started, { attempt, estimate, candidateCount });
 };
--- a/routing/dispatch/src/try-hedge.ts
+++ b/routing/dispatch/src/try-hedge.ts
@@ -6,6 +6,7 @@
 import { hasRetryBudget } from "./has-retry-budget.js";
 import { requestLoads } from "./request-loads.js";
 import type { RequestState } from "./request-state.js";
+import { selectColdLimit } from "./select-cold-limit.js";
 import { selectRequestHold } from "./select-request-hold.js";
 import { startAttempt } from "./start-attempt.js";
 
@@ -36,7 +37,12 @@
         requestLoads(draft, request.service, { route, minIntervalMs: loadQueryIntervalMs });
     }
     const estimates = estimateEligibleServers(draft, service, request);
-    const best = chooseServer(draft, estimates);
+    // A cold server has few permits, which are left to requests that have no server yet.
+    const best = chooseServer(
+        draft,
+        estimates,
+        ({ server }) => selectColdLimit(draft.state, server, atMs) === undefined,
+    );
     if (best === undefined) {
         return;
     }
--- a/routing/dispatch/test/dispatch-harness.ts
+++ b/routing/dispatch/test/dispatch-harness.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, LoadReport, Route, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { BackendServer, ColdBounds, LoadReport, Route, RoutingConfiguration } from "@marigoldstall/core.types";
 import {
     createDispatchState,
     type DispatchEffect,
@@ -15,6 +15,8 @@
     readonly slots?: number;
     readonly route?: Partial<Route>;
     readonly budgetExtra?: number;
+    readonly coldRequestsPerSecond?: number;
+    readonly coldBounds?: ColdBounds;
     /** Seed of the random sequence, from 0 to 1. */
     readonly random?: number;
 }
@@ -42,12 +44,15 @@
     grantsPermits = true;
     private nextRequest = 1;
     private random: number;
+    private readonly coldRequestsPerSecond: number | undefined;
 
     constructor(opts: HarnessOptions = {}) {
         this.random = opts.random ?? 0.37;
+        this.coldRequestsPerSecond = opts.coldRequestsPerSecond;
         this.state = createDispatchState({
             availabilityZone: "east",
             retryBudget: { ratio: 0.2, windowMs: 10_000, extra: opts.budgetExtra ?? 58 },
+            coldBounds: opts.coldBounds,
         });
         this.send({ type: "vm-count-changed", vmCount: 1 });
         this.configure([{ ...DEFAULT_ROUTE, ...opts.route }]);
@@ -84,7 +89,12 @@
             version: 1,
             limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
             routesByHost: new Map([["parks.example", routes]]),
-            services: new Map(names.map(name => [name, { name, healthPath: "/health", maxConnections: 220 }])),
+            services: new Map(names.map(name => [name, {
+                name,
+                healthPath: "/health",
+                maxConnections: 220,
+                coldRequestsPerSecond: this.coldRequestsPerSecond,
+            }])),
         };
         this.send({ type: "configuration-adopted", configuration });
     }
@@ -173,8 +183,17 @@
     }
 
     private answerCheck(attemptId: string, instanceId: string): void {
-        const load = this.state.services.get("one")?.servers.get(instanceId)?.load;
-        this.send({ type: "server-checked", attemptId, isAnswered: true, isHealthy: true, load });
+        const known = this.state.services.get("one")?.servers.get(instanceId)?.load;
+        // The server stated its warm-up once and does not state it again.
+        const load: { -readonly [Field in keyof LoadReport]: LoadReport[Field]; } | undefined = known && { ...known };
+        delete load?.coldForMs;
+        this.send({
+            type: "server-checked",
+            attemptId,
+            isAnswered: true,
+            isHealthy: true,
+            load,
+        });
     }
 
     effectsOf<Type extends DispatchEffect["type"]>(type: Type): readonly EffectOf<Type>[] {
