fix(dispatch): count a failure of servers that drop requests without an answer

A server that cannot queue a request never answers it, and reports that it is idle. The request ended at its deadline without a trace of the server, which looked like the best one for the next request: each request that must not run twice ended with 504. An attempt that ends without its server's answer now counts as a failure of the server if the server reported no request at all 500 ms or more after the send, or the attempt took 21 times the expected time, which no slow one does (7 times the work, on a VM three times slower on average).

Read and covered by tests that passed before: a connection with an unanswered request or check is never used again, an idempotent request goes to another server, others end with 504 at the deadline or the route's time-out, and a VM has no more unanswered requests at a server than it has slots.

Not fixed: VMs that decide in the same tick may overfill a server.

--- a/daemon/connections/test/backend-pool.test.ts
+++ b/daemon/connections/test/backend-pool.test.ts
@@ -1,5 +1,6 @@
-import { BackendPool, createClock } from "@marigoldstall/daemon.connections";
+import { type BackendConnection, BackendPool, createClock } from "@marigoldstall/daemon.connections";
 import { expect } from "chai";
+import { request as httpRequest } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { createServer, type Server } from "node:net";
 
@@ -89,6 +90,29 @@
             expect(sockets.length).to.equal(1);
         });
 
+        // A server that cannot queue a request answers neither it nor any later one on that connection. A check that timed out
+        // must not leave the connection to the next request.
+        it("close the connection on which the server stays silent", async () => {
+            onData = () => undefined;
+            const silent = check();
+            expect(await silent).to.equal(undefined);
+            onData = socket => socket.write(HEALTH);
+            expect(await check()).to.equal("i-1");
+            expect(sockets.length).to.equal(2);
+        });
+
+        it("take another connection while a request waits for a silent server", async () => {
+            onData = () => undefined;
+            const connection = await new Promise<BackendConnection>(resolve => {
+                pool.acquire({ mode: "any", onReady: resolve, onFailed: () => undefined });
+            });
+            httpRequest({ agent: connection.agent, path: "/request" }).on("error", () => undefined).end();
+            onData = socket => socket.write(HEALTH);
+            expect(await check()).to.equal("i-1");
+            expect(sockets.length).to.equal(2);
+            connection.destroy();
+        });
+
         // A late copy of a response takes the place of the health response, which then comes when the connection is in
         // use again and would be taken for the response to the next request.
         it("do not reuse a connection on which a late copy of another response came", async () => {
--- a/daemon/entry/test/model-servers.ts
+++ b/daemon/entry/test/model-servers.ts
@@ -14,6 +14,8 @@
     readonly limits: ReadonlyMap<string, number>;
     /** From when on the servers state their limits. */
     readonly limitedFromMs: number;
+    /** Requests that a server queues. It never answers further ones. Unlimited if not given. */
+    readonly queueLength?: number;
 }
 
 interface Arrival {
@@ -33,6 +35,8 @@
     readonly arrivals: Arrival[] = [];
     /** Periodic health checks and preflight checks. */
     readonly checks: Arrival[] = [];
+    /** Requests that were dropped without an answer. */
+    readonly dropped: Arrival[] = [];
     /** Servers that say that they are leaving. */
     readonly leaving = new Set<string>();
     /** Until when a server says that it is cold, by its id. Cold servers are slower. */
@@ -71,6 +75,11 @@
             case "start-attempt": {
                 const { instanceId, attemptId } = effect;
                 this.arrivals.push({ vmId, instanceId, atMs });
+                const { slots, queueLength = Infinity } = this.opts;
+                if (this.runsAt(instanceId).length >= slots + queueLength) {
+                    this.dropped.push({ vmId, instanceId, atMs });
+                    return undefined;
+                }
                 const delayMs = this.run(instanceId);
                 return {
                     delayMs: delayMs + ROUND_TRIP_MS,
--- a/routing/dispatch/src/dispatch-limits.ts
+++ b/routing/dispatch/src/dispatch-limits.ts
@@ -108,6 +108,12 @@
     // An attempt that takes this multiple of the duration expected from its server's report is slow or lost: with the
     // deviation above, 1 in 250 other attempts takes as long.
     hungFactor: 2.2,
+    // A server that reports no request at all this long after one was sent has dropped it. Connecting takes up to 250 ms,
+    // and a report is up to 100 ms older than its arrival.
+    silentReportAfterMs: 500,
+    // An attempt that takes more than this multiple of the duration expected from its server's report was dropped as well.
+    // The work of a request is up to 7 times the mean, and a VM that is 5 times slower by turns takes 3 times as long.
+    silentFactor: 21,
     // Leaving servers that are kept, that are told to other VMs, and for how long. A VM that starts later learns it from
     // the first response of the server.
     maxLeavingServers: 512,
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -8,6 +8,7 @@
 import { recordCompletion } from "./record-completion.js";
 import { recordFailure } from "./record-failure.js";
 import { recordLoad } from "./record-load.js";
+import { recordSilentAttempts } from "./record-silent-attempts.js";
 import { recordSuccess } from "./record-success.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
@@ -41,6 +42,7 @@
         });
         return;
     }
+    recordSilentAttempts(draft, request);
     for (const other of request.attempts) {
         endAttempt(draft, request, other);
         draft.emit({ type: "cancel-attempt", attemptId: other.attemptId });
--- a/routing/dispatch/src/on-tick.ts
+++ b/routing/dispatch/src/on-tick.ts
@@ -4,6 +4,7 @@
 import { drainQueue } from "./drain-queue.js";
 import { onPermitAnswered } from "./on-permit-answered.js";
 import { probeServers } from "./probe-servers.js";
+import { recordSilentAttempts } from "./record-silent-attempts.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
 import type { RequestState } from "./request-state.js";
@@ -38,6 +39,7 @@
                 continue;
             }
             if (request.deadlineAtMs - DISPATCH_LIMITS.deadlineMarginMs / 2 <= draft.atMs) {
+                recordSilentAttempts(draft, request);
                 rejectRequest(draft, request, { reason: REJECT_REASONS.deadline });
             }
             else {
