--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -1,4 +1,4 @@
-import type { Transition } from "@marigoldstall/core.types";
+import type { LoadReport, Transition } from "@marigoldstall/core.types";
 import {
     type Findings,
     HUB_LIMITS,
@@ -10,9 +10,16 @@
     selectQuotaShare,
     selectReadDelayMs,
     type UpdatesMessage,
+    type WarmUpUpdate,
 } from "@marigoldstall/fleet.hubs";
 import { selectConfigurationAgeMs, selectViewSummary } from "@marigoldstall/fleet.view";
-import { type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
+import {
+    isColdLimited,
+    type ProbeDueAge,
+    selectAttempt,
+    selectLoads,
+    type WarmUp,
+} from "@marigoldstall/routing.dispatch";
 import { selectUsageReport } from "@marigoldstall/routing.quotas";
 import { countZoneServers } from "./count-zone-servers.js";
 import { EntryDraft } from "./entry-draft.js";
@@ -147,6 +154,9 @@
     }
 };
 
+const toWarmUp = (update: WarmUpUpdate | undefined, atMs: number): WarmUp | undefined =>
+    update && { coldUntilMs: atMs + update.remainingMs, statedAtMs: atMs - update.ageMs };
+
 const onUpdates = (draft: EntryDraft, message: UpdatesMessage): void => {
     const { atMs } = draft;
     draft.applyHubEvent({ type: "updates-received", atMs, message });
@@ -154,7 +164,12 @@
     draft.applyDispatchEvent({
         type: "loads-received",
         ...draft.eventContext,
-        loads: message.loads.map(({ instanceId, load, ageMs }) => ({ instanceId, load, measuredAtMs: atMs - ageMs })),
+        loads: message.loads.map(({ instanceId, load, ageMs, warmUp }) => ({
+            instanceId,
+            load,
+            measuredAtMs: atMs - ageMs,
+            warmUp: toWarmUp(warmUp, atMs),
+        })),
         sentRequests: message.sentRequests.map(({ instanceId, ageMs }) => ({ instanceId, sentAtMs: atMs - ageMs })),
         failures: message.failures,
         vmId: message.vmId,
@@ -174,10 +189,14 @@
         return;
     }
     const { service, averageSlowness, bestInstanceId } = selection;
-    const servers = selection.servers.map(({ measuredAtMs, othersSentAtMs, ...server }) => ({
+    const servers = selection.servers.map(({ measuredAtMs, othersSentAtMs, warmUp, ...server }) => ({
         ...server,
         ageMs: atMs - measuredAtMs,
         sentRequestAgesMs: othersSentAtMs.map(sentAtMs => atMs - sentAtMs),
+        warmUp: warmUp && {
+            remainingMs: Math.max(0, warmUp.coldUntilMs - atMs),
+            ageMs: atMs - warmUp.statedAtMs,
+        },
     }));
     draft.emit({
         type: "send-message",
@@ -201,10 +220,11 @@
 ): void => {
     const { atMs } = draft;
     const { service, averageSlowness } = event.answer;
-    const servers = event.answer.servers.map(({ ageMs, sentRequestAgesMs, ...server }) => ({
+    const servers = event.answer.servers.map(({ ageMs, sentRequestAgesMs, warmUp, ...server }) => ({
         ...server,
         measuredAtMs: atMs - ageMs,
         othersSentAtMs: sentRequestAgesMs.map(sentAgeMs => atMs - sentAgeMs),
+        warmUp: toWarmUp(warmUp, atMs),
     }));
     draft.applyDispatchEvent({ type: "loads-answered", ...draft.eventContext, service, averageSlowness, servers });
 };
@@ -243,6 +263,14 @@
     });
 };
 
+// Other VMs are told of the warm-up only where it limits the requests.
+const selectToldLoad = (draft: EntryDraft, instanceId: string, load: LoadReport): LoadReport => {
+    const { coldForMs, ...others } = load;
+    const { dispatch } = draft.state;
+    const service = dispatch.servicesByInstance.get(instanceId) ?? "";
+    return coldForMs !== undefined && isColdLimited(dispatch, service) ? load : others;
+};
+
 const applyEvent = (draft: EntryDraft, event: EntryEvent): void => {
     const { atMs } = draft;
     switch (event.type) {
@@ -304,7 +332,12 @@
                 ? event.instanceId
                 : selectAttempt(draft.state.dispatch, event.attemptId)?.attempt.instanceId;
             if (event.load !== undefined && instanceId !== undefined) {
-                draft.applyHubEvent({ type: "load-reported", atMs, instanceId, load: event.load });
+                draft.applyHubEvent({
+                    type: "load-reported",
+                    atMs,
+                    instanceId,
+                    load: selectToldLoad(draft, instanceId, event.load),
+                });
             }
             draft.applyDispatchEvent({ ...event, atMs, random: draft.random });
             return;
--- a/daemon/entry/src/store-reader.ts
+++ b/daemon/entry/src/store-reader.ts
@@ -1,12 +1,15 @@
 import type { RegistrationChange, StorePosition } from "@marigoldstall/fleet.view";
 import {
-    CONFIGURATION_KEY,
     decodeConfiguration,
+    decodeOperatorRecords,
     decodeRegistration,
+    type LogPage,
+    type NewestList,
     type StoreClient,
     type StoreFailure,
     type StoreRecord,
 } from "@marigoldstall/platform.adapter";
+import type { Result } from "neverthrow";
 import type { EntryEvent } from "./entry-event.js";
 import type { JsonLogger } from "./json-logger.js";
 import type { RefusedInputs } from "./refused-inputs.js";
@@ -66,17 +69,26 @@
     async readConfiguration(from: StorePosition | undefined): Promise<void> {
         const { store, nowMs, dispatch } = this.opts;
         const startedAtMs = nowMs();
-        const read = from === undefined
+        const read: Result<NewestList & Partial<Pick<LogPage, "endOffset">>, StoreFailure> = from === undefined
             ? await store.listNewest("configuration")
             : await store.read("configuration", from.offset);
         if (read.isErr()) {
             this.handleReadFailure("configuration", read.error);
             return;
         }
-        const { era, records, nextOffset } = read.value;
-        const text = records.filter(record => record.key === CONFIGURATION_KEY).at(-1)?.value;
+        const { era, records, nextOffset, endOffset } = read.value;
+        const { configurationText: text, evacuations } = decodeOperatorRecords(records);
         const configuration = text === undefined ? undefined : this.parseConfiguration(text);
-        dispatch({ type: "configuration-read", startedAtMs, era, from, nextOffset, configuration });
+        dispatch({
+            type: "configuration-read",
+            startedAtMs,
+            era,
+            from,
+            nextOffset,
+            endOffset,
+            configuration,
+            evacuations,
+        });
     }
 
     /** Decodes a configuration. Logs a malformed one and returns undefined, so that the last valid one stays active. */
--- a/daemon/entry/test/fleet-model.ts
+++ b/daemon/entry/test/fleet-model.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, EntrySettings, LoadReport, RoutingConfiguration, Tenant } from "@marigoldstall/core.types";
+import type { BackendServer, EntrySettings, LoadReport, Tenant } from "@marigoldstall/core.types";
 import {
     createEntryState,
     type EntryEffect,
@@ -9,9 +9,12 @@
     toEntryEvent,
 } from "@marigoldstall/daemon.entry";
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "@marigoldstall/fleet.hubs";
-import { type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
+import { listEvacuations, type RegistrationChange, selectViewSnapshot } from "@marigoldstall/fleet.view";
+import { createModelConfiguration } from "./create-model-configuration.js";
 import { createModelServer } from "./create-model-server.js";
 import { createModelSettings } from "./create-model-settings.js";
+import { ModelOperatorTopic } from "./model-operator-topic.js";
+import type { ModelOptions } from "./model-options.js";
 import type { ModelReply } from "./model-reply.js";
 import { MODEL_ROUTE } from "./model-route.js";
 import { selectNewest } from "./select-newest.js";
@@ -22,29 +25,10 @@
 const PROBE_LATENCY_MS = 2;
 const RPC_LATENCY_MS = 4;
 
-interface ModelOptions {
-    readonly vmCount: number;
-    readonly zones?: number;
-    readonly serverCount?: number;
-    readonly maxProbesPerSecond?: number;
-    /** One-way delay of datagrams. */
-    readonly delayMs?: number;
-    readonly slotsPerServer?: number;
-    /** Settings of all VMs that differ from the usual ones. */
-    readonly settings?: Partial<EntrySettings>;
-    /** Tenants of the first configuration by API key. Without them, requests need no key. */
-    readonly tenantsByKey?: ReadonlyMap<string, Tenant>;
-}
-
 /** Content of the store at a time, from which it can be restored. */
 interface ModelStoreCopy {
     readonly records: readonly RegistrationChange[];
-    readonly configurations: readonly ModelConfiguration[];
-}
-
-interface ModelConfiguration {
-    readonly text: string;
-    readonly configuration: RoutingConfiguration;
+    readonly operatorTopic: ModelOperatorTopic;
 }
 
 /** Simulation of VMs, a store and backend servers that exchange events in virtual time. */
@@ -72,8 +56,11 @@
     atMs = 1_000;
     private readonly settings: readonly EntrySettings[];
     private readonly delayMs: number;
+    private readonly coldRequestsPerSecond: number | undefined;
+    /** Probability that a datagram is lost. */
+    lossShare = 0;
     private records: RegistrationChange[] = [];
-    private configurations: ModelConfiguration[] = [];
+    private operatorTopic = new ModelOperatorTopic();
     private storeEra = 1;
     private readonly scheduled = new Map<number, (() => void)[]>();
     private incarnation = 1;
@@ -83,9 +70,9 @@
     constructor(opts: ModelOptions) {
         const zones = opts.zones ?? 3;
         this.delayMs = opts.delayMs ?? 2;
+        this.coldRequestsPerSecond = opts.coldRequestsPerSecond;
         this.settings = [...Array(opts.vmCount).keys()].map(index => ({
-            ...createModelSettings(index, index % zones),
-            ...opts.maxProbesPerSecond === undefined ? {} : { maxProbesPerSecond: opts.maxProbesPerSecond },
+            ...createModelSettings(index, index % zones, opts),
             ...opts.settings,
         }));
         for (const one of this.settings) {
@@ -156,17 +143,17 @@
     }
 
     get configurationEndOffset(): number {
-        return this.configurations.length;
+        return this.operatorTopic.endOffset;
     }
 
     takeCopy(): ModelStoreCopy {
-        return { records: [...this.records], configurations: [...this.configurations] };
+        return { records: [...this.records], operatorTopic: this.operatorTopic };
     }
 
     /** Restores the store from a copy. What was written since is lost, and offsets are given out again. */
     restore(copy: ModelStoreCopy): void {
         this.records = [...copy.records];
-        this.configurations = [...copy.configurations];
+        this.operatorTopic = copy.operatorTopic;
         this.storeEra += 1;
     }
 
@@ -177,20 +164,18 @@
 
     /** The version of the configuration in the store. */
     storedVersion(): number {
-        return this.configurations.at(-1)?.configuration.version ?? 0;
+        return this.operatorTopic.configuration?.configuration.version ?? 0;
+    }
+
+    /** The operator evacuates a zone, or takes it back. */
+    evacuate(zone: string, isEvacuated = true): void {
+        this.operatorTopic = this.operatorTopic.with({ zone, isEvacuated });
     }
 
     publishConfiguration(version: number, tenantsByKey?: ReadonlyMap<string, Tenant>): void {
-        this.configurations.push({
-            text: String(version),
-            configuration: {
-                version,
-                limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-                routesByHost: new Map([["parks.example", [MODEL_ROUTE]]]),
-                services: new Map([["one", { name: "one", healthPath: "/health", maxConnections: 220 }]]),
-                tenantsByKey,
-            },
-        });
+        const { coldRequestsPerSecond } = this;
+        const configuration = createModelConfiguration(version, { coldRequestsPerSecond, tenantsByKey });
+        this.operatorTopic = this.operatorTopic.with(configuration);
     }
 
     state(vmId: string): EntryState {
@@ -262,14 +247,23 @@
     }
 
     dispatch(vmId: string, event: EntryEvent): void {
-        this.random = (this.random * 9.73 + 0.31) % 1;
-        const { state, effects } = reduceEntry(this.state(vmId), event, { atMs: this.atMs, random: this.random });
+        const { state, effects } = reduceEntry(this.state(vmId), event, { atMs: this.atMs, random: this.drawRandom() });
         this.states.set(vmId, state);
         for (const effect of effects) {
             this.runEffect(vmId, effect);
         }
     }
 
+    private drawRandom(): number {
+        this.random = (this.random * 9.73 + 0.31) % 1;
+        return this.random;
+    }
+
+    private delivers(vmId: string, peerId: string): boolean {
+        return this.states.has(peerId) && !this.isolated.has(vmId) && !this.isolated.has(peerId)
+            && (this.lossShare === 0 || this.drawRandom() >= this.lossShare);
+    }
+
     private countDatagram(datagram: {
         readonly from: string;
         readonly to: string;
@@ -311,7 +305,7 @@
                 const message = decodeFleetMessage(bytes);
                 // In the model, the host of a VM is its id.
                 for (const peerId of effect.hosts) {
-                    if (this.states.has(peerId) && !this.isolated.has(vmId) && !this.isolated.has(peerId)) {
+                    if (this.delivers(vmId, peerId)) {
                         this.countDatagram({ from: vmId, to: peerId, bytes: bytes.length, message });
                         this.schedule(
                             this.delayMs,
@@ -336,13 +330,15 @@
                 return;
             case "fetch-peer-configuration":
                 this.schedule(RPC_LATENCY_MS, vmId, () => {
-                    const { configuration, configurationReading } = this.state(effect.peerAddress).view;
+                    const { view } = this.state(effect.peerAddress);
+                    const { configuration, configurationReading } = view;
                     if (configuration === undefined || this.silent.has(effect.peerAddress)) {
                         return undefined;
                     }
                     const { confirmation, confirmedAtMs } = configurationReading;
                     const ageMs = this.atMs - confirmedAtMs;
-                    return { type: "peer-configuration-received", configuration, ageMs, confirmation };
+                    const evacuations = listEvacuations(view);
+                    return { type: "peer-configuration-received", configuration, ageMs, confirmation, ...evacuations };
                 });
                 return;
             case "probe-server": {
@@ -376,18 +372,14 @@
         }
         const latencyMs = this.storeLatencyMs + (this.extraAnswerDelayMs.get(vmId) ?? 0);
         const era = this.storeEra;
-        const nextOffset = topic === "configuration" ? this.configurations.length : this.records.length;
+        const nextOffset = topic === "configuration" ? this.operatorTopic.endOffset : this.records.length;
         if (from !== undefined && from.offset > nextOffset) {
             this.schedule(latencyMs, vmId, () => ({ type: "store-read-failed", topic, isExpired: true, era }));
             return;
         }
         if (topic === "configuration") {
-            const configuration = nextOffset > (from?.offset ?? 0) ? this.configurations.at(-1) : undefined;
-            this.schedule(
-                latencyMs,
-                vmId,
-                () => ({ type: "configuration-read", startedAtMs, era, from, configuration, nextOffset }),
-            );
+            const page = this.operatorTopic.read(from?.offset);
+            this.schedule(latencyMs, vmId, () => ({ type: "configuration-read", startedAtMs, era, from, ...page }));
             return;
         }
         const changes = this.records.slice(from?.offset ?? 0);
--- a/fleet/hubs/src/decode-fleet-message.ts
+++ b/fleet/hubs/src/decode-fleet-message.ts
@@ -1,4 +1,10 @@
-import { type Confirmation, type RegistrationChange, UNKNOWN_ERA, type ViewSummary } from "@marigoldstall/fleet.view";
+import {
+    type Confirmation,
+    type RegistrationChange,
+    UNKNOWN_ERA,
+    type ViewSummary,
+    type ZoneEvacuation,
+} from "@marigoldstall/fleet.view";
 import type { UsageReport } from "@marigoldstall/routing.quotas";
 import { decode } from "@msgpack/msgpack";
 import type { FindingsMessage } from "./findings-message.js";
@@ -99,6 +105,15 @@
     };
 };
 
+// VMs of earlier releases, and those whose settings state no bounds for cold servers, send no such column.
+const decodeWarmUp = (value: unknown): Pick<LoadUpdate, "warmUp"> => {
+    if (value === undefined) {
+        return {};
+    }
+    const [remainingMs, ageMs] = asRow(value);
+    return { warmUp: { remainingMs: asNumber(remainingMs), ageMs: asAgeMs(ageMs) } };
+};
+
 const decodeSentRequest = (value: unknown): SentRequest => {
     const [instanceId, ageMs] = asRow(value);
     return { instanceId: asString(instanceId), ageMs: asAgeMs(ageMs) };
@@ -114,6 +129,15 @@
     return { instanceId: asString(instanceId), weight: asNumber(weight) };
 };
 
+const decodeEvacuation = (value: unknown): ZoneEvacuation => {
+    const [zone, era, offset, isEvacuated] = asRow(value);
+    return {
+        zone: asString(zone),
+        position: { era: asNumber(era), offset: asNumber(offset) },
+        isEvacuated: asBoolean(isEvacuated),
+    };
+};
+
 const decodeSummary = (value: unknown): ViewSummary => {
     const [
         nextOffset,
@@ -126,6 +150,8 @@
         changes,
         // VMs of earlier releases send no era.
         eraColumn = UNKNOWN_ERA,
+        // Sent only if the operator has evacuated a zone, and not by VMs of earlier releases.
+        evacuations,
     ] = asRow(value);
     const offset = asNumber(nextOffset);
     const era = asNumber(eraColumn);
@@ -138,6 +164,7 @@
         configurationVersion: asNumber(configurationVersion),
         configurationAgeMs: asAgeMs(configurationAgeMs),
         changes: asRow(changes).map(decodeRegistrationChange),
+        ...evacuations === undefined ? {} : { evacuations: asRow(evacuations).map(decodeEvacuation) },
     };
 };
 
@@ -177,7 +204,10 @@
     return {
         type: "updates",
         vmId: asString(vmId),
-        loads: asRow(loads).map(decodeLoadUpdate),
+        loads: asRow(loads).map(load => ({
+            ...decodeLoadUpdate(load),
+            ...decodeWarmUp(asRow(load)[LOAD_COLUMNS]),
+        })),
         sentRequests: asRow(sentRequests).map(decodeSentRequest),
         failures: asRow(failures).map(decodeFailure),
         ...usage === undefined ? {} : { usage: decodeUsage(usage) },
@@ -203,12 +233,13 @@
         service: asString(service),
         averageSlowness: asNumber(averageSlowness),
         servers: asRow(servers).map(server => {
-            const [sentRequestAgesMs, failures, isUnused] = asRow(server).slice(LOAD_COLUMNS);
+            const [sentRequestAgesMs, failures, isUnused, warmUp] = asRow(server).slice(LOAD_COLUMNS);
             return {
                 ...decodeLoadUpdate(server),
                 sentRequestAgesMs: asRow(sentRequestAgesMs).map(asAgeMs),
                 failures: asNumber(failures),
                 isUnused: asBoolean(isUnused),
+                ...decodeWarmUp(warmUp),
             };
         }),
     };
--- a/fleet/hubs/src/encode-fleet-message.ts
+++ b/fleet/hubs/src/encode-fleet-message.ts
@@ -1,4 +1,4 @@
-import type { Confirmation } from "@marigoldstall/fleet.view";
+import type { Confirmation, ZoneEvacuation } from "@marigoldstall/fleet.view";
 import type { UsageReport } from "@marigoldstall/routing.quotas";
 import { encode } from "@msgpack/msgpack";
 import type { FindingsMessage } from "./findings-message.js";
@@ -20,6 +20,13 @@
 const encodeConfirmation = (confirmation: Confirmation | undefined): readonly unknown[] =>
     confirmation === undefined ? [] : [confirmation.readerId, confirmation.number];
 
+const encodeEvacuation = ({ zone, position, isEvacuated }: ZoneEvacuation): readonly unknown[] => [
+    zone,
+    position.era,
+    position.offset,
+    isEvacuated,
+];
+
 const encodeLoad = ({ instanceId, load, ageMs }: LoadUpdate): readonly unknown[] => [
     instanceId,
     load.inFlight,
@@ -29,6 +36,10 @@
     encodeAgeMs(ageMs),
 ];
 
+// An optional last column.
+const encodeWarmUp = ({ warmUp }: LoadUpdate): readonly unknown[] =>
+    warmUp === undefined ? [] : [[Math.round(warmUp.remainingMs), encodeAgeMs(warmUp.ageMs)]];
+
 const encodeStatus = (message: StatusMessage): readonly unknown[] => {
     const { summary } = message;
     return [
@@ -56,6 +67,7 @@
                 ]
             ),
             summary.next?.era ?? 0,
+            ...summary.evacuations === undefined ? [] : [summary.evacuations.map(encodeEvacuation)],
         ],
         message.vms.map(vm => [encodeVm(vm.info), encodeAgeMs(vm.ageMs)]),
         message.fleetSize,
@@ -71,7 +83,7 @@
 
 const encodeUpdates = (message: UpdatesMessage): readonly unknown[] => [
     message.vmId,
-    message.loads.map(encodeLoad),
+    message.loads.map(load => [...encodeLoad(load), ...encodeWarmUp(load)]),
     message.sentRequests.map(({ instanceId, ageMs }) => [instanceId, encodeAgeMs(ageMs)]),
     message.failures.map(({ instanceId, weight }) => [instanceId, weight]),
     ...message.usage === undefined ? [] : [encodeUsage(message.usage)],
@@ -93,6 +105,7 @@
         server.sentRequestAgesMs.map(encodeAgeMs),
         Math.round(server.failures * FAILURES_PRECISION) / FAILURES_PRECISION,
         server.isUnused,
+        ...encodeWarmUp(server),
     ]),
 ];
 
--- a/fleet/view/src/reduce-view.ts
+++ b/fleet/view/src/reduce-view.ts
@@ -1,5 +1,6 @@
 import type { Transition } from "@marigoldstall/core.types";
 import { adoptConfiguration } from "./adopt-configuration.js";
+import { applyEvacuationRecords } from "./apply-evacuation-records.js";
 import { applyPeerSummary } from "./apply-peer-summary.js";
 import { applyRegistrationChanges } from "./apply-registration-changes.js";
 import { applyRegistrationList } from "./apply-registration-list.js";
@@ -7,6 +8,7 @@
 import { confirmReading } from "./confirm-reading.js";
 import { confirmRegistrations } from "./confirm-registrations.js";
 import { isOutdatedEra } from "./is-outdated-era.js";
+import { mergeEvacuations } from "./merge-evacuations.js";
 import { nextConfirmation } from "./next-confirmation.js";
 import { observeEra } from "./observe-era.js";
 import { onResumed } from "./on-resumed.js";
@@ -112,7 +114,9 @@
 ): Transition<ViewState, ViewEffect> => {
     const { era, from } = event;
     // Versions only rise, so a newer version counts even in a response from before a restore.
-    const { state: adopted, effects: adoptions } = adoptConfiguration(before, event.configuration);
+    const { state: withConfiguration, effects: configurations } = adoptConfiguration(before, event.configuration);
+    const { state: adopted, effects: evacuations } = applyEvacuationRecords(withConfiguration, event);
+    const adoptions = [...configurations, ...evacuations];
     if (isOutdatedEra(before, era)) {
         const ignored = ignoreOutdatedRead(adopted, { topic: "configuration", era });
         return { state: ignored.state, effects: [...adoptions, ...ignored.effects] };
@@ -125,23 +129,35 @@
         // The store was restored in between, so records before this response may be missing.
         return { state: { ...state, configurationReading: { ...finished, startedAtMs: -Infinity } }, effects };
     }
+    const next = selectLaterPosition({ era, offset: event.nextOffset }, reading.next);
+    if (event.nextOffset < (event.endOffset ?? event.nextOffset)) {
+        // A page that ends before the end of the topic does not prove that the view is current. The next page is read at
+        // once, unless the store sent no record.
+        const hasProgress = from === undefined || event.nextOffset > from.offset;
+        const startedAtMs = hasProgress ? -Infinity : finished.startedAtMs;
+        return { state: { ...state, configurationReading: { ...finished, next, startedAtMs } }, effects };
+    }
     const confirmed = confirmReading(finished, {
         confirmedAtMs: selectCountedTimeMs(state, event.startedAtMs),
         confirmation: nextConfirmation(state, reading),
     });
-    const next = selectLaterPosition({ era, offset: event.nextOffset }, reading.next);
     return { state: { ...state, configurationReading: { ...confirmed, next } }, effects };
 };
 
 const onViewSnapshotReceived = (
-    before: ViewState,
+    unmerged: ViewState,
     event: Extract<ViewEvent, { readonly type: "view-snapshot-received"; }>,
 ): Transition<ViewState, ViewEffect> => {
     const { atMs } = event;
+    // Each record has its own position, so it counts also if the list of registrations is out of date.
+    const { state: before, effects: evacuations } = mergeEvacuations(unmerged, {
+        records: event.snapshot.evacuations ?? [],
+        source: "peer",
+    });
     const snapshot = { ...event.snapshot, era: selectPeerEra(before, event.snapshot.era) };
     const { era, nextOffset } = snapshot;
     if (isBeforeOwnPosition(before, { era, offset: nextOffset }) || isOutdatedEra(before, era)) {
-        return { state: before, effects: [] };
+        return { state: before, effects: evacuations };
     }
     const { state, effects: restored } = observeEra(before, era);
     const confirmed = confirmRegistrations(state, {
@@ -152,7 +168,7 @@
     const { state: next, applied } = applyRegistrationList(confirmed, { atMs, ...snapshot });
     return {
         state: { ...next, isListUnchecked: false },
-        effects: [...restored, ...serversChangedEffects(applied, "peer")],
+        effects: [...restored, ...evacuations, ...serversChangedEffects(applied, "peer")],
     };
 };
 
@@ -214,15 +230,19 @@
         case "view-snapshot-received":
             return onViewSnapshotReceived(state, event);
         case "peer-configuration-received": {
-            const { state: next, effects } = adoptConfiguration(state, event.configuration);
+            const { state: merged, effects: evacuations } = mergeEvacuations(state, {
+                records: event.evacuations ?? [],
+                source: "peer",
+            });
+            const { state: next, effects } = adoptConfiguration(merged, event.configuration);
             if (effects.length === 0) {
-                return { state, effects };
+                return { state: merged, effects: evacuations };
             }
             const configurationReading = confirmReading(next.configurationReading, {
                 confirmedAtMs: selectCountedTimeMs(state, event.atMs - event.ageMs),
                 confirmation: event.confirmation,
             });
-            return { state: { ...next, configurationReading }, effects };
+            return { state: { ...next, configurationReading }, effects: [...evacuations, ...effects] };
         }
     }
 };
--- a/routing/dispatch/src/copy-server-state.ts
+++ b/routing/dispatch/src/copy-server-state.ts
@@ -20,6 +20,7 @@
     ejectedUntilMs: server.ejectedUntilMs,
     isUnhealthy: server.isUnhealthy,
     coldUntilMs: server.coldUntilMs,
+    warmUpStatedAtMs: server.warmUpStatedAtMs,
     probedAtMs: server.probedAtMs,
     requestLimit: server.requestLimit,
     isLeaving: server.isLeaving,
--- a/routing/dispatch/src/create-dispatch-state.ts
+++ b/routing/dispatch/src/create-dispatch-state.ts
@@ -7,12 +7,13 @@
 
 /** Initial state, without a configuration or backend servers. */
 export const createDispatchState = (
-    opts: Pick<EntrySettings, "availabilityZone" | "retryBudget" | "keyRevocationMs" | "quotaBounds"> & {
-        readonly hedgeShare?: number | undefined;
-    },
+    opts:
+        & Pick<EntrySettings, "availabilityZone" | "retryBudget" | "keyRevocationMs" | "quotaBounds" | "coldBounds">
+        & { readonly hedgeShare?: number | undefined; },
 ): DispatchState => ({
     availabilityZone: opts.availabilityZone,
     retryBudget: opts.retryBudget,
+    coldBounds: opts.coldBounds,
     hedgeShare: opts.hedgeShare ?? 0,
     vmCount: INITIAL_VM_COUNT,
     loadQueryIntervalMs: undefined,
@@ -20,6 +21,7 @@
     configuration: undefined,
     keyLeaseMs: selectKeyLeaseMs(opts.keyRevocationMs),
     limitsTenants: opts.quotaBounds !== undefined,
+    evacuatedZones: new Set(),
     services: new Map(),
     requests: new Map(),
     requestKeysByAttempt: new Map(),
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -3,6 +3,7 @@
 import type { LoadSelection } from "./load-selection.js";
 import type { ProbeDueAge } from "./probe-due-age.js";
 import type { SuspectRequest } from "./suspect-request.js";
+import type { WarmUp } from "./warm-up.js";
 
 interface Timed {
     readonly atMs: number;
@@ -79,6 +80,7 @@
                 readonly instanceId: string;
                 readonly load: LoadReport;
                 readonly measuredAtMs: number;
+                readonly warmUp?: WarmUp | undefined;
             }[];
             readonly sentRequests: readonly { readonly instanceId: string; readonly sentAtMs: number; }[];
             readonly failures: readonly { readonly instanceId: string; readonly weight: number; }[];
@@ -159,6 +161,8 @@
         }
         | { readonly type: "servers-changed"; readonly changes: readonly RegistrationChange[]; }
         | { readonly type: "configuration-adopted"; readonly configuration: RoutingConfiguration; }
+        /** No request may be sent to a server of these zones, and of no others. */
+        | { readonly type: "zones-evacuated"; readonly zones: readonly string[]; }
         | { readonly type: "vm-count-changed"; readonly vmCount: number; }
         | {
             readonly type: "dispatch-tick";
--- a/routing/dispatch/src/dispatch-state.ts
+++ b/routing/dispatch/src/dispatch-state.ts
@@ -1,4 +1,4 @@
-import type { EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
+import type { ColdBounds, EntrySettings, RoutingConfiguration } from "@marigoldstall/core.types";
 import type { BrokenAttempt } from "./broken-attempt.js";
 import type { DispatchService } from "./dispatch-service.js";
 import type { FormerServer } from "./former-server.js";
@@ -12,6 +12,8 @@
     readonly retryBudget: EntrySettings["retryBudget"];
     /** Hedges that are allowed, as a share of the requests. With 0, hedges are limited by the retry budget alone. */
     readonly hedgeShare: number;
+    /** Undefined if requests to cold servers are not limited. */
+    readonly coldBounds: ColdBounds | undefined;
     /** Number of VMs that share the retry budget. */
     readonly vmCount: number;
     /** Minimum time between two load queries for a service; undefined while this VM has no hub to ask. */
@@ -23,6 +25,8 @@
     readonly keyLeaseMs: number | undefined;
     /** Whether the quotas of tenants are kept over all VMs. */
     readonly limitsTenants: boolean;
+    /** Zones to whose servers no request is sent. */
+    readonly evacuatedZones: ReadonlySet<string>;
     readonly services: ReadonlyMap<string, DispatchService>;
     readonly requests: ReadonlyMap<string, RequestState>;
     /** Attempts in progress only. */
--- a/routing/dispatch/src/on-attempt-answered.ts
+++ b/routing/dispatch/src/on-attempt-answered.ts
@@ -10,6 +10,7 @@
 import { recordFailure } from "./record-failure.js";
 import { recordHedgeResult } from "./record-hedge-result.js";
 import { recordLoad } from "./record-load.js";
+import { recordSilentAttempts } from "./record-silent-attempts.js";
 import { recordSuccess } from "./record-success.js";
 import { REJECT_REASONS } from "./reject-reasons.js";
 import { rejectRequest } from "./reject-request.js";
@@ -43,6 +44,7 @@
         });
         return;
     }
+    recordSilentAttempts(draft, request);
     for (const other of request.attempts) {
         if (other.phase === "sent" && !other.isHedge) {
             recordDuration(draft, request, { attempt: other, isCancelled: true });
@@ -153,7 +155,7 @@
         }
         else if (event.notRun) {
             draft.emit({ type: "discard-response", attemptId: event.attemptId });
-            const waitMs = selectBackoffMs(draft.service(updated.service), draft.atMs);
+            const waitMs = selectBackoffMs(draft.service(updated.service), draft);
             rejectRequest(draft, updated, { reason: REJECT_REASONS.shed, waitMs });
         }
         else {
--- a/routing/dispatch/src/select-loads.ts
+++ b/routing/dispatch/src/select-loads.ts
@@ -5,8 +5,10 @@
 import type { DispatchService } from "./dispatch-service.js";
 import type { DispatchState } from "./dispatch-state.js";
 import { estimateServer } from "./estimate-server.js";
+import { isColdLimited } from "./is-cold-limited.js";
 import type { LoadSelection } from "./load-selection.js";
 import { selectEligibleServers } from "./select-eligible-servers.js";
+import { selectPermitRate } from "./select-permit-rate.js";
 import type { ServerState } from "./server-state.js";
 
 interface LoadQuestion {
@@ -17,8 +19,12 @@
     readonly connectedInstanceIds: readonly string[];
 }
 
-const describeServer = (server: ServerState, opts: { readonly atMs: number; readonly vmId: string; }) => {
-    const { load, measuredAtMs, unreportedSends, isUsed } = server;
+const describeServer = (server: ServerState, opts: {
+    readonly atMs: number;
+    readonly vmId: string;
+    readonly tellsWarmUp: boolean;
+}) => {
+    const { load, measuredAtMs, unreportedSends, isUsed, coldUntilMs, warmUpStatedAtMs } = server;
     return load === undefined ? [] : [{
         instanceId: server.server.instanceId,
         load,
@@ -31,6 +37,9 @@
             .map(({ sentAtMs }) => sentAtMs),
         failures: decayFailures(server, opts.atMs),
         isUnused: !isUsed,
+        ...opts.tellsWarmUp && warmUpStatedAtMs > -Infinity
+            ? { warmUp: { coldUntilMs, statedAtMs: warmUpStatedAtMs } }
+            : {},
     }];
 };
 
@@ -42,7 +51,7 @@
     const { atMs, question: { workMs, responseBytes } } = opts;
     const best = new CheapestServers({ maxCount: DISPATCH_LIMITS.answeredServers });
     const estimateOpts = { atMs, zones: state, workMs, responseBytes };
-    for (const server of selectEligibleServers(service, { atMs })) {
+    for (const server of selectEligibleServers(service, { atMs, state })) {
         const { commonCostMs } = estimateServer(service, server, estimateOpts);
         best.add(server, commonCostMs + opts.random() * DISPATCH_LIMITS.costJitterMs);
     }
@@ -64,15 +73,18 @@
     }
     const { atMs } = opts;
     const { vmId, connectedInstanceIds } = question;
+    const tellsWarmUp = isColdLimited(state, question.service);
     const best = rankServers(state, service, { ...opts, question });
-    const connected = connectedInstanceIds.flatMap(instanceId => service.servers.get(instanceId) ?? []);
+    const connected = connectedInstanceIds
+        .flatMap(instanceId => service.servers.get(instanceId) ?? [])
+        .filter(({ server }) => !state.evacuatedZones.has(server.availabilityZone));
     const selected = new Set([...best, ...connected]);
     return {
         service: question.service,
         bestInstanceId: best.find(server =>
-            server.requestLimit.perSecond === undefined && countOccupied(server, atMs) < server.server.slots
+            selectPermitRate(state, server, atMs) === undefined && countOccupied(server, atMs) < server.server.slots
         )?.server.instanceId,
         averageSlowness: service.slowness,
-        servers: [...selected].flatMap(server => describeServer(server, { atMs, vmId })),
+        servers: [...selected].flatMap(server => describeServer(server, { atMs, vmId, tellsWarmUp })),
     };
 };
