--- a/stand-ins/platform/src/store-stand-in.ts
+++ b/stand-ins/platform/src/store-stand-in.ts
@@ -110,6 +110,11 @@
         this.topic(REGISTRATIONS_TOPIC).put(instanceId, text);
     }
 
+    /** Writes that a zone is evacuated, or that it is back in service, as an operator does. */
+    evacuate(zone: string, isEvacuated: boolean): void {
+        this.topic(CONFIGURATION_TOPIC).put(`evacuate/${zone}`, isEvacuated ? "1" : "");
+    }
+
     /** Writes a configuration version to the configuration topic, as an operator does. */
     publish(published: PublishedService): void {
         const { host, service, version } = published;
