--- a/stand-ins/platform/src/published-service.ts
+++ b/stand-ins/platform/src/published-service.ts
@@ -7,4 +7,6 @@
     readonly version: number;
     readonly host: string;
     readonly service: string;
+    /** Default: 65,536. */
+    readonly maxBodyBytes?: number;
 }
--- a/stand-ins/platform/src/store-stand-in.ts
+++ b/stand-ins/platform/src/store-stand-in.ts
@@ -14,6 +14,7 @@
 const SERVICE_WITHOUT_SERVERS = "none";
 const APPEND_PATH = "/api/log-append";
 const VERSION_DIGITS = 8;
+const DEFAULT_MAX_BODY_BYTES = 65_536;
 const HEXADECIMAL = 16;
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
@@ -112,7 +113,7 @@
 
     /** Writes a configuration version to the configuration topic, as an operator does. */
     publish(published: PublishedService): void {
-        const { host, service, version } = published;
+        const { host, service, version, maxBodyBytes = DEFAULT_MAX_BODY_BYTES } = published;
         const rule = (name: string, opts: { readonly kind: string; readonly destination: string; }): unknown => ({
             name,
             routeType: opts.kind,
@@ -123,7 +124,7 @@
         });
         const configuration = {
             version: version.toString(HEXADECIMAL).padStart(VERSION_DIGITS, "0"),
-            limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" },
+            limits: { maxHeaderBytes: 16_384, maxBodyBytes, headerTimeout: "3s", idleTimeout: "15s" },
             listeners: [{
                 host,
                 rules: [
