fix(entry): keep callers within the memory and descriptors of the machine

What callers saw: untrusted callers ended a process, which ran out of memory, and with it the requests of all others.

Cause, from samples of the process under the crowds of untrusted-callers.test.ts: - a message that is paused queues each chunk of a block as an object, megabytes on each connection - bodies that grow in buffers of many sizes leave holes in the C library's memory: 231 MB resident with 59 MB of buffers - V8 collects unreferenced buffers only after 64 MB of them - responses were not counted while their callers did not read them, and connections had no limit

Change: one budget for bodies, partial heads and responses, sized by memoryMb; blocks of one size from a pool, which are used again once nothing can write them; a garbage collection when buffers exceed the budget; pieces of all connections at a shared pace; limits on connections by maxFds and on open requests by the heap; time limits for a whole body and for a response that is not read. Who gives way is decided by selectYieldingHolder and selectClosableConnections, without a network. A body over the limit that is announced is refused before a byte is read.

A body of 64 MB is served on 202 MB.

server-attempt.test.ts uses the new budget in place of BodyBudget, with the same expectations.

--- a/core/http-body/src/body-budget.ts
+++ b/core/http-body/src/body-budget.ts
@@ -1,3 +1,4 @@
+import type { BodyReservations } from "./body-reservations.js";
 import type { BudgetedBody } from "./budgeted-body.js";
 
 interface BodyBudgetOptions {
@@ -5,7 +6,7 @@
 }
 
 /** Limit on the memory of all bodies that a process collects at the same time. */
-export class BodyBudget {
+export class BodyBudget implements BodyReservations {
     private readonly maxBytes: number;
     private reservedBytes = 0;
     /** Incomplete bodies, which can be dropped. */
--- a/core/http-body/src/body-collector.ts
+++ b/core/http-body/src/body-collector.ts
@@ -1,5 +1,5 @@
-import type { BodyBudget } from "./body-budget.js";
 import type { BodyLimit } from "./body-limit.js";
+import type { BodyReservations } from "./body-reservations.js";
 import type { BudgetedBody } from "./budgeted-body.js";
 
 const GROWTH_FACTOR = 2;
@@ -10,7 +10,7 @@
 interface BodyCollectorOptions {
     readonly maxBytes: number;
     /** Limit that this body shares with others. */
-    readonly budget?: BodyBudget;
+    readonly budget?: BodyReservations;
     /** Called once when the body exceeds a limit. Its bytes are gone then, and further ones are ignored. */
     readonly onExceeded: (limit: BodyLimit) => void;
 }
--- a/daemon/entry/src/add-gauges.ts
+++ b/daemon/entry/src/add-gauges.ts
@@ -1,4 +1,6 @@
 import { type DispatchState, selectHold, type ServerState } from "@marigoldstall/routing.dispatch";
+import type { CallerListener } from "./caller-listener.js";
+import type { CallerMemory } from "./caller-memory.js";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { EntryState } from "./entry-state.js";
 
@@ -9,6 +11,10 @@
     readonly state: () => EntryState;
     readonly nowMs: () => number;
     readonly connectionCount: () => number;
+    readonly callers: {
+        readonly listener: Pick<CallerListener, "connectionCount">;
+        readonly memory: Pick<CallerMemory, "usedBytes" | "maxBytes">;
+    };
 }
 
 const countServers = ({ services }: DispatchState, isCounted: (server: ServerState) => boolean): number => {
@@ -80,4 +86,19 @@
         "Connections to backend servers.",
         () => opts.connectionCount(),
     );
+    metrics.addGauge(
+        "marigoldstall_caller_connections",
+        "Connections of callers.",
+        () => opts.callers.listener.connectionCount,
+    );
+    metrics.addGauge(
+        "marigoldstall_caller_memory_bytes",
+        "Memory that requests of callers and the responses to them hold.",
+        () => opts.callers.memory.usedBytes,
+    );
+    metrics.addGauge(
+        "marigoldstall_caller_memory_limit_bytes",
+        "Largest memory that requests of callers and the responses to them may hold.",
+        () => opts.callers.memory.maxBytes,
+    );
 };
--- a/daemon/entry/src/caller-connection.ts
+++ b/daemon/entry/src/caller-connection.ts
@@ -8,6 +8,7 @@
 import { STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import type { HeldConnection } from "./held-connection.js";
 
 interface CallerConnectionOptions {
     readonly socket: Socket;
@@ -27,10 +28,12 @@
     private bytesReadAtRequestEnd = 0;
     private lingerTimer: NodeJS.Timeout | undefined;
     private newestKey: string | undefined;
+    private progressMs: number;
 
     constructor(opts: CallerConnectionOptions) {
         this.opts = opts;
         this.openedAtMs = opts.nowMs();
+        this.progressMs = this.openedAtMs;
         // Node.js closes the connection with this method after the last response. Closed with unread bytes, such as a
         // pipelined request, the connection is reset, and the caller loses what it has not received of that response.
         opts.socket.destroySoon = () => {
@@ -43,6 +46,10 @@
         });
     }
 
+    get socket(): Socket {
+        return this.opts.socket;
+    }
+
     /** Whether no request is in progress, partly received or, on a new connection, about to arrive. */
     get isIdle(): boolean {
         const { socket, nowMs } = this.opts;
@@ -55,14 +62,54 @@
         return this.newestKey;
     }
 
-    /** What the caller has to send next: a new request, or the rest of one that it has begun. */
-    get expectedInput(): "request" | "head" | "body" {
-        if (this.state.requests.length > 0) {
-            return "body";
+    /**
+     * What the caller has to do next: send a new request or the rest of one that it has begun, read a response, or wait
+     * for a server.
+     */
+    get expectedInput(): "request" | "head" | "body" | "reading" | "nothing" {
+        const { requests } = this.state;
+        if (requests.length > 0) {
+            return requests.some(({ phase }) => phase === "receiving")
+                ? "body"
+                : requests.some(({ phase }) => phase === "writing")
+                ? "reading"
+                : "nothing";
         }
         return this.opts.socket.bytesRead === this.bytesReadAtRequestEnd ? "request" : "head";
     }
 
+    /** What the connection is used for when its descriptor may be needed for another one. */
+    get phase(): HeldConnection["phase"] {
+        const { requests } = this.state;
+        if (requests.length > 0) {
+            return requests.every(({ phase }) => phase === "receiving") ? "receiving" : "busy";
+        }
+        if (this.lingerTimer !== undefined) {
+            return "closing";
+        }
+        const { bytesRead } = this.opts.socket;
+        return bytesRead === 0 ? "silent" : bytesRead === this.bytesReadAtRequestEnd ? "idle" : "head";
+    }
+
+    /** When bytes of a body were last received, or a request or response was completed. */
+    get progressAtMs(): number {
+        return this.progressMs;
+    }
+
+    /** Bytes of a head that has not been received completely. */
+    get partialHeadBytes(): number {
+        return this.phase === "head" ? this.opts.socket.bytesRead - this.bytesReadAtRequestEnd : 0;
+    }
+
+    noteProgress(): void {
+        this.progressMs = this.opts.nowMs();
+    }
+
+    /** Closes the connection at once, with everything that was not sent. */
+    destroy(): void {
+        this.opts.socket.destroy();
+    }
+
     /** Whether nothing that still arrives is passed on. */
     get isClosing(): boolean {
         return this.state.isClosing;
@@ -75,6 +122,7 @@
 
     /** Applies an event and executes the effects. Events that effects cause are applied after them. */
     dispatch(event: PipelineEvent): void {
+        this.noteProgress();
         if (event.type === "request-started") {
             this.newestKey = event.requestKey;
         }
@@ -95,8 +143,8 @@
         }
     }
 
-    /** Limits the time without a byte until the newest request has been read. */
-    limitBodyTime(timeoutMs: number): void {
+    /** Limits the time without a byte until the newest request has been read or, while it is written, its response. */
+    limitQuietTime(timeoutMs: number): void {
         this.opts.socket.setTimeout(timeoutMs);
     }
 
@@ -104,7 +152,7 @@
         const { socket } = this.opts;
         this.bytesReadAtRequestEnd = socket.bytesRead;
         // Node.js reports the end of a request after the start of one that came in the same piece.
-        if (requestKey === this.newestKey) {
+        if (requestKey === this.newestKey && !this.state.requests.some(({ phase }) => phase === "writing")) {
             socket.setTimeout(0);
         }
     }
--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -1,76 +1,57 @@
-import { BodyBudget, BodyCollector, type BodyLimit, collectBody } from "@marigoldstall/core.http-body";
 import type { CallerLimits } from "@marigoldstall/core.types";
-import { endToEndHeaders } from "@marigoldstall/daemon.connections";
 import { listenOn } from "@marigoldstall/fleet.rpc";
-import { decodeCallerRequestHead, INTERNAL_HEADERS } from "@marigoldstall/platform.adapter";
+import { decodeCallerRequestHead } from "@marigoldstall/platform.adapter";
 import type { PipelineEffect } from "@marigoldstall/requests.pipeline";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { acceptWaitingConnections } from "./accept-waiting-connections.js";
+import { BAD_GATEWAY_REPLY } from "./bad-gateway-reply.js";
+import { BlockPool } from "./block-pool.js";
+import { BODY_LIMIT_REJECTIONS } from "./body-limit-rejections.js";
 import type { BufferedResponse } from "./buffered-response.js";
 import { CallerConnection } from "./caller-connection.js";
+import { CallerConnections } from "./caller-connections.js";
 import type { CallerExchange } from "./caller-exchange.js";
+import type { CallerListenerOptions } from "./caller-listener-options.js";
+import { CallerMemory } from "./caller-memory.js";
 import type { CallerReply } from "./caller-reply.js";
 import { createRejection } from "./create-rejection.js";
+import { createRelayedReply } from "./create-relayed-reply.js";
 import { discardInput } from "./discard-input.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
 import type { InputFailure } from "./input-failure.js";
 import type { OpenRequest } from "./open-request.js";
-import { selectHeadError } from "./select-head-error.js";
+import { PiecePacer } from "./piece-pacer.js";
+import { PooledBody } from "./pooled-body.js";
+import { receiveBody } from "./receive-body.js";
+import type { Rejection } from "./rejection.js";
+import { ReplyWriter } from "./reply-writer.js";
+import { selectBodyBytes } from "./select-body-bytes.js";
+import { selectHeadRefusal } from "./select-head-refusal.js";
 import { watchCallerInput } from "./watch-caller-input.js";
-import { writeReply } from "./write-reply.js";
-
-interface Rejection {
-    readonly statusCode: number;
-    readonly retryAfterMs?: number | undefined;
-}
 
 // Limits that apply until a configuration is active. Node.js cannot change `maxHeaderSize` after the server is created,
 // so MAX_HEADER_BYTES also caps the configured header limit.
 const MAX_HEADER_BYTES = 65_536;
 const INITIAL_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
-// The smallest VMs have 250 MB, of which the process needs about 60 MB without any request.
-const MAX_BODIES_BYTES = 64 * 1_024 * 1_024;
+// Applies where the options name no memory, as in tests of the listener alone.
+const DEFAULT_MEMORY_BYTES = 64 * 1_024 * 1_024;
 const STATUS_EXPECTATION_FAILED = 417;
-const STATUS_BAD_GATEWAY = 502;
-
-const BODY_LIMIT_REJECTIONS: Readonly<Record<BodyLimit, Rejection>> = {
-    "body-size": { statusCode: 413 },
-    "total-size": { statusCode: 503, retryAfterMs: 500 },
-};
-
-// Answers a request whose response cannot be sent. The status promises nothing, as the request may have run.
-const BAD_GATEWAY_REPLY: CallerReply = {
-    statusCode: STATUS_BAD_GATEWAY,
-    headers: ["Content-Length", "0"],
-    body: undefined,
-    isFramed: true,
-};
 
 type RequestEffect = Exclude<PipelineEffect, { readonly type: "write-error"; }>;
 
 const selectRequestId = (message: IncomingMessage): string => decodeCallerRequestHead(message.headers).requestId;
 
-interface CallerListenerOptions {
-    readonly isStopping: () => boolean;
-    readonly nowMs: () => number;
-    /** Whether a request that was passed on may run again. Called right after `onRequest`. */
-    readonly isIdempotent: (requestKey: string) => boolean;
-    readonly onRequest: (request: OpenRequest, receivedAtMs: number, deadlineMs: number | undefined) => void;
-    readonly onCallerLeft: (requestKey: string) => void;
-    /** Called when a caller sent something that is no request, or sent it too slowly. */
-    readonly onInputRefused: (failure: InputFailure, fields: Readonly<Record<string, unknown>>) => void;
-    /** Called when a response could not be sent as it should. */
-    readonly onFault: (step: string, error: unknown) => void;
-}
-
 /** HTTP listener for callers' requests. */
 export class CallerListener {
     private readonly opts: CallerListenerOptions;
     private readonly server: Server;
-    private readonly bodyBudget = new BodyBudget({ maxBytes: MAX_BODIES_BYTES });
+    private readonly memory: CallerMemory;
+    private readonly pacer: PiecePacer;
+    private readonly blockPool: BlockPool;
     private readonly exchanges = new Map<string, CallerExchange>();
-    private readonly connections = new Map<Socket, CallerConnection>();
+    private readonly connections: CallerConnections;
+    private readonly writer: ReplyWriter;
     private maxHeaderBytes = MAX_HEADER_BYTES;
     private maxBodyBytes = INITIAL_MAX_BODY_BYTES;
     private nextRequestKey = 1;
@@ -78,6 +59,31 @@
 
     constructor(opts: CallerListenerOptions) {
         this.opts = opts;
+        this.memory = opts.memory ?? new CallerMemory({ maxBytes: DEFAULT_MEMORY_BYTES, nowMs: opts.nowMs });
+        this.pacer = opts.pacer ?? new PiecePacer();
+        this.blockPool = opts.blockPool ?? new BlockPool();
+        this.connections = new CallerConnections({
+            create: socket => {
+                const connection: CallerConnection = new CallerConnection({
+                    socket,
+                    nowMs: opts.nowMs,
+                    isStopping: opts.isStopping,
+                    execute: effect => {
+                        this.run(effect, connection);
+                    },
+                });
+                return connection;
+            },
+            memory: this.memory,
+            maxConnections: opts.maxConnections ?? Infinity,
+            nowMs: opts.nowMs,
+            onLimited: (limit, fields) => opts.onLimited?.(limit, fields),
+        });
+        this.writer = new ReplyWriter({
+            memory: this.memory,
+            onYielding: exchange => this.yieldMemory(exchange),
+            onFault: opts.onFault,
+        });
         this.server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
             requireHostHeader: false,
@@ -91,16 +97,19 @@
         });
         this.server.on("connection", (socket: Socket) => {
             this.acceptedConnections += 1;
-            this.connection(socket);
             socket.setTimeout(this.server.keepAliveTimeout);
+            this.connections.accept(socket);
         });
         this.server.on("checkExpectation", (message: IncomingMessage, response: ServerResponse) => {
             this.handleRequest(message, response, { rejectionStatusCode: STATUS_EXPECTATION_FAILED });
         });
         watchCallerInput(this.server, {
-            expects: socket => this.connection(socket).expectedInput,
+            expects: socket => this.connections.get(socket).expectedInput,
             onIdle: socket => {
-                this.connection(socket).close();
+                this.connections.get(socket).close();
+            },
+            onUnread: socket => {
+                this.connections.close("caller-response-unread", this.connections.get(socket));
             },
             onFailed: (socket, failure) => {
                 this.failInput(socket, failure);
@@ -120,6 +129,7 @@
 
     async listen(address: string): Promise<void> {
         await listenOn(this.server, address);
+        this.connections.startWatching();
     }
 
     applyLimits(limits: CallerLimits): void {
@@ -137,6 +147,7 @@
     async stopListening(): Promise<void> {
         await acceptWaitingConnections(() => this.acceptedConnections);
         NetServer.prototype.close.call(this.server);
+        this.connections.stopWatching();
     }
 
     /**
@@ -145,7 +156,7 @@
      */
     closeIfIdle(): boolean {
         const isIdle = this.exchanges.size === 0;
-        for (const connection of this.connections.values()) {
+        for (const connection of this.connections.all) {
             if (isIdle || connection.isIdle) {
                 connection.close();
             }
@@ -154,18 +165,11 @@
     }
 
     relay(requestKey: string, backendResponse: BufferedResponse): void {
-        this.answer(requestKey, () => {
-            const { statusCode, rawHeaders, connectionHeader, body, isFramed } = backendResponse;
-            const headers = endToEndHeaders(rawHeaders, { connection: connectionHeader, excluded: INTERNAL_HEADERS });
-            // Only the backend server knows whether a response without a length was truncated. An added Content-Length
-            // would make a truncated one look complete, so the end of the connection delimits the body here as well.
-            return {
-                statusCode,
-                headers: isFramed ? [...headers, "Content-Length", String(body.length)] : headers,
-                body,
-                isFramed,
-            };
-        });
+        this.answer(requestKey, () => createRelayedReply(backendResponse));
+        const { collector } = backendResponse;
+        if (this.exchanges.get(requestKey)?.reply?.collector !== collector) {
+            collector?.release();
+        }
     }
 
     reject(
@@ -204,7 +208,7 @@
         response: ServerResponse,
         opts: { readonly rejectionStatusCode?: number; } = {},
     ): void {
-        const connection = this.connection(message.socket);
+        const connection = this.connections.get(message.socket);
         const requestKey = String(this.nextRequestKey);
         this.nextRequestKey += 1;
         response.sendDate = false;
@@ -218,9 +222,10 @@
             message.resume();
             this.reject(requestKey, { ...rejection, isLastResponse: true });
         };
-        const collector = new BodyCollector({
-            maxBytes: this.maxBodyBytes,
-            budget: this.bodyBudget,
+        const collector = new PooledBody({
+            maxBytes: Math.min(this.maxBodyBytes, selectBodyBytes(message)),
+            reservations: this.memory.requests,
+            pool: this.blockPool,
             onExceeded: limit => {
                 reject(BODY_LIMIT_REJECTIONS[limit]);
             },
@@ -239,14 +244,30 @@
         if (!this.exchanges.has(requestKey)) {
             return;
         }
-        connection.limitBodyTime(this.server.keepAliveTimeout);
-        const statusCode = opts.rejectionStatusCode
-            ?? selectHeadError(message, { maxHeaderBytes: this.maxHeaderBytes });
+        connection.limitQuietTime(this.server.keepAliveTimeout);
+        const { maxHeaderBytes, maxBodyBytes } = this;
+        const { maxRequests = Infinity } = this.opts;
+        const requestCount = this.exchanges.size;
+        const refusal = selectHeadRefusal(message, { maxHeaderBytes, maxBodyBytes, maxRequests, requestCount });
+        if (refusal?.limit !== undefined) {
+            this.connections.report(refusal.limit, connection, { requestId: selectRequestId(message) });
+        }
+        const statusCode = opts.rejectionStatusCode ?? refusal?.statusCode;
         if (statusCode !== undefined) {
-            reject({ statusCode });
+            reject({ ...refusal, statusCode });
             return;
         }
-        collectBody(message, collector);
+        receiveBody(message, {
+            response,
+            connection,
+            body: collector,
+            memory: this.memory,
+            pacer: this.pacer,
+            nowMs: this.opts.nowMs,
+            maxBodyBytes,
+            idleTimeoutMs: this.server.keepAliveTimeout,
+            onFailed: failure => this.failInput(message.socket, failure),
+        });
         message.on("end", () => {
             connection.onRequestRead(requestKey);
             this.completeRequest(requestKey);
@@ -260,44 +281,26 @@
         }
         const { connection, message, collector } = exchange;
         const hasBody = collector.byteCount > 0 || message.headers["content-length"] !== undefined;
+        const body = collector.complete();
         const request: OpenRequest = {
             requestKey,
             requestId: selectRequestId(message),
             message,
-            body: hasBody ? collector.complete() : undefined,
+            body: hasBody ? body : undefined,
+            retainBody: () => collector.retain(),
             hasFollowers: () => connection.hasFollowers(requestKey),
         };
         this.exchanges.set(requestKey, { ...exchange, request });
         connection.dispatch({ type: "request-read", requestKey });
     }
 
-    private connection(socket: Socket): CallerConnection {
-        let connection = this.connections.get(socket);
-        if (connection === undefined) {
-            const opened = new CallerConnection({
-                socket,
-                nowMs: this.opts.nowMs,
-                isStopping: this.opts.isStopping,
-                execute: effect => {
-                    this.run(effect, opened);
-                },
-            });
-            connection = opened;
-            this.connections.set(socket, connection);
-            socket.once("close", () => {
-                this.connections.delete(socket);
-            });
-        }
-        return connection;
-    }
-
     /** Reads nothing more from a connection. All accepted requests are answered before the failure is. */
     private failInput(socket: Socket, failure: InputFailure): void {
-        const connection = this.connection(socket);
+        const connection = this.connections.get(socket);
         const newest = this.exchanges.get(connection.newestRequestKey ?? "");
         const partial = newest?.message.complete === false ? newest : undefined;
         const isExpected = connection.isClosing && partial === undefined;
-        discardInput(socket);
+        discardInput(socket, { onDiscarded: bytes => this.memory.noteDiscarded(bytes) });
         if (isExpected) {
             return;
         }
@@ -311,6 +314,9 @@
         });
         const { statusCode } = failure;
         connection.dispatch({ type: "input-failed", requestKey: partial?.requestKey, statusCode });
+        if (connection.expectedInput === "reading") {
+            connection.limitQuietTime(this.server.keepAliveTimeout);
+        }
     }
 
     /** Executes an effect. One that fails still ends in a response, as the requests behind it wait for it. */
@@ -329,7 +335,7 @@
         catch (error) {
             this.opts.onFault(effect.type, error);
             if (effect.type === "write-response") {
-                this.writeBadGateway(exchange.response);
+                this.writer.writeBadGateway(exchange.response);
             }
             else {
                 this.answer(effect.requestKey, () => BAD_GATEWAY_REPLY);
@@ -372,28 +378,21 @@
     }
 
     private writeResponse(exchange: CallerExchange, opts: { readonly isLastResponse: boolean; }): void {
-        const { response, message, reply = BAD_GATEWAY_REPLY } = exchange;
-        if (response.destroyed || message.socket.destroyed) {
-            return;
-        }
-        if (opts.isLastResponse) {
-            response.shouldKeepAlive = false;
-        }
-        writeReply(response, reply);
+        this.writer.write(exchange, { ...opts, idleTimeoutMs: this.server.keepAliveTimeout });
     }
 
-    private writeBadGateway(response: ServerResponse): void {
-        try {
-            writeReply(response, BAD_GATEWAY_REPLY);
-        }
-        catch (error) {
-            this.opts.onFault("answer-request", error);
-            response.destroy();
+    // What was written may still be on its way to the operating system, so its buffers are not used again.
+    private yieldMemory({ connection }: CallerExchange): void {
+        for (const requestKey of connection.requestKeys) {
+            this.exchanges.get(requestKey)?.reply?.collector?.forfeit();
         }
+        connection.destroy();
     }
 
     private removeExchange(requestKey: string): void {
-        this.exchanges.get(requestKey)?.collector.release();
+        const exchange = this.exchanges.get(requestKey);
+        exchange?.collector.release();
+        exchange?.reply?.collector?.release();
         this.exchanges.delete(requestKey);
     }
 }
--- a/daemon/entry/src/effect-runner.ts
+++ b/daemon/entry/src/effect-runner.ts
@@ -135,7 +135,7 @@
                 return;
             }
             case "discard-response":
-                serverAttempts.takeResponse(effect.attemptId);
+                serverAttempts.discardResponse(effect.attemptId);
                 return;
             case "reject-request":
                 callerListener.reject(effect.requestKey, effect);
--- a/daemon/entry/src/entry-daemon.ts
+++ b/daemon/entry/src/entry-daemon.ts
@@ -6,6 +6,8 @@
 import { addGauges } from "./add-gauges.js";
 import { BackendPools } from "./backend-pools.js";
 import { CallerListener } from "./caller-listener.js";
+import type { CallerResources } from "./caller-resources.js";
+import { createCallerResources } from "./create-caller-resources.js";
 import { createEntryState } from "./create-entry-state.js";
 import { createIncarnation } from "./create-incarnation.js";
 import { EffectRunner } from "./effect-runner.js";
@@ -16,6 +18,7 @@
 import { fingerprintRequest } from "./fingerprint-request.js";
 import { FleetJoiner } from "./fleet-joiner.js";
 import { FleetSocket } from "./fleet-socket.js";
+import { flushLog } from "./flush-log.js";
 import { HealthChecks } from "./health-checks.js";
 import { JsonLogger } from "./json-logger.js";
 import type { LogOutput } from "./log-output.js";
@@ -58,6 +61,7 @@
     private readonly fleetSocket: FleetSocket;
     private readonly pools: BackendPools;
     private readonly healthChecks: HealthChecks;
+    private readonly callerResources: CallerResources;
     private readonly callerListener: CallerListener;
     private readonly readinessListener: ReadinessListener;
     private readonly serverAttempts: ServerAttempts;
@@ -148,16 +152,19 @@
                 this.metrics.connectionsOpened.inc();
             },
         });
+        this.callerResources = createCallerResources(settings, { refusedInputs, nowMs: clock.atMs });
         this.serverAttempts = new ServerAttempts({
             pools: this.pools,
             metrics: this.metrics,
             refusedInputs,
             clock,
+            ...this.callerResources,
             dispatch,
         });
         this.healthChecks = new HealthChecks({ pools: this.pools, metrics: this.metrics, refusedInputs, dispatch });
         this.callerListener = new CallerListener({
             nowMs: clock.atMs,
+            ...this.callerResources,
             isStopping: () => this.stopRequestedAtMs !== undefined,
             // A request that the reducer does not know any more has been answered.
             isIdempotent: requestKey => this.state.dispatch.requests.get(requestKey)?.route.isIdempotent ?? true,
@@ -180,6 +187,7 @@
             onInputRefused: ({ kind, ...failure }, fields) => {
                 refusedInputs.record(kind, { ...failure, ...fields });
             },
+            onLimited: refusedInputs.record.bind(refusedInputs),
             onFault: (step, error) => {
                 this.reportFault(step, error);
             },
@@ -243,6 +251,7 @@
                 state: () => this.state,
                 nowMs: this.clock.atMs,
                 connectionCount: () => this.pools.connectionCount,
+                callers: { listener: this.callerListener, memory: this.callerResources.memory },
             });
             this.openMetricsPort(`${settings.host}:${this.metricsPort}`);
         }
@@ -306,13 +315,7 @@
         clearTimeout(this.timer);
         this.isStopped = true;
         this.log.write("stopped", { unfinished: this.callerListener.unfinishedCount });
-        // The reader of the log may have stopped reading.
-        await Promise.race([
-            new Promise<void>(resolve => {
-                this.log.flush(resolve);
-            }),
-            sleep(ENTRY_TIMINGS.lastFlushTimeoutMs),
-        ]);
+        await flushLog(this.log);
     }
 
     private get isReady(): boolean {
@@ -347,7 +350,7 @@
                 this.callerListener.reject(event.requestKey, UNHANDLED_REJECTION);
             }
             else if (event.type === "attempt-answered") {
-                this.serverAttempts.takeResponse(event.attemptId);
+                this.serverAttempts.discardResponse(event.attemptId);
                 const { attemptId } = event;
                 this.applyEvent({ type: "attempt-failed", attemptId, failure: "lost", reason: "response-not-handled" });
             }
--- a/daemon/entry/src/fingerprint-request.ts
+++ b/daemon/entry/src/fingerprint-request.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import type { BodyBytes } from "./body-bytes.js";
 
 const HASHED_BODY_END_BYTES = 64 * 1_024;
 const FINGERPRINT_LENGTH = 16;
@@ -9,7 +10,7 @@
  * large body, only both ends and the length count. The hash is cryptographic, so that no caller can make a request
  * that is taken for another one.
  */
-export const fingerprintRequest = (message: IncomingMessage, body: Buffer | undefined): string => {
+export const fingerprintRequest = (message: IncomingMessage, body: BodyBytes | undefined): string => {
     const hash = createHash("sha256");
     const { method = "", url = "", headers } = message;
     hash.update(JSON.stringify([method, headers.host ?? "", url, headers.authorization ?? "", body?.length ?? -1]));
--- a/daemon/entry/src/input-failure.ts
+++ b/daemon/entry/src/input-failure.ts
@@ -6,6 +6,7 @@
         | "caller-input-head-too-large"
         | "caller-input-head-timeout"
         | "caller-input-body-timeout"
+        | "caller-input-body-too-slow"
         | "caller-input-method-unsupported";
     readonly statusCode: number;
     readonly problem: string;
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -1,4 +1,3 @@
-import { type BodyBudget, BodyCollector, collectBody } from "@marigoldstall/core.http-body";
 import type { LoadReport, ServerDirectives } from "@marigoldstall/core.types";
 import {
     type BackendConnection,
@@ -15,9 +14,15 @@
 } from "@marigoldstall/platform.adapter";
 import type { DispatchEffect } from "@marigoldstall/routing.dispatch";
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+import type { BlockPool } from "./block-pool.js";
 import type { BufferedResponse } from "./buffered-response.js";
+import type { CallerMemory } from "./caller-memory.js";
+import { collectPacedBody } from "./collect-paced-body.js";
 import { ENTRY_TIMINGS } from "./entry-timings.js";
+import { listSegments } from "./list-segments.js";
 import type { OpenRequest } from "./open-request.js";
+import type { PiecePacer } from "./piece-pacer.js";
+import { PooledBody } from "./pooled-body.js";
 
 type StartAttempt = Extract<DispatchEffect, { readonly type: "start-attempt"; }>;
 
@@ -31,8 +36,9 @@
     readonly request: OpenRequest;
     readonly pool: BackendPool;
     readonly clock: Clock;
-    /** Limit on the bodies of all responses that are being received. */
-    readonly bodyBudget: BodyBudget;
+    readonly memory: CallerMemory;
+    readonly pacer: PiecePacer;
+    readonly blockPool: BlockPool;
     /** Called for each response head, also of a response that fails the attempt. */
     readonly onHead?: (head: ServerResponseHead) => void;
     readonly onResponse: (result: {
@@ -53,13 +59,17 @@
     private connection: BackendConnection | undefined;
     private cancelAcquire = (): void => undefined;
     private response: IncomingMessage | undefined;
-    private body: BodyCollector | undefined;
+    private body: PooledBody | undefined;
     /** What the server asked of its callers in the response to this request. */
     private directives: ServerDirectives | undefined;
     private isSettled = false;
+    private outgoing: ClientRequest | undefined;
+    /** Called once nothing can write the body of the request any more. */
+    private readonly releaseRequestBody: () => void;
 
     constructor(opts: ServerAttemptOptions) {
         this.opts = opts;
+        this.releaseRequestBody = opts.request.retainBody?.() ?? (() => undefined);
     }
 
     start(): void {
@@ -85,7 +95,14 @@
             this.isSettled = true;
             this.cancelAcquire();
             this.connection?.destroy();
-            this.body?.release();
+            this.onSettled();
+        }
+    }
+
+    private onSettled(): void {
+        this.body?.release();
+        if (this.outgoing === undefined) {
+            this.releaseRequestBody();
         }
     }
 
@@ -119,6 +136,9 @@
             return;
         }
 
+        this.outgoing = outgoing;
+        // The connection may go on writing the body after the attempt was settled.
+        outgoing.on("close", this.releaseRequestBody);
         outgoing.on("response", response => {
             this.handleResponse(response);
         });
@@ -134,7 +154,11 @@
         outgoing.on("error", error => {
             this.failAsLost(`connection: ${error.message}`, { isConnectionBroken: true });
         });
-        outgoing.end(request.body);
+        const segments = request.body === undefined ? [] : listSegments(request.body);
+        segments.slice(0, -1).forEach(segment => {
+            outgoing.write(segment);
+        });
+        outgoing.end(segments.at(-1));
     }
 
     private createRequest(connection: BackendConnection, remainingMs: number): ClientRequest {
@@ -185,15 +209,23 @@
         if (head.notRun) {
             this.connection?.addRefusal(requestId);
         }
-        const collector = new BodyCollector({
+        const { memory, pacer, blockPool, clock } = this.opts;
+        const collector = new PooledBody({
             maxBytes: MAX_RESPONSE_BYTES,
-            budget: this.opts.bodyBudget,
+            reservations: memory.responses,
+            pool: blockPool,
             onExceeded: limit => {
                 this.failAsLost(limit === "body-size" ? "response-too-large" : "responses-too-large");
             },
         });
         this.body = collector;
-        collectBody(response, collector);
+        collectPacedBody(response, collector, {
+            pacer,
+            nowMs: clock.atMs,
+            onPiece: bytes => {
+                memory.noteReceived(collector, bytes);
+            },
+        });
         response.on("error", error => {
             this.failAsLost(`response: ${error.message}`, { isConnectionBroken: true });
         });
@@ -209,9 +241,15 @@
             this.isSettled = true;
             const { rawHeaders, headers } = response;
             const body = collector.complete();
-            collector.release();
             const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-            const bufferedResponse = { statusCode, rawHeaders, connectionHeader: headers.connection, body, isFramed };
+            const bufferedResponse = {
+                statusCode,
+                rawHeaders,
+                connectionHeader: headers.connection,
+                body,
+                collector,
+                isFramed,
+            };
             // Node.js frees the connection in a callback that it queued before this one.
             process.nextTick(() => {
                 this.opts.onResponse({
@@ -236,7 +274,7 @@
     ): void {
         if (!this.isSettled) {
             this.isSettled = true;
-            this.body?.release();
+            this.onSettled();
             const { isConnectionBroken = false } = opts;
             this.opts.onFailed(failure, reason, { directives: this.directives, isConnectionBroken });
         }
--- a/daemon/entry/src/server-attempts.ts
+++ b/daemon/entry/src/server-attempts.ts
@@ -1,30 +1,31 @@
-import { BodyBudget } from "@marigoldstall/core.http-body";
 import type { Clock } from "@marigoldstall/daemon.connections";
 import type { BackendPools } from "./backend-pools.js";
+import type { BlockPool } from "./block-pool.js";
 import type { BufferedResponse } from "./buffered-response.js";
+import type { CallerMemory } from "./caller-memory.js";
 import type { EntryEffect } from "./entry-effect.js";
 import type { EntryEvent } from "./entry-event.js";
 import type { EntryMetrics } from "./entry-metrics.js";
 import type { OpenRequest } from "./open-request.js";
+import type { PiecePacer } from "./piece-pacer.js";
 import type { RefusedInputs } from "./refused-inputs.js";
 import { reportMalformedHeaders } from "./report-malformed-headers.js";
 import { ServerAttempt } from "./server-attempt.js";
 
-// The smallest VMs have 250 MB, of which the process needs about 60 MB without any request.
-const MAX_RESPONSES_BYTES = 64 * 1_024 * 1_024;
-
 interface ServerAttemptsOptions {
     readonly pools: BackendPools;
     readonly metrics: EntryMetrics;
     readonly refusedInputs: RefusedInputs;
     readonly clock: Clock;
+    readonly memory: CallerMemory;
+    readonly pacer: PiecePacer;
+    readonly blockPool: BlockPool;
     readonly dispatch: (event: EntryEvent) => void;
 }
 
 /** The attempts in progress, and the responses that the reducer has not decided about yet. */
 export class ServerAttempts {
     private readonly opts: ServerAttemptsOptions;
-    private readonly bodyBudget = new BodyBudget({ maxBytes: MAX_RESPONSES_BYTES });
     private readonly attempts = new Map<string, ServerAttempt>();
     private readonly responses = new Map<string, BufferedResponse>();
 
@@ -37,7 +38,7 @@
         request: OpenRequest | undefined,
     ): void {
         const { attemptId, instanceId, address } = effect;
-        const { pools, metrics, refusedInputs, clock, dispatch } = this.opts;
+        const { pools, metrics, refusedInputs, clock, memory, pacer, blockPool, dispatch } = this.opts;
         if (request === undefined) {
             return;
         }
@@ -46,7 +47,9 @@
             request,
             pool: pools.get(instanceId, address),
             clock,
-            bodyBudget: this.bodyBudget,
+            memory,
+            pacer,
+            blockPool,
             onHead: head => {
                 reportMalformedHeaders(head, { instanceId, refusedInputs, metrics });
             },
@@ -81,7 +84,12 @@
         this.attempts.delete(attemptId);
     }
 
-    /** Removes and returns the response of an attempt. */
+    /** Removes the response of an attempt that is not relayed. */
+    discardResponse(attemptId: string): void {
+        this.takeResponse(attemptId)?.collector?.release();
+    }
+
+    /** Removes and returns the response of an attempt. Whoever takes it releases its memory. */
     takeResponse(attemptId: string): BufferedResponse | undefined {
         const response = this.responses.get(attemptId);
         this.responses.delete(attemptId);
--- a/daemon/entry/src/watch-caller-input.ts
+++ b/daemon/entry/src/watch-caller-input.ts
@@ -5,8 +5,10 @@
 
 interface WatchCallerInputOptions {
     /** What the connection is waiting for, as far as its caller is concerned. */
-    readonly expects: (socket: Socket) => "request" | "head" | "body";
+    readonly expects: (socket: Socket) => "request" | "head" | "body" | "reading" | "nothing";
     readonly onIdle: (socket: Socket) => void;
+    /** The caller reads nothing of its response. */
+    readonly onUnread: (socket: Socket) => void;
     readonly onFailed: (socket: Socket, failure: InputFailure) => void;
 }
 
@@ -67,6 +69,13 @@
             opts.onIdle(socket);
             return;
         }
+        if (expected === "nothing") {
+            return;
+        }
+        if (expected === "reading") {
+            opts.onUnread(socket);
+            return;
+        }
         opts.onFailed(socket, {
             kind: `caller-input-${expected}-timeout`,
             statusCode: STATUS_REQUEST_TIMEOUT,
--- a/daemon/entry/test/server-attempt.test.ts
+++ b/daemon/entry/test/server-attempt.test.ts
@@ -1,8 +1,10 @@
-import { BodyBudget } from "@marigoldstall/core.http-body";
 import { BackendPool, createClock } from "@marigoldstall/daemon.connections";
 import { expect } from "chai";
 import type { IncomingMessage } from "node:http";
 import { createServer, type Server, type Socket } from "node:net";
+import { BlockPool } from "../src/block-pool.js";
+import { CallerMemory } from "../src/caller-memory.js";
+import { PiecePacer } from "../src/piece-pacer.js";
 import { ServerAttempt } from "../src/server-attempt.js";
 import { measureHeapGrowth } from "./support/measure-heap-growth.js";
 
@@ -24,12 +26,12 @@
     let onRequest: (socket: Socket, count: number) => void;
     let connections: number;
     let pool: BackendPool;
-    let bodyBudget: BodyBudget;
+    let memory: CallerMemory;
     const clock = createClock({ seed: 1 });
 
     beforeEach(async () => {
         connections = 0;
-        bodyBudget = new BodyBudget({ maxBytes: 64 * 1_024 * 1_024 });
+        memory = new CallerMemory({ maxBytes: 64 * 1_024 * 1_024, nowMs: clock.atMs });
         server = createServer(socket => {
             connections += 1;
             let count = 0;
@@ -78,9 +80,13 @@
                 },
                 pool,
                 clock,
-                bodyBudget,
+                memory,
+                pacer: new PiecePacer(),
+                blockPool: new BlockPool(),
                 onResponse: ({ bufferedResponse, notRun }) => {
-                    resolve({ result: notRun ? "not-run" : "answered", body: bufferedResponse.body.toString() });
+                    const body = bufferedResponse.body.toString();
+                    bufferedResponse.collector?.release();
+                    resolve({ result: notRun ? "not-run" : "answered", body });
                 },
                 onFailed: (failure, reason) => {
                     resolve({ result: `${failure}: ${reason}` });
@@ -180,17 +186,17 @@
         });
         expect(result.result).to.match(/^lost: /);
         expect(growthBytes).to.be.below(MAX_HEAP_GROWTH_BYTES);
-        expect(bodyBudget.usedBytes).to.equal(0);
+        expect(memory.usedBytes).to.equal(0);
     });
 
     // Each of many bodies without end stayed within its own limit, and together they took the memory of the VM.
     it("drops the largest response when all responses together exceed their limit", async () => {
-        bodyBudget = new BodyBudget({ maxBytes: 1_024 * 1_024 });
+        memory = new CallerMemory({ maxBytes: 1_024 * 1_024, nowMs: clock.atMs });
         onRequest = socket => {
             socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 8000000\r\n\r\n${"a".repeat(600_000)}`);
         };
         const incomplete = run();
-        while (bodyBudget.usedBytes < 600_000) {
+        while (memory.usedBytes < 600_000) {
             await new Promise(resolve => {
                 setTimeout(resolve, 5);
             });
@@ -200,7 +206,7 @@
         };
         expect((await run()).result).to.equal("answered");
         expect((await incomplete).result).to.equal("lost: responses-too-large");
-        expect(bodyBudget.usedBytes).to.equal(0);
+        expect(memory.usedBytes).to.equal(0);
     });
 
     it("rejects a response shorter than its Content-Length", async () => {
--- a/daemon/entry/test/untrusted-callers.test.ts
+++ b/daemon/entry/test/untrusted-callers.test.ts
@@ -9,6 +9,7 @@
 import { ManagedProcess } from "@marigoldstall-private/sites";
 import { expect } from "chai";
 import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { request as httpRequest } from "node:http";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -45,6 +46,9 @@
 const MAX_ORDINARY_TRIES = 8;
 const TEST_TIMEOUT_MS = 120_000;
 
+// The smallest VM, the heap of the deploy file, and the largest body that a deployment accepts.
+const SMALLEST_VM = { memoryMb: 202, maxHeapMb: 160, maxBodyBytes: 64 * MEGABYTE };
+
 const LARGE_PIECE = Buffer.alloc(MEGABYTE, "a");
 const LARGE_CHUNK = Buffer.concat([Buffer.from("100000\r\n"), LARGE_PIECE, Buffer.from("\r\n")]);
 const SMALL_CHUNKS = Buffer.from("1\r\na\r\n".repeat(10 * KILOBYTE));
@@ -129,6 +133,12 @@
     },
 ];
 
+interface MachineLimits {
+    readonly memoryMb?: number;
+    readonly maxHeapMb?: number;
+    readonly maxBodyBytes?: number;
+}
+
 let hostCount = 0;
 
 const nextHost = (): string => {
@@ -152,12 +162,14 @@
     const readPeakMemoryMb = (): number =>
         Number(/VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${daemon.pid}/status`, "utf8"))?.[1]) / KILOBYTE;
 
-    beforeEach(async () => {
+    const start = async (
+        { memoryMb = MEMORY_MB, maxHeapMb = MAX_HEAP_MB, maxBodyBytes = MAX_BODY_BYTES }: MachineLimits = {},
+    ): Promise<void> => {
         directory = mkdtempSync(join(tmpdir(), "marigoldstall-crowd-"));
         host = nextHost();
         store = new StoreStandIn();
         const storeAddress = await store.listen(host);
-        store.publish({ version: 1, host: PUBLIC_HOST, service: SERVICE, maxBodyBytes: MAX_BODY_BYTES });
+        store.publish({ version: 1, host: PUBLIC_HOST, service: SERVICE, maxBodyBytes });
         servers = [...Array(SERVER_COUNT).keys()].map(index =>
             new PlatformServer({ instanceId: `i-${index}`, workMs: () => 0, onRun: () => undefined })
         );
@@ -182,12 +194,12 @@
             storeAddress,
             seedAddresses: [],
         }) as { readonly limits: Readonly<Record<string, unknown>>; };
-        const limits = { ...settings.limits, memoryMb: MEMORY_MB, maxFds: MAX_DESCRIPTORS };
+        const limits = { ...settings.limits, memoryMb, maxFds: MAX_DESCRIPTORS };
         const file = join(directory, "settings.json");
         writeFileSync(file, JSON.stringify({ ...settings, limits }));
         daemon = new ManagedProcess({
             name: "vm-0",
-            command: [process.execPath, `--max-old-space-size=${MAX_HEAP_MB}`, PROGRAM],
+            command: [process.execPath, `--max-old-space-size=${maxHeapMb}`, PROGRAM],
             logFile: join(directory, "vm-0.log"),
             environment: { [SETTINGS_VARIABLE]: file },
         });
@@ -202,7 +214,7 @@
             expect(daemon.running, readLog()).to.equal(true);
             await sleep(POLL_INTERVAL_MS);
         }
-    });
+    };
 
     afterEach(async () => {
         clearInterval(watcher);
@@ -233,6 +245,7 @@
 
     for (const { name, plans } of ROWS) {
         it(`outlives ${name}, stays within the machine's limits and answers an ordinary request`, async () => {
+            await start();
             callers = plans.map(plan => new UntrustedCaller({ ...plan, host, port: PORTS.caller }));
             await Promise.race([Promise.all(callers.map(caller => caller.run())), sleep(MAX_SEND_MS)]);
             await sleep(HOLD_MS);
@@ -248,4 +261,37 @@
             expect(maxDescriptorCount, "open descriptors").to.be.at.most(MAX_DESCRIPTORS);
         }).timeout(TEST_TIMEOUT_MS);
     }
+
+    for (const framing of ["Content-Length", "chunked"] as const) {
+        // Guards against limits for many callers that refuse a single one.
+        it(`serves one body of the largest size on the smallest VM in calm, ${framing}`, async () => {
+            await start(SMALLEST_VM);
+            const body = Buffer.alloc(SMALLEST_VM.maxBodyBytes, "a");
+            let status: number | undefined;
+            for (let count = 0; count < MAX_ORDINARY_TRIES && status !== STATUS_OK && daemon.running; count += 1) {
+                status = await new Promise<number | undefined>((done, fail) => {
+                    const request = httpRequest({
+                        host,
+                        port: PORTS.caller,
+                        method: "POST",
+                        path: "/write/",
+                        headers: {
+                            "Host": PUBLIC_HOST,
+                            "X-Request-Id": `large-${count}`,
+                            ...framing === "chunked"
+                                ? { "Transfer-Encoding": "chunked" }
+                                : { "Content-Length": body.length },
+                        },
+                    }, response => {
+                        response.resume();
+                        done(response.statusCode);
+                    });
+                    request.on("error", fail);
+                    request.end(body);
+                });
+            }
+            expect(status).to.equal(STATUS_OK);
+            expect(readPeakMemoryMb(), "peak memory, MB").to.be.at.most(SMALLEST_VM.memoryMb);
+        }).timeout(TEST_TIMEOUT_MS);
+    }
 });
