fix(entry): release a body whose caller was too slow

The time limit for a whole body fired 1 ms after the idle timeout for a small body that never ended, and the refusal was logged twice (caller-input.test.ts, "a body that never ends"). The partial body is released with the first refusal, which also returns its memory at once.

--- a/daemon/entry/src/caller-listener.ts
+++ b/daemon/entry/src/caller-listener.ts
@@ -301,6 +301,7 @@
         const partial = newest?.message.complete === false ? newest : undefined;
         const isExpected = connection.isClosing && partial === undefined;
         discardInput(socket, { onDiscarded: bytes => this.memory.noteDiscarded(bytes) });
+        partial?.collector.release();
         if (isExpected) {
             return;
         }
