--- a/routing/quotas/src/add-to-window.ts
+++ b/routing/quotas/src/add-to-window.ts
@@ -20,8 +20,8 @@
     opts: { readonly atMs: number; readonly windowMs: number; readonly count: number; },
 ): WindowCount => {
     const { atMs, windowMs, count } = opts;
-    const { sliceMs, historyWindows } = QUOTA_LIMITS;
-    const firstSlice = Math.floor((atMs - windowMs * historyWindows) / sliceMs);
+    const { sliceMs } = QUOTA_LIMITS;
+    const firstSlice = Math.floor((atMs - windowMs) / sliceMs);
     const isOutdated = (window[0]?.slice ?? firstSlice) < firstSlice;
     const current = isOutdated ? window.filter(({ slice }) => slice >= firstSlice) : window;
     if (count <= 0) {
--- a/routing/quotas/src/is-metered.ts
+++ b/routing/quotas/src/is-metered.ts
@@ -1,14 +1,9 @@
 import { QUOTA_LIMITS } from "./quota-limits.js";
 import type { QuotaState } from "./quota-state.js";
 import { selectQuotaLimit } from "./select-quota-limit.js";
-import { selectTokens } from "./select-tokens.js";
 import { selectUsage } from "./select-usage.js";
 
 /** Whether this hub grants the requests of a tenant one by one. */
-export const isMetered = (state: QuotaState, tenantName: string, atMs: number): boolean => {
-    const { openShare, meteredShare, meteredBurstShare } = QUOTA_LIMITS;
-    const burst = Math.max(1, state.quotas.get(tenantName)?.burstRequests ?? 0) * state.share;
-    return state.share < openShare
-        || selectUsage(state, tenantName, atMs) >= meteredShare * selectQuotaLimit(state, tenantName)
-        || selectTokens(state, tenantName, atMs) <= meteredBurstShare * burst;
-};
+export const isMetered = (state: QuotaState, tenantName: string, atMs: number): boolean =>
+    state.share < QUOTA_LIMITS.openShare
+    || selectUsage(state, tenantName, atMs) >= QUOTA_LIMITS.meteredShare * selectQuotaLimit(state, tenantName);
--- a/routing/quotas/src/quota-limits.ts
+++ b/routing/quotas/src/quota-limits.ts
@@ -2,14 +2,13 @@
 export const QUOTA_LIMITS = {
     // Requests are counted in slices of this length.
     sliceMs: 100,
-    // Use of the quota of a window, and use of the burst, above which each request is granted by a hub. The rest is what a
-    // tenant with five times its rate can use until all VMs know: the news takes up to 300 ms through two hubs and their
-    // heartbeats.
+    // Use of a quota above which each request is granted by a hub. The rest is what a tenant with five times its rate can
+    // use until all VMs know: the news takes up to 300 ms through two hubs and their heartbeats.
     meteredShare: 0.7,
-    meteredBurstShare: 0.5,
-    // Windows for which counts are kept. A burst counts as unused before that, so a tenant that always asks for more gets
-    // its rate and one burst in this time.
-    historyWindows: 3,
+    // Share of what may run beyond a quota that is used. Counts are coarse: a slice counts as a whole while any part of it
+    // is in the window, and without a margin small tenants are refused below their quota. The rest covers reports that are
+    // on their way.
+    toleranceShare: 0.25,
     // A member whose hub was not heard for this time asks for each request. It covers the takeover by another hub.
     meteringValidForMs: 450,
     // A query without an answer is repeated once after this time, then the request is rejected.
--- a/routing/quotas/src/select-quota-limit.ts
+++ b/routing/quotas/src/select-quota-limit.ts
@@ -1,3 +1,4 @@
+import { QUOTA_LIMITS } from "./quota-limits.js";
 import type { QuotaState } from "./quota-state.js";
 
 const MS_PER_SECOND = 1_000;
@@ -8,8 +9,9 @@
     if (state.bounds === undefined || quota === undefined) {
         return Infinity;
     }
-    const { requestsPerSecond, burstRequests } = quota;
-    const limit = requestsPerSecond * state.bounds.windowMs / MS_PER_SECOND + burstRequests;
+    const { windowMs, overShare, slackRequests } = state.bounds;
+    const covered = quota.requestsPerSecond * windowMs / MS_PER_SECOND + quota.burstRequests;
+    const tolerance = (covered * overShare + slackRequests) * QUOTA_LIMITS.toleranceShare;
     // A quota below one request in a window still allows one.
-    return Math.max(1, limit) * state.share;
+    return Math.max(1, covered + tolerance) * state.share;
 };
