fix(quotas): spread a quota over its window, and count releases and outages safely

Not fixed: after a pause of the process, datagrams count as fresh after 50 ms, however long the backlog is (found by reading, not reproduced).

--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -122,6 +122,7 @@
     });
     if (draft.state.hub.isHub !== draft.state.quotas.isHub) {
         draft.applyQuotaEvent({ type: "hub-role-changed", atMs, isHub: draft.state.hub.isHub });
+        updateMetering(draft);
     }
 };
 
--- a/routing/dispatch/src/authorize-request.ts
+++ b/routing/dispatch/src/authorize-request.ts
@@ -23,12 +23,14 @@
 ): Authorization => {
     const { tenantsByKey } = configuration;
     const { apiKey, configurationAgeMs, keyLeaseMs = Infinity } = opts;
-    const tenant = apiKey === undefined ? undefined : tenantsByKey?.get(apiKey);
-    if (tenantsByKey === undefined || route.isPublic === true) {
-        return { tenant, rejectReason: undefined };
+    if (tenantsByKey === undefined) {
+        return { tenant: undefined, rejectReason: undefined };
     }
-    if (configurationAgeMs > keyLeaseMs) {
-        return { tenant: undefined, rejectReason: REJECT_REASONS.configurationUnconfirmed };
+    const isConfirmed = configurationAgeMs <= keyLeaseMs;
+    const tenant = isConfirmed && apiKey !== undefined ? tenantsByKey.get(apiKey) : undefined;
+    if (tenant !== undefined || route.isPublic === true) {
+        return { tenant, rejectReason: undefined };
     }
-    return { tenant, rejectReason: tenant === undefined ? REJECT_REASONS.unknownApiKey : undefined };
+    const { unknownApiKey, configurationUnconfirmed } = REJECT_REASONS;
+    return { tenant, rejectReason: isConfirmed ? unknownApiKey : configurationUnconfirmed };
 };
--- a/routing/dispatch/src/dispatch-effect.ts
+++ b/routing/dispatch/src/dispatch-effect.ts
@@ -40,6 +40,7 @@
         /** A request that was within the quota of its tenant has certainly not run. */
         readonly type: "release-admission";
         readonly tenantName: string;
+        readonly admittedAtMs: number;
     }
     | { readonly type: "cancel-attempt"; readonly attemptId: string; }
     | { readonly type: "relay-response"; readonly requestKey: string; readonly attemptId: string; }
--- a/routing/dispatch/src/on-admission-decided.ts
+++ b/routing/dispatch/src/on-admission-decided.ts
@@ -16,7 +16,7 @@
     if (request === undefined || request.usesQuota !== undefined) {
         // Its caller has left meanwhile.
         if (verdict === "admitted") {
-            draft.emit({ type: "release-admission", tenantName });
+            draft.emit({ type: "release-admission", tenantName, admittedAtMs: draft.atMs });
         }
         return;
     }
--- a/routing/dispatch/src/reject-request.ts
+++ b/routing/dispatch/src/reject-request.ts
@@ -50,7 +50,11 @@
     const spreadMs = minMs + draft.nextRandom() * jitterMs;
     const retryAfterMs = mayHaveRun ? undefined : Math.min(DISPATCH_LIMITS.maxRetryAfterMs, spreadMs);
     if (request.usesQuota === true && request.tenant !== undefined && !mayHaveRun) {
-        draft.emit({ type: "release-admission", tenantName: request.tenant.name });
+        draft.emit({
+            type: "release-admission",
+            tenantName: request.tenant.name,
+            admittedAtMs: request.arrivedAtMs,
+        });
     }
     if (!request.callerLeft) {
         draft.emit({
--- a/routing/quotas/src/add-to-tenant.ts
+++ b/routing/quotas/src/add-to-tenant.ts
@@ -17,7 +17,7 @@
     const { total, window } = tenants.get(tenantName) ?? { total: 0, window: [] };
     return new Map(tenants).set(tenantName, {
         total: total + opts.count,
-        window: opts.isSpread === true ? spreadOverWindow(window, opts) : addToWindow(window, opts),
+        window: opts.isSpread === true && opts.count > 0 ? spreadOverWindow(window, opts) : addToWindow(window, opts),
         changedAtMs: opts.atMs,
     });
 };
--- a/routing/quotas/src/add-to-window.ts
+++ b/routing/quotas/src/add-to-window.ts
@@ -1,17 +1,14 @@
 import { QUOTA_LIMITS } from "./quota-limits.js";
 import type { WindowCount } from "./window-count.js";
 
-// Takes requests back, the newest first.
+// Takes requests back, the oldest first: which ones they were is not known, and later ones count for longer.
 const subtract = (window: WindowCount, count: number): WindowCount => {
-    const remaining = [...window];
     let left = count;
-    for (let last = remaining.pop(); last !== undefined; last = remaining.pop()) {
-        if (last.count > left) {
-            return [...remaining, { ...last, count: last.count - left }];
-        }
-        left -= last.count;
-    }
-    return remaining;
+    return window.flatMap(({ slice, count: known }) => {
+        const taken = Math.min(known, left);
+        left -= taken;
+        return known > taken ? [{ slice, count: known - taken }] : [];
+    });
 };
 
 /** Adds requests to the current slice, or takes some back if the count is negative, and drops slices that are too old. */
--- a/routing/quotas/src/answer-query.ts
+++ b/routing/quotas/src/answer-query.ts
@@ -12,9 +12,13 @@
 const countGrant = (state: QuotaState, event: QuotaQueried): QuotaState => {
     const { atMs, reporterId, tenantName } = event;
     const member = state.members.get(reporterId) ?? { sequence: 0, heardAtMs: atMs, tenants: new Map() };
-    const known = member.tenants.get(tenantName) ?? { total: undefined, granted: 0 };
-    const tenants = new Map(member.tenants).set(tenantName, { ...known, granted: known.granted + 1 });
-    const members = new Map(state.members).set(reporterId, { ...member, heardAtMs: atMs, tenants });
+    const known = member.tenants.get(tenantName) ?? { total: undefined, granted: 0, grantedAtMs: atMs };
+    const tenants = new Map(member.tenants).set(tenantName, {
+        ...known,
+        granted: known.granted + 1,
+        grantedAtMs: atMs,
+    });
+    const members = new Map(state.members).set(reporterId, { ...member, tenants });
     return countInZone({ ...state, members }, { atMs, tenantName, count: 1 });
 };
 
--- a/routing/quotas/src/change-role.ts
+++ b/routing/quotas/src/change-role.ts
@@ -10,6 +10,8 @@
     const zones = new Map(state.zones).set(availabilityZone, {
         reporterId,
         sequence: 0,
+        reporterSinceMs: 0,
+        heardAtMs: 0,
         reportedTotals: new Map(),
         tenants: own,
     });
--- a/routing/quotas/src/grant-request.ts
+++ b/routing/quotas/src/grant-request.ts
@@ -2,6 +2,7 @@
 import { QUOTA_LIMITS } from "./quota-limits.js";
 import type { QuotaState } from "./quota-state.js";
 import { selectQuotaLimit } from "./select-quota-limit.js";
+import { selectTokens } from "./select-tokens.js";
 import { selectUsage } from "./select-usage.js";
 
 interface Grant {
@@ -10,23 +11,6 @@
     readonly retryAfterMs: number;
 }
 
-// Time until the oldest requests of the window no longer count.
-const selectUntilRoomMs = (state: QuotaState, opts: {
-    readonly tenantName: string;
-    readonly atMs: number;
-    readonly windowMs: number;
-}): number => {
-    const { sliceMs } = QUOTA_LIMITS;
-    const firstSlice = Math.floor((opts.atMs - opts.windowMs) / sliceMs);
-    let oldestSlice = Infinity;
-    for (const { tenants } of state.zones.values()) {
-        for (const { slice } of tenants.get(opts.tenantName)?.window ?? []) {
-            oldestSlice = slice >= firstSlice ? Math.min(oldestSlice, slice) : oldestSlice;
-        }
-    }
-    return Number.isFinite(oldestSlice) ? (oldestSlice - firstSlice + 1) * sliceMs : 0;
-};
-
 /**
  * Decides as the hub whether a request is within the quota of its tenant. Callers beyond it are told to come back when
  * there is room again, one after the other at the rate of the quota.
@@ -46,12 +30,13 @@
         return { state, verdict: "unknown", retryAfterMs: unknownRetryAfterMs };
     }
     const limit = selectQuotaLimit(state, tenantName);
-    if (selectUsage(state, tenantName, atMs) + 1 <= limit) {
+    const tokens = selectTokens(state, tenantName, atMs);
+    if (tokens >= 1 && selectUsage(state, tenantName, atMs) + 1 <= limit) {
         return { state, verdict: "admitted", retryAfterMs: 0 };
     }
     const { windowMs } = bounds;
     const requestMs = windowMs / limit;
-    const roomAtMs = atMs + selectUntilRoomMs(state, { tenantName, atMs, windowMs });
+    const roomAtMs = atMs + Math.max(1, 1 - tokens) * requestMs;
     const earliestAtMs = Math.max(roomAtMs, state.returnsUntilMs.get(tenantName) ?? -Infinity);
     const returnAtMs = Math.min(earliestAtMs + requestMs, atMs + windowMs);
     return {
--- a/routing/quotas/src/known-reporter.ts
+++ b/routing/quotas/src/known-reporter.ts
@@ -10,4 +10,5 @@
     readonly total: number | undefined;
     /** Requests that this hub has granted since that report. The next report counts them too. */
     readonly granted: number;
+    readonly grantedAtMs: number;
 }
--- a/routing/quotas/src/quota-event.ts
+++ b/routing/quotas/src/quota-event.ts
@@ -32,6 +32,7 @@
             /** An admitted request has certainly not run. */
             readonly type: "admission-released";
             readonly tenantName: string;
+            readonly admittedAtMs: number;
         }
         | {
             /** A member asks this hub. */
--- a/routing/quotas/src/receive-member-usage.ts
+++ b/routing/quotas/src/receive-member-usage.ts
@@ -1,4 +1,5 @@
 import { countInZone } from "./count-in-zone.js";
+import { QUOTA_LIMITS } from "./quota-limits.js";
 import type { QuotaState } from "./quota-state.js";
 import type { UsageReport } from "./usage-report.js";
 
@@ -9,14 +10,18 @@
     if (sequence <= member.sequence) {
         return state;
     }
+    const wasSilent = atMs - member.heardAtMs > QUOTA_LIMITS.fullReportGapMs;
     const known = new Map(member.tenants);
     let next = state;
     for (const { name: tenantName, total, recent } of report.tenants) {
-        const { total: knownTotal, granted } = known.get(tenantName) ?? { total: undefined, granted: 0 };
-        const isFirst = knownTotal === undefined;
-        const added = isFirst ? recent : Math.min(total - knownTotal, recent);
-        next = countInZone(next, { atMs, tenantName, count: added - granted, isSpread: isFirst && added > granted });
-        known.set(tenantName, { total, granted: 0 });
+        const { total: knownTotal, granted, grantedAtMs } = known.get(tenantName)
+            ?? { total: undefined, granted: 0, grantedAtMs: -Infinity };
+        // A grant whose answer came too late for the member was never used, and stays counted in its window.
+        const pending = atMs - grantedAtMs <= QUOTA_LIMITS.grantPendingMs ? granted : 0;
+        const added = knownTotal === undefined ? recent : Math.min(total - knownTotal, recent);
+        const isSpread = knownTotal === undefined || wasSilent;
+        next = countInZone(next, { atMs, tenantName, count: added - pending, isSpread });
+        known.set(tenantName, { total, granted: 0, grantedAtMs });
     }
     const members = new Map(state.members).set(reporterId, { sequence, heardAtMs: atMs, tenants: known });
     return { ...next, members };
--- a/routing/quotas/src/receive-zone-usage.ts
+++ b/routing/quotas/src/receive-zone-usage.ts
@@ -1,6 +1,8 @@
 import { addToTenant } from "./add-to-tenant.js";
+import { QUOTA_LIMITS } from "./quota-limits.js";
 import type { QuotaState } from "./quota-state.js";
 import { sumWindow } from "./sum-window.js";
+import type { TenantCount } from "./tenant-count.js";
 import type { UsageReport } from "./usage-report.js";
 
 /** Adds what another zone has admitted since its hub's last report. */
@@ -19,14 +21,21 @@
     const { windowMs } = bounds;
     // The totals of another hub of the zone do not continue those of the former one.
     const reportedTotals = new Map(isSameReporter ? known.reportedTotals : []);
-    let tenants = known?.tenants ?? new Map();
+    const reporterSinceMs = isSameReporter ? known.reporterSinceMs : atMs;
+    // A new hub learns of its members' requests one by one, and the former one has reported them already.
+    const mayRepeat = atMs - reporterSinceMs < windowMs;
+    const wasSilent = isSameReporter && atMs - known.heardAtMs > QUOTA_LIMITS.fullReportGapMs;
+    let tenants: ReadonlyMap<string, TenantCount> = known?.tenants ?? new Map();
     for (const { name, total, recent } of reported) {
         const knownTotal = reportedTotals.get(name);
-        const counted = sumWindow(tenants.get(name)?.window ?? [], { atMs, windowMs });
-        const isFirst = knownTotal === undefined;
-        const added = isFirst ? Math.max(0, recent - counted) : Math.min(total - knownTotal, recent);
-        tenants = addToTenant(tenants, name, { atMs, windowMs, count: added, isSpread: isFirst });
+        const uncounted = Math.max(0, recent - sumWindow(tenants.get(name)?.window ?? [], { atMs, windowMs }));
+        const added = knownTotal === undefined
+            ? uncounted
+            : Math.min(total - knownTotal, mayRepeat ? uncounted : recent);
+        const isSpread = knownTotal === undefined || wasSilent;
+        tenants = addToTenant(tenants, name, { atMs, windowMs, count: added, isSpread });
         reportedTotals.set(name, total);
     }
-    return { ...state, zones: new Map(state.zones).set(zone, { reporterId, sequence, reportedTotals, tenants }) };
+    const usage = { reporterId, sequence, reporterSinceMs, heardAtMs: atMs, reportedTotals, tenants };
+    return { ...state, zones: new Map(state.zones).set(zone, usage) };
 };
--- a/routing/quotas/src/reduce-quotas.ts
+++ b/routing/quotas/src/reduce-quotas.ts
@@ -26,6 +26,17 @@
         : { state: receiveZoneUsage(state, { report, zone, atMs }), effects: [] };
 };
 
+// A request that was admitted more than a window ago does not count any more.
+const releaseAdmission = (
+    state: QuotaState,
+    event: Extract<QuotaEvent, { readonly type: "admission-released"; }>,
+): Transition<QuotaState, QuotaEffect> => {
+    const { atMs, tenantName, admittedAtMs } = event;
+    return state.bounds === undefined || atMs - admittedAtMs >= state.bounds.windowMs
+        ? { state, effects: [] }
+        : { state: countAdmission(state, { tenantName, atMs, count: -1 }), effects: [{ type: "usage-changed" }] };
+};
+
 /** Reducer of the quotas of tenants. */
 export const reduceQuotas = (state: QuotaState, event: QuotaEvent): Transition<QuotaState, QuotaEffect> => {
     const { atMs } = event;
@@ -41,10 +52,7 @@
         case "admission-requested":
             return requestAdmission(state, { ...event, queries: 0 });
         case "admission-released":
-            return {
-                state: countAdmission(state, { tenantName: event.tenantName, atMs, count: -1 }),
-                effects: [{ type: "usage-changed" }],
-            };
+            return releaseAdmission(state, event);
         case "quota-queried":
             return answerQuery(state, event);
         case "quota-answered":
--- a/routing/quotas/src/select-usage-report.ts
+++ b/routing/quotas/src/select-usage-report.ts
@@ -14,6 +14,7 @@
     const changedSinceMs = needsFullReport ? -Infinity : reportedAtMs - QUOTA_LIMITS.repeatReportMs;
     const tenants = [...counts]
         .filter(([, { changedAtMs }]) => changedAtMs >= changedSinceMs)
+        .sort(([, a], [, b]) => b.changedAtMs - a.changedAtMs)
         .map(([name, { total, window }]) => ({ name, total, recent: sumWindow(window, { atMs, windowMs }) }))
         .filter(({ recent }) => !needsFullReport || recent > 0)
         .slice(0, QUOTA_LIMITS.maxReportedTenants);
--- a/routing/quotas/src/update-metering.ts
+++ b/routing/quotas/src/update-metering.ts
@@ -39,6 +39,19 @@
     return members.length === state.members.size ? state : { ...state, members: new Map(members) };
 };
 
+// Tenants with a quota and any requests that are remembered. The others are not metered.
+const listActive = ({ zones, quotas }: QuotaState): readonly string[] => {
+    const active = new Set<string>();
+    for (const { tenants } of zones.values()) {
+        for (const [name, { window }] of tenants) {
+            if (window.length > 0 && quotas.has(name)) {
+                active.add(name);
+            }
+        }
+    }
+    return [...active];
+};
+
 /** Decides as the hub which tenants are metered, by the part of the fleet that it hears and by what they have used. */
 export const updateMetering = (
     state: QuotaState,
@@ -49,7 +62,7 @@
     const shared = { ...forgetReporters(state, atMs), share, minoritySinceMs };
     const metered = share < QUOTA_LIMITS.openShare
         ? "all" as const
-        : new Set([...state.quotas.keys()].filter(tenantName => isMetered(shared, tenantName, atMs)));
+        : new Set(listActive(shared).filter(tenantName => isMetered(shared, tenantName, atMs)));
     const next = { ...shared, metered };
     return { state: next, effects: logChanges(state, next, atMs) };
 };
--- a/routing/quotas/src/zone-usage.ts
+++ b/routing/quotas/src/zone-usage.ts
@@ -5,6 +5,9 @@
     /** Hub that reported them. */
     readonly reporterId: string;
     readonly sequence: number;
+    /** Since when that hub has reported, and when it last did. */
+    readonly reporterSinceMs: number;
+    readonly heardAtMs: number;
     /** Totals of the latest reports of that hub, by tenant. */
     readonly reportedTotals: ReadonlyMap<string, number>;
     readonly tenants: ReadonlyMap<string, TenantCount>;
