refactor(hubs): convert warm-ups between messages and state in one place

The conversion in each direction was written twice, for load updates and for the answers to load queries. The type of a warm-up moves to core.types, as the hub state declared the same fields and derived their type from itself.

--- a/core/types/src/index.ts
+++ b/core/types/src/index.ts
@@ -29,3 +29,4 @@
 export type { VmList } from "./vm-list.js";
 export type { VmState } from "./vm-state.js";
 export type { Vm } from "./vm.js";
+export type { WarmUp } from "./warm-up.js";
--- a/daemon/entry/src/reduce-entry.ts
+++ b/daemon/entry/src/reduce-entry.ts
@@ -1,5 +1,6 @@
 import type { LoadReport, Transition } from "@marigoldstall/core.types";
 import {
+    createWarmUpUpdate,
     type Findings,
     HUB_LIMITS,
     selectFleetSize,
@@ -9,17 +10,11 @@
     selectProbeAssignment,
     selectQuotaShare,
     selectReadDelayMs,
+    toWarmUp,
     type UpdatesMessage,
-    type WarmUpUpdate,
 } from "@marigoldstall/fleet.hubs";
 import { selectConfigurationAgeMs, selectViewSummary } from "@marigoldstall/fleet.view";
-import {
-    isColdLimited,
-    type ProbeDueAge,
-    selectAttempt,
-    selectLoads,
-    type WarmUp,
-} from "@marigoldstall/routing.dispatch";
+import { isColdLimited, type ProbeDueAge, selectAttempt, selectLoads } from "@marigoldstall/routing.dispatch";
 import { selectUsageReport } from "@marigoldstall/routing.quotas";
 import { countZoneServers } from "./count-zone-servers.js";
 import { EntryDraft } from "./entry-draft.js";
@@ -155,9 +150,6 @@
     }
 };
 
-const toWarmUp = (update: WarmUpUpdate | undefined, atMs: number): WarmUp | undefined =>
-    update && { coldUntilMs: atMs + update.remainingMs, statedAtMs: atMs - update.ageMs };
-
 const onUpdates = (draft: EntryDraft, message: UpdatesMessage): void => {
     const { atMs } = draft;
     draft.applyHubEvent({ type: "updates-received", atMs, message });
@@ -194,10 +186,7 @@
         ...server,
         ageMs: atMs - measuredAtMs,
         sentRequestAgesMs: othersSentAtMs.map(sentAtMs => atMs - sentAtMs),
-        warmUp: warmUp && {
-            remainingMs: Math.max(0, warmUp.coldUntilMs - atMs),
-            ageMs: atMs - warmUp.statedAtMs,
-        },
+        warmUp: warmUp && createWarmUpUpdate(warmUp, atMs),
     }));
     draft.emit({
         type: "send-message",
--- a/fleet/hubs/src/hub-state.ts
+++ b/fleet/hubs/src/hub-state.ts
@@ -1,3 +1,4 @@
+import type { WarmUp } from "@marigoldstall/core.types";
 import type { StorePosition } from "@marigoldstall/fleet.view";
 import type { KnownVm } from "./known-vm.js";
 import type { ServerFailure } from "./server-failure.js";
@@ -24,7 +25,7 @@
     readonly slownessPercent: number | undefined;
     readonly measuredAtMs: number;
     /** What the server stated last about its warm-up. */
-    readonly warmUp: { readonly coldUntilMs: number; readonly statedAtMs: number; } | undefined;
+    readonly warmUp: WarmUp | undefined;
 }
 
 interface OutboxSentRequest {
--- a/fleet/hubs/src/index.ts
+++ b/fleet/hubs/src/index.ts
@@ -1,4 +1,5 @@
 export { createHubState } from "./create-hub-state.js";
+export { createWarmUpUpdate } from "./create-warm-up-update.js";
 export { decodeFleetMessage } from "./decode-fleet-message.js";
 export { encodeFleetMessage } from "./encode-fleet-message.js";
 export type { FindingsMessage } from "./findings-message.js";
@@ -34,6 +35,6 @@
 export type { SentRequest } from "./sent-request.js";
 export type { StatusMessage } from "./status-message.js";
 export type { SuspectFinding } from "./suspect-finding.js";
+export { toWarmUp } from "./to-warm-up.js";
 export type { UpdatesMessage } from "./updates-message.js";
 export type { VmInfo } from "./vm-info.js";
-export type { WarmUpUpdate } from "./warm-up-update.js";
--- a/fleet/hubs/src/queue-load-updates.ts
+++ b/fleet/hubs/src/queue-load-updates.ts
@@ -1,24 +1,21 @@
-import type { LoadReport } from "@marigoldstall/core.types";
+import type { LoadReport, WarmUp } from "@marigoldstall/core.types";
 import type { HubState } from "./hub-state.js";
 import type { LoadUpdate } from "./load-update.js";
+import { toWarmUp } from "./to-warm-up.js";
 import type { WarmUpUpdate } from "./warm-up-update.js";
 
-type OutboxWarmUp = HubState["outbox"]["loads"] extends ReadonlyMap<string, infer Load>
-    ? Load extends { readonly warmUp: infer WarmUp; } ? WarmUp : never
-    : never;
-
 const selectWarmUp = (opts: {
     readonly load: LoadReport;
     readonly measuredAtMs: number;
     /** What a member tells of the warm-up. */
     readonly update: WarmUpUpdate | undefined;
     readonly atMs: number;
-}): OutboxWarmUp => {
+}): WarmUp | undefined => {
     const { load: { coldForMs }, measuredAtMs, update, atMs } = opts;
     if (coldForMs !== undefined) {
         return { coldUntilMs: measuredAtMs + coldForMs, statedAtMs: measuredAtMs };
     }
-    return update && { coldUntilMs: atMs + update.remainingMs, statedAtMs: atMs - update.ageMs };
+    return toWarmUp(update, atMs);
 };
 
 /** Queues load reports for sending, unless a newer one of the same backend server is already queued. */
--- a/fleet/hubs/src/tick-hub.ts
+++ b/fleet/hubs/src/tick-hub.ts
@@ -3,6 +3,7 @@
 import type { UsageReport } from "@marigoldstall/routing.quotas";
 import { compareHubPriority } from "./compare-hub-priority.js";
 import { countHeardVms } from "./count-heard-vms.js";
+import { createWarmUpUpdate } from "./create-warm-up-update.js";
 import type { Findings } from "./findings.js";
 import type { HubEffect } from "./hub-effect.js";
 import { HUB_LIMITS } from "./hub-limits.js";
@@ -90,9 +91,7 @@
         instanceId,
         load,
         ageMs: atMs - load.measuredAtMs,
-        ...warmUp === undefined
-            ? {}
-            : { warmUp: { remainingMs: Math.max(0, warmUp.coldUntilMs - atMs), ageMs: atMs - warmUp.statedAtMs } },
+        ...warmUp === undefined ? {} : { warmUp: createWarmUpUpdate(warmUp, atMs) },
     })),
     sentRequests: state.outbox.sentRequests.map(({ instanceId, sentAtMs }) => ({
         instanceId,
--- a/routing/dispatch/src/dispatch-event.ts
+++ b/routing/dispatch/src/dispatch-event.ts
@@ -1,9 +1,8 @@
-import type { LoadReport, RoutingConfiguration, ServerDirectives } from "@marigoldstall/core.types";
+import type { LoadReport, RoutingConfiguration, ServerDirectives, WarmUp } from "@marigoldstall/core.types";
 import type { RegistrationChange } from "@marigoldstall/fleet.view";
 import type { LoadSelection } from "./load-selection.js";
 import type { ProbeDueAge } from "./probe-due-age.js";
 import type { SuspectRequest } from "./suspect-request.js";
-import type { WarmUp } from "./warm-up.js";
 
 interface Timed {
     readonly atMs: number;
--- a/routing/dispatch/src/index.ts
+++ b/routing/dispatch/src/index.ts
@@ -21,4 +21,3 @@
 export { ServerMap } from "./server-map.js";
 export type { ServerState } from "./server-state.js";
 export type { SuspectRequest } from "./suspect-request.js";
-export type { WarmUp } from "./warm-up.js";
--- a/routing/dispatch/src/load-selection.ts
+++ b/routing/dispatch/src/load-selection.ts
@@ -1,5 +1,4 @@
-import type { LoadReport } from "@marigoldstall/core.types";
-import type { WarmUp } from "./warm-up.js";
+import type { LoadReport, WarmUp } from "@marigoldstall/core.types";
 
 /** What a hub knows about the servers of a service that suit a request best. */
 export interface LoadSelection {
--- a/routing/dispatch/src/record-load.ts
+++ b/routing/dispatch/src/record-load.ts
@@ -1,9 +1,8 @@
-import type { LoadReport } from "@marigoldstall/core.types";
+import type { LoadReport, WarmUp } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { DISPATCH_LIMITS } from "./dispatch-limits.js";
 import { recordWarmUp } from "./record-warm-up.js";
 import { updateSlowChances } from "./update-slow-chances.js";
-import type { WarmUp } from "./warm-up.js";
 
 const PERCENT = 100;
 
--- a/routing/dispatch/src/record-warm-up.ts
+++ b/routing/dispatch/src/record-warm-up.ts
@@ -1,6 +1,6 @@
+import type { WarmUp } from "@marigoldstall/core.types";
 import type { DispatchDraft } from "./dispatch-draft.js";
 import { isColdLimited } from "./is-cold-limited.js";
-import type { WarmUp } from "./warm-up.js";
 
 /** Stores until when a server is cold, unless a later statement is known. It replaces what the registration said. */
 export const recordWarmUp = (draft: DispatchDraft, instanceId: string, warmUp: WarmUp): void => {
