refactor(quotas,dispatch): create the usage of a zone in one place, remove unneeded steps

The empty usage of a zone was written out twice. spreadOverWindow checked the count that its only caller checks before the call, and isSlowEverywhere copied a set that was created for it. No behaviour changes.

--- a/routing/dispatch/src/is-slow-everywhere.ts
+++ b/routing/dispatch/src/is-slow-everywhere.ts
@@ -4,7 +4,7 @@
 import { durationProfiles } from "./duration-profiles.js";
 import { HEDGE_LIMITS } from "./hedge-limits.js";
 
-const listLateServers = (draft: DispatchDraft, service: DispatchService): ReadonlySet<string> => {
+const listLateServers = (draft: DispatchDraft, service: DispatchService): Set<string> => {
     const late = new Set<string>();
     for (const requestKey of service.running) {
         const request = draft.request(requestKey);
@@ -31,7 +31,7 @@
     attempt: AttemptState,
 ): boolean => {
     const elapsedMs = draft.atMs - attempt.startedAtMs;
-    const lateServers = new Set(listLateServers(draft, service));
+    const lateServers = listLateServers(draft, service);
     lateServers.delete(attempt.instanceId);
     const answered = service.hedging.recentAnswers.filter(answer =>
         answer.instanceId !== attempt.instanceId && answer.startedAtMs >= attempt.startedAtMs
--- a/routing/dispatch/src/select-hedge-threshold.ts
+++ b/routing/dispatch/src/select-hedge-threshold.ts
@@ -3,7 +3,8 @@
 import { HEDGE_LIMITS } from "./hedge-limits.js";
 
 /**
- * Time after which an attempt has taken longer than most of its kind. The quantile `1 - share` spends the share evenly on the slowest requests; a lower one applies while the credit is unused.
+ * Time after which an attempt has taken longer than most of its kind. The quantile `1 - share` spends the share evenly on
+ * the slowest requests; a lower one applies while the credit is unused.
  */
 export const selectHedgeThreshold = (
     profile: DurationProfile,
--- a/routing/quotas/src/change-role.ts
+++ b/routing/quotas/src/change-role.ts
@@ -1,3 +1,4 @@
+import { createZoneUsage } from "./create-zone-usage.js";
 import type { QuotaState } from "./quota-state.js";
 
 /**
@@ -10,14 +11,7 @@
 ): QuotaState => {
     const { isHub, atMs } = opts;
     const { availabilityZone, reporterId, own } = state;
-    const zones = new Map(state.zones).set(availabilityZone, {
-        reporterId,
-        sequence: 0,
-        reporterSinceMs: 0,
-        hasGap: false,
-        reportedTotals: new Map(),
-        tenants: own,
-    });
+    const zones = new Map(state.zones).set(availabilityZone, createZoneUsage({ reporterId, tenants: own }));
     const hubTerm = state.hubTerm + (isHub ? 1 : 0);
     return {
         ...state,
--- a/routing/quotas/src/count-in-zone.ts
+++ b/routing/quotas/src/count-in-zone.ts
@@ -1,4 +1,5 @@
 import { addToTenant } from "./add-to-tenant.js";
+import { createZoneUsage } from "./create-zone-usage.js";
 import type { QuotaState } from "./quota-state.js";
 
 /** Counts requests of this hub's zone, or takes some back if the count is negative. */
@@ -16,15 +17,7 @@
     if (bounds === undefined || count === 0) {
         return state;
     }
-    const zone = state.zones.get(availabilityZone)
-        ?? {
-            reporterId,
-            sequence: 0,
-            reporterSinceMs: 0,
-            hasGap: false,
-            reportedTotals: new Map(),
-            tenants: new Map(),
-        };
+    const zone = state.zones.get(availabilityZone) ?? createZoneUsage({ reporterId });
     const tenants = addToTenant(zone.tenants, tenantName, {
         atMs,
         count,
--- a/routing/quotas/src/spread-over-window.ts
+++ b/routing/quotas/src/spread-over-window.ts
@@ -7,9 +7,6 @@
     opts: { readonly atMs: number; readonly windowMs: number; readonly count: number; },
 ): WindowCount => {
     const { atMs, windowMs, count } = opts;
-    if (count <= 0) {
-        return window;
-    }
     const { sliceMs } = QUOTA_LIMITS;
     const lastSlice = Math.floor(atMs / sliceMs);
     const sliceCount = Math.max(1, Math.floor(windowMs / sliceMs));
