test(entry): share the demand on model fleets

Three tests had the same loop, which spreads requests over the VMs that run. Their assertions and the order of the requests stay as they are.

--- a/daemon/entry/test/cold-servers.test.ts
+++ b/daemon/entry/test/cold-servers.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { FleetModel } from "./fleet-model.js";
+import { ModelDemand } from "./model-demand.js";
 import { ModelServers } from "./model-servers.js";
 
 const COLD_PER_SECOND = 10;
@@ -22,8 +23,7 @@
 class ColdFleet {
     readonly model: FleetModel;
     readonly servers: ModelServers;
-    private arrivalsDue = 0;
-    private nextVm = 0;
+    private readonly demand: ModelDemand;
 
     constructor(vmCount: number) {
         this.model = new FleetModel({
@@ -36,6 +36,7 @@
         });
         const limits = new Map<string, number>();
         this.servers = new ModelServers(this.model, { workMs: WORK_MS, slots: SLOTS, limits, limitedFromMs: Infinity });
+        this.demand = new ModelDemand(this.model);
         this.model.run(3_000);
     }
 
@@ -57,17 +58,7 @@
     }
 
     run(durationMs: number, demandPerS: number): void {
-        const endAtMs = this.model.atMs + durationMs;
-        while (this.model.atMs < endAtMs) {
-            this.arrivalsDue += demandPerS / 100;
-            while (this.arrivalsDue >= 1) {
-                this.arrivalsDue -= 1;
-                const { live } = this.model;
-                this.nextVm = (this.nextVm + 7) % live.length;
-                this.model.arrive(live[this.nextVm] ?? "");
-            }
-            this.model.run(10);
-        }
+        this.demand.run(durationMs, demandPerS);
     }
 
     timesAt(instanceId: string, sinceMs: number): readonly number[] {
--- a/daemon/entry/test/evacuated-zones.test.ts
+++ b/daemon/entry/test/evacuated-zones.test.ts
@@ -1,6 +1,7 @@
 import { selectEvacuatedZones } from "@marigoldstall/fleet.view";
 import { expect } from "chai";
 import { FleetModel } from "./fleet-model.js";
+import { ModelDemand } from "./model-demand.js";
 import { ModelServers } from "./model-servers.js";
 
 const ZONE = "zone-0";
@@ -15,8 +16,7 @@
 class EvacuatedFleet {
     readonly model: FleetModel;
     private readonly servers: ModelServers;
-    private arrivalsDue = 0;
-    private nextVm = 0;
+    private readonly demand: ModelDemand;
 
     constructor(vmCount: number) {
         this.model = new FleetModel({
@@ -28,21 +28,12 @@
         });
         const opts = { workMs: WORK_MS, slots: SLOTS, limits: new Map<string, number>(), limitedFromMs: Infinity };
         this.servers = new ModelServers(this.model, opts);
+        this.demand = new ModelDemand(this.model);
         this.model.run(3_000);
     }
 
     runWithDemand(durationMs: number): void {
-        const endAtMs = this.model.atMs + durationMs;
-        while (this.model.atMs < endAtMs) {
-            this.arrivalsDue += DEMAND_PER_S / 100;
-            while (this.arrivalsDue >= 1) {
-                this.arrivalsDue -= 1;
-                const { live } = this.model;
-                this.nextVm = (this.nextVm + 7) % live.length;
-                this.model.arrive(live[this.nextVm] ?? "");
-            }
-            this.model.run(10);
-        }
+        this.demand.run(durationMs, DEMAND_PER_S);
     }
 
     /** Requests that reached servers of the zone from a time on. */
--- a/daemon/entry/test/server-limit.test.ts
+++ b/daemon/entry/test/server-limit.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { FleetModel } from "./fleet-model.js";
+import { ModelDemand } from "./model-demand.js";
 import { ModelServers } from "./model-servers.js";
 
 const LIMITS = new Map([["i-0", 0.3], ["i-1", 1], ["i-2", 1.3], ["i-3", 40]]);
@@ -30,28 +31,20 @@
     readonly model: FleetModel;
     readonly servers: ModelServers;
     readonly limitedFromMs: number;
-    private arrivalsDue = 0;
-    private nextVm = 0;
+    private readonly demand: ModelDemand;
 
     constructor(opts: { readonly vmCount: number; readonly zones: number; }) {
         this.model = new FleetModel({ ...opts, serverCount: SERVER_COUNT, slotsPerServer: SLOTS, delayMs: 1 });
         this.limitedFromMs = this.model.atMs + 4_000;
         const { limitedFromMs } = this;
         this.servers = new ModelServers(this.model, { workMs: WORK_MS, slots: SLOTS, limits: LIMITS, limitedFromMs });
+        this.demand = new ModelDemand(this.model);
         this.model.run(3_000);
     }
 
     /** Spreads requests evenly over the VMs that run. */
     runWithDemand(durationMs: number, demandPerS: number): void {
-        const endAtMs = this.model.atMs + durationMs;
-        while (this.model.atMs < endAtMs) {
-            this.arrivalsDue += demandPerS / 100;
-            while (this.arrivalsDue >= 1) {
-                this.arrivalsDue -= 1;
-                this.arriveSomewhere();
-            }
-            this.model.run(10);
-        }
+        this.demand.run(durationMs, demandPerS);
     }
 
     /** Each VM gets several requests within 100 ms. */
@@ -74,12 +67,6 @@
             .map(({ atMs }) => atMs)
             .sort((a, b) => a - b);
     }
-
-    private arriveSomewhere(): void {
-        const { live } = this.model;
-        this.nextVm = (this.nextVm + 7) % live.length;
-        this.model.arrive(live[this.nextVm] ?? "");
-    }
 }
 
 const expectWithinLimits = (fleet: LimitedFleet): void => {
