--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -9,7 +9,6 @@
 import { spawn } from "node:child_process";
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { request as httpRequest } from "node:http";
-import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -191,38 +190,6 @@
         });
     }
 
-    /** Sends a request with a body that is chunked already, on a connection of its own. */
-    sendRaw(index, opts) {
-        const { requestId, chunkedBody, deadlineMs } = opts;
-        const sentAtMs = this.nowMs();
-        return new Promise(done => {
-            const socket = connect(this.callerAddress(index));
-            let isSettled = false;
-            const settle = (outcome, status) => {
-                if (isSettled) {
-                    return;
-                }
-                isSettled = true;
-                clearTimeout(timer);
-                socket.destroy();
-                this.record("request", { requestId, vm: index, sentAtMs, outcome, status });
-                done({ outcome, status });
-            };
-            const timer = setTimeout(() => settle("no answer in time"), deadlineMs);
-            const head = [
-                "POST /write/1 HTTP/1.1",
-                `Host: ${PUBLIC_HOST}`,
-                `X-Request-Id: ${requestId}`,
-                `X-Deadline-Ms: ${deadlineMs}`,
-                "Transfer-Encoding: chunked",
-            ];
-            socket.once("data", data => settle("answer", Number(/^HTTP\/1.1 (\d+)/.exec(String(data))?.[1])));
-            socket.on("error", error => settle(error.message));
-            socket.on("close", () => settle("closed"));
-            socket.write(`${head.join("\r\n")}\r\n\r\n${chunkedBody}`);
-        });
-    }
-
     /** Ends everything that was started and writes the record. */
     close(folder) {
         for (const child of [...this.entries, ...this.helpers]) {
