fix(entry): report a response without a length as cut when its connection is reset

What callers saw: a server answered with a 200 that had no length, sent a part of its body and reset the connection. The caller received the part as a complete response.

Cause: libuv reports an end of the connection, not an error, when a read does not fill its buffer of 64 KB and the connection has hung up (uv__stream_io). The reset stays pending in the kernel. Node.js then finishes the parser, which takes the end as the end of the body, and destroys the socket before a pending write of the request can fail. `complete` of the response is true.

Ruled out: that a write takes the error and the following read gets an end. Node.js then reports the error of the request before the end of the response, and the attempt failed already. That the form depends on `Connection: close`, on HTTP/1.0 or on a connection that was used before: it shows with and without each.

Change: watchResponseEnd decides for a response whether its end completes it.

Not changed: if a write gets EPIPE before the end of the response is read, Node.js drops what it has not read and the attempt fails, as before.

--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -1,6 +1,6 @@
-import { BodyCollector, collectBody } from "@marigoldstall/core.http-body";
+import { BodyCollector, CheckedSocket, collectBody } from "@marigoldstall/core.http-body";
 import { request as httpRequest } from "node:http";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { BackendConnection } from "./backend-connection.js";
 import type { BackendPoolOptions } from "./backend-pool-options.js";
 import type { Clock } from "./clock.js";
@@ -242,7 +242,10 @@
         const host = this.address.slice(0, colon).replace(/^\[|\]$/g, "");
         let socket: Socket;
         try {
-            socket = connect({ host, port: Number(this.address.slice(colon + 1)), noDelay: true });
+            socket = new CheckedSocket().setNoDelay(true).connect({
+                host,
+                port: Number(this.address.slice(colon + 1)),
+            });
         }
         catch (error) {
             // Node.js throws for a port out of range, which a VM of an earlier release may tell this one.
--- a/daemon/entry/src/server-attempt.ts
+++ b/daemon/entry/src/server-attempt.ts
@@ -1,3 +1,4 @@
+import { watchResponseEnd } from "@marigoldstall/core.http-body";
 import type { LoadReport, ServerDirectives } from "@marigoldstall/core.types";
 import {
     announcesForbiddenBody,
@@ -221,7 +222,7 @@
         }
         if (announcesForbiddenBody(response)) {
             this.connection?.destroy();
-            this.complete(response, { head, body: Buffer.alloc(0) });
+            this.complete(response, { head, body: Buffer.alloc(0), isConnectionEnd: false });
             return;
         }
         const { memory, pacer, blockPool, clock } = this.opts;
@@ -241,18 +242,15 @@
                 memory.noteReceived(collector, bytes);
             },
         });
-        response.on("error", error => {
-            this.failAsLost(`response: ${error.message}`, { isConnectionBroken: true });
-        });
-        response.on("close", () => {
-            if (!response.complete) {
-                this.failAsLost("response-cut", { isConnectionBroken: true });
-            }
-        });
-        response.on("end", () => {
-            if (!this.isSettled && response.complete) {
-                this.complete(response, { head, body: collector.complete(), collector });
-            }
+        watchResponseEnd(response, {
+            onComplete: ({ isConnectionEnd }) => {
+                if (!this.isSettled) {
+                    this.complete(response, { head, body: collector.complete(), collector, isConnectionEnd });
+                }
+            },
+            onCut: reason => {
+                this.failAsLost(reason, { isConnectionBroken: true });
+            },
         });
     }
 
@@ -263,18 +261,21 @@
             readonly body: BodyBytes;
             /** Holds the memory of the body. */
             readonly collector?: PooledBody;
+            /** Whether the end of the connection delimits the body. */
+            readonly isConnectionEnd: boolean;
         },
     ): void {
         this.isSettled = true;
         const { statusCode = 0, headers } = response;
-        const { head, body, collector } = opts;
+        const { head, body, collector, isConnectionEnd } = opts;
         const bufferedResponse = {
             statusCode,
             rawHeaders: withoutForbiddenLength(response),
             connectionHeader: headers.connection,
             body,
             ...collector === undefined ? {} : { collector },
-            isFramed: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined,
+            isFramed: !isConnectionEnd
+                && (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined),
         };
         // Node.js frees the connection in a callback that it queued before this one.
         process.nextTick(() => {
--- a/daemon/entry/test/entry-site.ts
+++ b/daemon/entry/test/entry-site.ts
@@ -9,6 +9,7 @@
 import type { EntrySettings } from "@marigoldstall/core.types";
 import { EntryDaemon } from "@marigoldstall/daemon.entry";
 import { StoreClient } from "@marigoldstall/platform.adapter";
+import { connect } from "node:net";
 
 const PORTS = { caller: 28_741, ready: 28_740, control: 28_749, fleet: 27_720 };
 const PUBLIC_HOST = "parks.example";
@@ -78,6 +79,31 @@
         }
     }
 
+    /** Sets what handles the requests to a server in its place. */
+    intercept(instanceId: string, handler: PlatformServer["intercept"]): void {
+        const server = this.servers.get(instanceId);
+        if (server !== undefined) {
+            server.intercept = handler;
+        }
+    }
+
+    /** Sends bytes on a new connection to the first daemon. Returns what comes back until the connection is closed. */
+    exchangeBytes(requestHead: string, requestBody: Buffer = Buffer.alloc(0)): Promise<string> {
+        return new Promise(resolve => {
+            const socket = connect({ host: this.hosts[0] ?? "", port: PORTS.caller });
+            let received = "";
+            socket.on("data", (chunk: Buffer) => {
+                received += chunk.toString("latin1");
+            });
+            socket.on("error", () => undefined);
+            socket.on("close", () => {
+                resolve(received);
+            });
+            socket.write(requestHead);
+            socket.write(requestBody);
+        });
+    }
+
     /** Registers a server in the store. A registration with other slots is a change, which appends a record. */
     register(instanceId: string, opts: { readonly slots?: number; readonly isDraining?: boolean; } = {}): void {
         const { slots = 2, isDraining = false } = opts;
@@ -92,8 +118,8 @@
         });
     }
 
-    publish(version: number): void {
-        this.store.publish({ version, host: PUBLIC_HOST, service: SERVICE });
+    publish(version: number, opts: { readonly maxBodyBytes?: number; } = {}): void {
+        this.store.publish({ version, host: PUBLIC_HOST, service: SERVICE, ...opts });
     }
 
     /** Sends requests concurrently to each daemon in turn. */
--- a/daemon/entry/test/support/attempt-harness.ts
+++ b/daemon/entry/test/support/attempt-harness.ts
@@ -14,8 +14,10 @@
     /** Number of connections that the server accepted. */
     connections = 0;
     pool = new BackendPool({ address: "127.0.0.1:0", maxConnections: 4, clock: this.clock });
-    private readonly server = createServer(socket => {
+    private readonly sockets = new Set<Socket>();
+    private readonly server = createServer({ noDelay: true }, socket => {
         this.connections += 1;
+        this.sockets.add(socket);
         let count = 0;
         socket.on("error", () => undefined);
         socket.on("data", () => {
@@ -35,18 +37,24 @@
 
     async stop(): Promise<void> {
         this.pool.closeAll();
+        // A socket that reads nothing does not notice that the other side closed it.
+        this.sockets.forEach(socket => {
+            socket.destroy();
+        });
         await new Promise(resolve => {
             this.server.close(resolve);
         });
     }
 
-    run(opts: { readonly remainingMs?: number | undefined; readonly url?: string | undefined; } = {}): Promise<
-        AttemptOutcome
-    > {
-        const { remainingMs = 1_000, url = "/a/" } = opts;
+    run(opts: {
+        readonly remainingMs?: number | undefined;
+        readonly url?: string | undefined;
+        readonly requestBody?: Buffer | undefined;
+    } = {}): Promise<AttemptOutcome> {
+        const { remainingMs = 1_000, url = "/a/", requestBody } = opts;
         return new Promise(resolve => {
             const message = {
-                method: "GET",
+                method: requestBody === undefined ? "GET" : "POST",
                 url,
                 rawHeaders: ["Host", "parks.example", "X-Request-Id", "abc"],
                 headers: {},
@@ -62,7 +70,7 @@
                     address: this.pool.address,
                     deadlineAtMs: this.clock.atMs() + remainingMs,
                 },
-                request: { requestKey: "1", requestId: "abc", message, body: undefined, hasFollowers: () => false },
+                request: { requestKey: "1", requestId: "abc", message, body: requestBody, hasFollowers: () => false },
                 pool: this.pool,
                 clock: this.clock,
                 memory: this.memory,
--- a/stand-ins/platform/src/platform-server.ts
+++ b/stand-ins/platform/src/platform-server.ts
@@ -30,6 +30,8 @@
     private readonly server: Server;
     /** What the server asks of its callers in its responses to requests. */
     directives: PlatformServerDirectives = {};
+    /** Handles a request in place of the server, before its body is read. Returns whether it did. */
+    intercept: (request: IncomingMessage) => boolean = () => false;
     /** Status line that the server sends for requests that it ran, undefined for the one of a 200. */
     statusLine: string | undefined;
     private inFlight = 0;
@@ -39,6 +41,9 @@
         this.opts = opts;
         this.instanceId = opts.instanceId;
         this.server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
+            if (this.intercept(request)) {
+                return;
+            }
             request.resume();
             request.on("end", () => {
                 this.handleRequest(request, response);
