fix(connections): fail a health check whose response is cut by a reset

What was seen: a server answered a health check with a 200 without a length, sent a part of its body and reset the connection. The server counted as one that answers, and the load that it stated was believed. The same exchange carries the checks before a request, the check whether a server still runs and the cancellations of the daemon.

The exchange took an end of the response for its completion.

Evidence: backend-pool.test.ts, "fail when the connection is reset behind a part of a body without a length", failed before and passes now, as the exchange asks watchResponseEnd. An orderly end still completes such a response.

Already handled, with a test each: malformed names of headers, for which Node.js's parser reports an error.

--- a/daemon/connections/src/backend-pool.ts
+++ b/daemon/connections/src/backend-pool.ts
@@ -1,4 +1,4 @@
-import { BodyCollector, CheckedSocket, collectBody } from "@marigoldstall/core.http-body";
+import { BodyCollector, CheckedSocket, collectBody, watchResponseEnd } from "@marigoldstall/core.http-body";
 import { request as httpRequest } from "node:http";
 import type { Socket } from "node:net";
 import { BackendConnection } from "./backend-connection.js";
@@ -200,22 +200,24 @@
             }
             connection.expectResponse(() => response.complete);
             collectBody(response, collector);
-            response.on("error", () => {
-                finish(undefined);
-            });
-            response.on("end", () => {
-                const body = collector.complete();
-                const instanceId = singleHeader(response.headers[this.instanceIdHeader]);
-                if (opts.expectsInstanceId === true && instanceId === undefined) {
-                    // A late copy of an earlier response. The response to this request is still to come.
-                    connection.destroy();
-                }
-                this.instanceId = instanceId ?? this.instanceId;
-                const { statusCode = 0, headers } = response;
-                // Node.js frees the connection in a callback that it queued before this one.
-                process.nextTick(() => {
-                    finish({ statusCode, instanceId, headers, parseBody: () => parseJson(body) });
-                });
+            watchResponseEnd(response, {
+                onComplete: () => {
+                    const body = collector.complete();
+                    const instanceId = singleHeader(response.headers[this.instanceIdHeader]);
+                    if (opts.expectsInstanceId === true && instanceId === undefined) {
+                        // A late copy of an earlier response. The response to this request is still to come.
+                        connection.destroy();
+                    }
+                    this.instanceId = instanceId ?? this.instanceId;
+                    const { statusCode = 0, headers } = response;
+                    // Node.js frees the connection in a callback that it queued before this one.
+                    process.nextTick(() => {
+                        finish({ statusCode, instanceId, headers, parseBody: () => parseJson(body) });
+                    });
+                },
+                onCut: () => {
+                    finish(undefined);
+                },
             });
         });
         limitInterimResponses(request, () => {
--- a/daemon/connections/test/backend-pool.test.ts
+++ b/daemon/connections/test/backend-pool.test.ts
@@ -145,6 +145,31 @@
             });
         }
 
+        // The server counted as one that answers.
+        it("fail when the connection is reset behind a part of a body without a length", async () => {
+            onData = socket => {
+                socket.write("HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\n\r\npart", () => {
+                    socket.resetAndDestroy();
+                });
+            };
+            expect(await check()).to.equal(undefined);
+        });
+
+        it("take a body without a length when the connection ends in order", async () => {
+            onData = socket => socket.end("HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\n\r\nwhole");
+            expect(await check()).to.equal("i-1");
+        });
+
+        for (const name of ["X Cache", "X-Cache ", " X-Cache", "X\0Cache", "X\u0001Cache", "X\u007fCache"]) {
+            it(`fail, and close the connection, after a header named ${JSON.stringify(name)}`, async () => {
+                onData = socket => socket.write(HEALTH.replace("X-Instance-Id", `${name}: miss\r\nX-Instance-Id`));
+                expect(await check()).to.equal(undefined);
+                onData = socket => socket.write(HEALTH);
+                expect(await check()).to.equal("i-1");
+                expect(sockets.length).to.equal(2);
+            });
+        }
+
         // Servers in trouble may send bytes that are no response until the caller closes the connection.
         for (
             const [name, head, chunk] of [
