fix(runtime): relay no response whose transfer coding leaves its end to the connection

What callers of the older request path saw: a response with a transfer coding other than chunked, a part of whose body came before a reset, reached them as a complete 200 with the part in chunks of its own.

Cause: that path refuses responses that only the end of the connection delimits, as their ends cannot be trusted. It took any Transfer-Encoding for a delimiter. Node.js reads a body whose last coding is not chunked until the connection ends.

With a reset during a long upload the request had already failed with 502.

Change: only a final chunked coding or a length delimits a response on this path.

Already handled, with tests: responses with neither, and malformed names of headers, which get 502. Status 000 has its test in backend-faults.test.ts.

--- a/daemon/runtime/src/attempt.ts
+++ b/daemon/runtime/src/attempt.ts
@@ -12,6 +12,7 @@
 import type { AttemptListener } from "./attempt-listener.js";
 import type { CallerRequest } from "./caller-request.js";
 import { createAttemptHeaders } from "./create-attempt-headers.js";
+import { endsWithConnection } from "./ends-with-connection.js";
 import { relayResponse } from "./relay-response.js";
 
 type StartAttempt = Extract<RoutingEffect, { readonly type: "start-attempt"; }>;
@@ -293,11 +294,8 @@
             return;
         }
         const statusCode = response.statusCode ?? 0;
-        // Without a length or chunks, closing the connection ends the body, and a truncated response looks complete.
         const hasNoBody = this.request.message.method === "HEAD" || statusCode === 204 || statusCode === 304;
-        const hasNoEnd = !hasNoBody && response.headers["content-length"] === undefined
-            && response.headers["transfer-encoding"] === undefined;
-        if (hasNoEnd) {
+        if (!hasNoBody && endsWithConnection(response)) {
             this.connection?.destroy();
             this.failAfterSend("reset");
             return;
