test(rpc): break the responses of peers

Status 000 is refused like any status but 200, and a malformed name of a header fails the call. Peers and the operator's tool call daemons this way.

--- a/fleet/rpc/test/rpc.test.ts
+++ b/fleet/rpc/test/rpc.test.ts
@@ -156,5 +156,66 @@
                 unsignedServer.close();
             }
         });
+
+        describe("with a peer whose response is broken", () => {
+            const SIGNED_HEAD = `${RPC.signatureHeader}: SIGNATURE\r\n`;
+            const cases: readonly (readonly [string, string, boolean, string])[] = [
+                [
+                    "no length, whose connection is reset after a part",
+                    `HTTP/1.1 200 OK\r\n${SIGNED_HEAD}\r\n`,
+                    true,
+                    "FORGED_ANSWER",
+                ],
+                [
+                    "a length, whose connection is reset after a part",
+                    `HTTP/1.1 200 OK\r\n${SIGNED_HEAD}Content-Length: LENGTH\r\n\r\n`,
+                    true,
+                    "UNREACHABLE",
+                ],
+                ["status 000", `HTTP/1.1 000 OK\r\n${SIGNED_HEAD}Content-Length: LENGTH\r\n\r\n`, false, "REFUSED"],
+                ...["X Cache", "X-Cache ", "X\u0001Cache"].map(name =>
+                    [
+                        `a header named ${JSON.stringify(name)}`,
+                        `HTTP/1.1 200 OK\r\n${SIGNED_HEAD}${name}: miss\r\nContent-Length: LENGTH\r\n\r\n`,
+                        false,
+                        "UNREACHABLE",
+                    ] as const
+                ),
+            ];
+            for (const [name, head, isCut, code] of cases) {
+                it(`fails after a response with ${name}`, async () => {
+                    const brokenPeer = createServer(({ socket, headers }) => {
+                        // The id is the one of the first call of a client.
+                        const body = Buffer.from(JSON.stringify({ jsonrpc: "2.0", id: 1, result: {} }));
+                        const signature = signMessage(body, {
+                            key: KEY,
+                            direction: "answer",
+                            timestampMs: String(headers[RPC.timestampHeader]),
+                            nonce: String(headers[RPC.nonceHeader]),
+                            target: String(headers[RPC.targetHeader]),
+                        });
+                        const text = head.replace("SIGNATURE", signature.toString("hex"))
+                            .replace("LENGTH", String(body.length));
+                        socket.write(`${text}${body.subarray(0, isCut ? 10 : body.length).toString()}`, () => {
+                            if (isCut) {
+                                socket.resetAndDestroy();
+                            }
+                        });
+                    });
+                    await new Promise<void>(resolve => brokenPeer.listen(0, "127.0.0.1", resolve));
+                    const firstClient = new RpcClient({ key: KEY, now: () => WALL_MS });
+                    try {
+                        const peer = `127.0.0.1:${(brokenPeer.address() as AddressInfo).port}`;
+                        const result = await firstClient.call(peer, { method: "echo", params: {} });
+                        expect(result._unsafeUnwrapErr().code).to.equal(`ERR_MARIGOLDSTALL_RPC_${code}`);
+                    }
+                    finally {
+                        firstClient.close();
+                        brokenPeer.closeAllConnections();
+                        brokenPeer.close();
+                    }
+                });
+            }
+        });
     });
 });
