test(entry): send responses with status 000 and with malformed names of headers

Both forms were handled before: findHeadFault rejects every status below 200, and Node.js's parser reports an error for the names, in whichever line of the head they come and however the body is delimited. The caller gets 502 without a byte of the response.

--- a/daemon/entry/test/broken-responses.test.ts
+++ b/daemon/entry/test/broken-responses.test.ts
@@ -19,6 +19,33 @@
     ],
 ];
 
+const headsWithName = (line: string): readonly string[] =>
+    ["Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""].flatMap(framing => [
+        `HTTP/1.1 200 OK\r\n${SIGNED}${framing}${line}\r\n\r\n`,
+        `HTTP/1.1 200 OK\r\n${line}\r\n${SIGNED}${framing}\r\n`,
+    ]);
+
+// Lines of a response's head whose name is none.
+const malformedLines: readonly (readonly [string, string])[] = [
+    ["a blank inside", "X Cache: miss"],
+    ["a blank before the colon", "X-Cache : miss"],
+    ["a tab before the colon", "X-Cache\t: miss"],
+    ["a blank at the start", " X-Cache: miss"],
+    ["a blank only", " : miss"],
+    ["nothing in it", ": miss"],
+    ["a NUL", "X\0Cache: miss"],
+    ["a control byte", "X\u0001Cache: miss"],
+    ["a vertical tab", "X\u000bCache: miss"],
+    ["a DEL", "X\u007fCache: miss"],
+    ["a carriage return", "X\rCache: miss"],
+    ["a line feed", "X\nCache: miss"],
+    ["a byte above 0x7f", "X\u00e9Cache: miss"],
+    ["a blank in Content-Length", "Content-Length : 3"],
+    ["a control byte in Content-Length", "Content-\u0001Length: 3"],
+    ["a blank in Transfer-Encoding", "Transfer-Encoding : chunked"],
+    ["a control byte in Transfer-Encoding", "Transfer-\u0001Encoding: chunked"],
+];
+
 describe("Broken responses of a backend server", () => {
     let site: EntrySite;
     let sockets: Set<Socket>;
@@ -111,4 +138,38 @@
             });
         }
     });
+
+    for (const status of ["000", "099"]) {
+        describe(`with status ${status}`, () => {
+            for (const [name, head, body] of requests) {
+                it(`never reach the caller of ${name}`, async () => {
+                    await start(["i-1"]);
+                    breakResponses("i-1", ({ socket }) => {
+                        socket.write(`HTTP/1.1 ${status} OK\r\n${SIGNED}Content-Length: 4\r\n\r\nbody`);
+                    });
+                    const received = await site.exchangeBytes(head, body);
+                    expect(received).to.match(/^HTTP\/1\.1 502 /).and.not.to.include("body");
+                });
+            }
+        });
+    }
+
+    describe("with a malformed name of a header", () => {
+        beforeEach(() => start(["i-1"]));
+
+        for (const [description, line] of malformedLines) {
+            it(`never reach the caller when the name has ${description}`, async () => {
+                for (const responseHead of headsWithName(line)) {
+                    for (const [name, head, body] of requests) {
+                        breakResponses("i-1", ({ socket }) => {
+                            socket.end(Buffer.from(`${responseHead}5\r\nwhole\r\n0\r\n\r\n`, "latin1"));
+                        });
+                        const received = await site.exchangeBytes(head, body);
+                        expect(received, `${name}, ${JSON.stringify(responseHead)}`).to.match(/^HTTP\/1\.1 502 /)
+                            .and.not.to.match(/whole|miss/);
+                    }
+                }
+            });
+        }
+    });
 });
