--- a/core/http-body/test/watch-response-end.test.ts
+++ b/core/http-body/test/watch-response-end.test.ts
@@ -163,6 +163,19 @@
             expect(await finish()).to.deep.equal(["cut"]);
         });
 
+        it("reports it as complete when the connection ends while the reader still has a part to read", async () => {
+            const socket = await send();
+            await readHead(socket);
+            response?.pause();
+            socket.end("whole");
+            await new Promise(resolve => {
+                setTimeout(resolve, LATER_MS);
+            });
+            expect(results).to.deep.equal([]);
+            response?.resume();
+            expect(await finish()).to.deep.equal(["complete: whole, by connection"]);
+        });
+
         for (
             const [name, body] of [["a short request", undefined], ["a long one", Buffer.alloc(LONG_BYTES)]] as const
         ) {
